--- /dev/null
+++ b/src/command/edit.rs
@@ -0,0 +1,139 @@
+//! The subcommands that talk to a daemon's operator port.
+
+use std::net::SocketAddr;
+
+use http::{Method, StatusCode};
+use serde_json::{json, Value};
+
+use crate::{
+    catalog::{Change, Plan, Route},
+    cli::{AccessCommand, AccessSetArgs, KeyCommand, PlanCommand, StatusArgs},
+    exit_code::ExitCode,
+};
+
+use super::{operator_client::call_daemon, print::print_plain};
+
+struct Call<'a> {
+    daemon: SocketAddr,
+    token: Option<&'a str>,
+    json: bool,
+}
+
+impl Call<'_> {
+    fn get(&self, path: &str) -> ExitCode {
+        self.send(Method::GET, path, None)
+    }
+
+    fn edit(&self, change: &Change, from_revision: Option<u64>) -> ExitCode {
+        let body = json!({"from_revision": from_revision, "changes": [change]});
+        self.send(Method::POST, "/edit", Some(&body))
+    }
+
+    fn send(&self, method: Method, path: &str, body: Option<&Value>) -> ExitCode {
+        let answer = match call_daemon(self.daemon, self.token, method, path, body) {
+            Ok(answer) => answer,
+            Err(code) => return code,
+        };
+        if self.json {
+            println!("{}", answer.body);
+        } else {
+            print_plain(&answer.body);
+        }
+        match answer.status {
+            StatusCode::OK => ExitCode::Success,
+            StatusCode::GATEWAY_TIMEOUT => ExitCode::Unknown,
+            _ => ExitCode::Refused,
+        }
+    }
+}
+
+macro_rules! call {
+    ($args:expr) => {
+        Call {
+            daemon: $args.daemon,
+            token: $args.token.as_deref(),
+            json: $args.json,
+        }
+    };
+}
+
+/// Runs an operation on the list of plans.
+pub(super) fn plan(command: &PlanCommand) -> ExitCode {
+    match command {
+        PlanCommand::Set(args) => {
+            let plan = Plan {
+                plan: args.plan.clone(),
+                rate_per_s: args.rate,
+                burst: args.burst,
+            };
+            let workspace = args.workspace.clone();
+            call!(args).edit(&Change::SetPlan { workspace, plan }, args.from_revision)
+        }
+        PlanCommand::Remove(args) => {
+            let workspace = args.workspace.clone();
+            call!(args).edit(&Change::RemovePlan { workspace }, args.from_revision)
+        }
+        PlanCommand::List(args) => call!(args).get("/plans"),
+    }
+}
+
+/// Runs an operation on the access list.
+pub(super) fn access(command: &AccessCommand) -> ExitCode {
+    match command {
+        AccessCommand::Set(args) => set_access(args),
+        AccessCommand::Remove(args) => {
+            let plan = args.plan.clone();
+            call!(args).edit(&Change::RemoveAccess { plan }, args.from_revision)
+        }
+        AccessCommand::List(args) => call!(args).get("/access"),
+    }
+}
+
+fn set_access(args: &AccessSetArgs) -> ExitCode {
+    let routes: Option<Vec<Route>> = args.route.iter().map(|text| parse_route(text)).collect();
+    let Some(routes) = routes else {
+        eprintln!("--route: expected SERVICE=/PREFIX, with ',repeatable' or ',once' behind it");
+        return ExitCode::Usage;
+    };
+    let plan = args.plan.clone();
+    call!(args).edit(&Change::SetAccess { plan, routes }, args.from_revision)
+}
+
+fn parse_route(text: &str) -> Option<Route> {
+    let (service, rest) = text.split_once('=')?;
+    let (prefix, mark) = rest.split_once(',').unwrap_or((rest, ""));
+    let repeatable = match mark {
+        "" => None,
+        "repeatable" => Some(true),
+        "once" => Some(false),
+        _ => return None,
+    };
+    Some(Route {
+        service: service.to_owned(),
+        prefix: prefix.to_owned(),
+        repeatable,
+    })
+}
+
+/// Runs an operation on keys.
+pub(super) fn key(command: &KeyCommand) -> ExitCode {
+    match command {
+        KeyCommand::Give(args) => {
+            let body = json!({"workspace": args.workspace});
+            call!(args).send(Method::POST, "/key/give", Some(&body))
+        }
+        KeyCommand::Withdraw(args) => {
+            let Ok(hash) = serde_json::from_value(json!(args.hash)) else {
+                eprintln!("hash: expected 32 hexadecimal digits, as 'key list' shows them");
+                return ExitCode::Usage;
+            };
+            call!(args).edit(&Change::WithdrawKey { hash }, None)
+        }
+        KeyCommand::List(args) => call!(args).get("/keys"),
+    }
+}
+
+/// Shows a daemon's status.
+pub(super) fn status(args: &StatusArgs) -> ExitCode {
+    call!(args).get("/status")
+}
--- /dev/null
+++ b/src/config/settings.rs
@@ -0,0 +1,44 @@
+//! The settings of one daemon.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use super::LimitSettings;
+
+/// The settings of one daemon.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this host, unique in the fleet.
+    pub host: String,
+    /// Data centre of this host.
+    pub data_centre: String,
+    /// Address on which callers are served.
+    pub caller_address: SocketAddr,
+    /// Address on which other daemons are served.
+    pub peer_address: SocketAddr,
+    /// Address on which operators and the balancer's check are served.
+    pub operator_address: SocketAddr,
+    /// Address of the platform.
+    pub platform_address: SocketAddr,
+    /// Secrets that daemons prove to each other; the first one signs, each one is accepted.
+    pub fleet_secrets: Vec<String>,
+    /// Secret of the keyed hash under which callers' keys are stored.
+    pub key_secret: String,
+    /// Tokens that operators present; each one is accepted.
+    pub operator_tokens: Vec<String>,
+    /// Smallest share of a service's live capacity that stays in use, from 0 to 1.
+    #[serde(default = "default_floor")]
+    pub floor: f64,
+    /// Bounds of this daemon.
+    #[serde(default)]
+    pub limits: LimitSettings,
+    /// Address of a statsd server for the counters; none sends nothing.
+    #[serde(default)]
+    pub statsd_address: Option<SocketAddr>,
+}
+
+fn default_floor() -> f64 {
+    0.7
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,184 @@
+//! One daemon: its tasks, from start to shutdown.
+
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use local_sync::mpsc;
+use monoio::{
+    net::{ListenerOpts, TcpListener},
+    LegacyDriver, RuntimeBuilder,
+};
+
+use crate::{
+    catalog::KeyHasher,
+    clock::{Clock, SystemClock},
+    config::Settings,
+    health::{balancer_task, Balancer, BalancerHandle, Consecutive},
+    hosts::host_list_task,
+    lifecycle::{wait_for_stop_signal, Shutdown},
+    limit::{static_split_task, TaskLimiter},
+    metrics::{export_task, Metrics},
+    operator::{operator_task, OperatorContext},
+    peer::{peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerRouter, PeerServer},
+    platform::HttpPlatform,
+    pool::{pool_task, PoolHandle},
+    proxy::{listen_task, ProxyContext, ProxyParts},
+    sync::{sync_task, CatalogView, SyncTask},
+};
+
+/// Time for the balancer to see the failing check before the listener closes.
+const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Time between two looks at the requests in flight.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Why a daemon ended with an error.
+#[derive(Debug)]
+pub enum DaemonError {
+    /// An address could not be bound.
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The reason.
+        kind: io::ErrorKind,
+    },
+    /// The system refused something else.
+    Io(io::ErrorKind),
+}
+
+impl From<io::Error> for DaemonError {
+    fn from(e: io::Error) -> Self {
+        Self::Io(e.kind())
+    }
+}
+
+/// Runs a daemon until SIGTERM or SIGINT, and returns when its work has ended.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound or the system refuses a resource.
+pub fn run(settings: Settings) -> Result<(), DaemonError> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()?;
+    runtime.block_on(run_tasks(Rc::new(settings)))
+}
+
+async fn run_tasks(settings: Rc<Settings>) -> Result<(), DaemonError> {
+    let caller_listener = bind(settings.caller_address)?;
+    let peer_listener = bind(settings.peer_address)?;
+    let operator_listener = bind(settings.operator_address)?;
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+    let metrics = Rc::new(Metrics::default());
+    let platform = Rc::new(HttpPlatform::new(settings.platform_address, &settings.host));
+    let shutdown = Shutdown::default();
+
+    let secrets = FleetSecrets::new(&settings.fleet_secrets);
+    let directory = PeerDirectory::new(&settings.host);
+    let _peers = PeerClient::new(secrets.clone(), directory.clone());
+    let router = PeerRouter::default();
+
+    let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
+    let balancer = BalancerHandle::new(balancer_tx);
+    let state = Balancer::new(
+        Box::<Consecutive>::default(),
+        settings.floor,
+        fastrand::u64(..),
+    );
+    monoio::spawn(balancer_task(
+        state,
+        balancer_rx,
+        balancer.clone(),
+        clock.clone(),
+    ));
+
+    let (pool_tx, pool_rx) = mpsc::unbounded::channel();
+    monoio::spawn(pool_task(pool_rx, clock.clone()));
+
+    let (limiter_tx, limiter_rx) = mpsc::unbounded::channel();
+    monoio::spawn(static_split_task(limiter_rx, clock.clone()));
+
+    let (sync_tx, sync_rx) = mpsc::unbounded::channel();
+    let catalog = CatalogView::default();
+    let sync = SyncTask {
+        table: platform.clone(),
+        view: catalog.clone(),
+        metrics: metrics.clone(),
+    };
+    monoio::spawn(sync_task(sync, sync_rx));
+    monoio::spawn(host_list_task(
+        platform,
+        balancer.clone(),
+        directory,
+        limiter_tx.clone(),
+        metrics.clone(),
+    ));
+    monoio::spawn(peer_server_task(
+        Rc::new(PeerServer {
+            secrets,
+            router,
+            metrics: metrics.clone(),
+        }),
+        peer_listener,
+    ));
+    if let Some(address) = settings.statsd_address {
+        monoio::spawn(export_task(metrics.clone(), address, settings.host.clone()));
+    }
+
+    let proxy = Rc::new(ProxyContext::new(ProxyParts {
+        limits: settings.limits.clone(),
+        catalog,
+        hasher: KeyHasher::new(&settings.key_secret),
+        limiter: Box::new(TaskLimiter::new(limiter_tx)),
+        balancer: balancer.clone(),
+        pool: PoolHandle::new(pool_tx),
+        metrics,
+        clock,
+        shutdown: shutdown.clone(),
+    }));
+    monoio::spawn(operator_task(
+        Rc::new(OperatorContext {
+            settings: settings.clone(),
+            proxy: proxy.clone(),
+            balancer,
+            sync: sync_tx,
+        }),
+        operator_listener,
+    ));
+    monoio::spawn(listen_task(proxy.clone(), caller_listener));
+    log::info!("serving callers on {}", settings.caller_address);
+
+    wait_for_stop_signal().await?;
+    log::info!("shutting down");
+    proxy.leaving.begin();
+    monoio::time::sleep(BALANCER_NOTICE).await;
+    shutdown.begin();
+    drain(&proxy, settings.limits.shutdown_timeout).await;
+    Ok(())
+}
+
+/// Waits until nothing is in flight, or the limit has passed.
+async fn drain(proxy: &ProxyContext, limit: Duration) {
+    let end = Instant::now() + limit;
+    while proxy.in_flight.count() + proxy.connections.count() > 0 && Instant::now() < end {
+        monoio::time::sleep(DRAIN_INTERVAL).await;
+    }
+    let left = proxy.in_flight.count();
+    if left > 0 {
+        log::error!("shutdown limit passed with {left} requests in flight");
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    let opts = ListenerOpts::new()
+        .reuse_port(false)
+        .reuse_addr(true)
+        .backlog(1024);
+    TcpListener::bind_with_config(address, &opts).map_err(|e| DaemonError::Bind {
+        address,
+        kind: e.kind(),
+    })
+}
--- /dev/null
+++ b/src/hosts/mod.rs
@@ -0,0 +1,5 @@
+//! Following the platform's list of hosts.
+
+mod task;
+
+pub use task::host_list_task;
--- /dev/null
+++ b/src/http/body_decoder.rs
@@ -0,0 +1,155 @@
+//! Decoder that yields a body in parts, in bounded memory.
+
+use bytes::{Buf, Bytes, BytesMut};
+use monoio_codec::{Decoded, Decoder};
+
+use super::{BodyKind, HttpError};
+
+/// Most hexadecimal digits of a chunk size.
+const MAX_SIZE_DIGITS: usize = 15;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    Fixed(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    LastChunkEnd,
+    UntilClose,
+    Done,
+}
+
+/// Decodes one message body into parts, as they arrive.
+///
+/// Chunk extensions and trailers are refused.
+#[derive(Debug)]
+pub struct BodyDecoder {
+    state: State,
+}
+
+impl BodyDecoder {
+    /// Creates a decoder for a body of `kind`.
+    pub fn new(kind: BodyKind) -> Self {
+        let state = match kind {
+            BodyKind::Empty | BodyKind::Fixed(0) => State::Done,
+            BodyKind::Fixed(n) => State::Fixed(n),
+            BodyKind::Chunked => State::ChunkSize,
+            BodyKind::UntilClose => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Tells whether the whole body was decoded.
+    pub fn is_done(&self) -> bool {
+        self.state == State::Done
+    }
+
+    /// Takes note that the connection closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::UnexpectedEof`] when the body is incomplete.
+    pub fn close(&mut self) -> Result<(), HttpError> {
+        match self.state {
+            State::UntilClose | State::Done => {
+                self.state = State::Done;
+                Ok(())
+            }
+            _ => Err(HttpError::UnexpectedEof),
+        }
+    }
+
+    fn take(src: &mut BytesMut, left: u64) -> Bytes {
+        let n = usize::try_from(left).unwrap_or(usize::MAX).min(src.len());
+        src.split_to(n).freeze()
+    }
+
+    /// Consumes a chunk-size line; `None` when it has not arrived whole.
+    fn chunk_size(src: &mut BytesMut) -> Result<Option<u64>, HttpError> {
+        let window = &src[..src.len().min(MAX_SIZE_DIGITS + 2)];
+        let Some(end) = window.iter().position(|b| *b == b'\r') else {
+            if src.len() > MAX_SIZE_DIGITS {
+                return Err(HttpError::Malformed("chunk size"));
+            }
+            return Ok(None);
+        };
+        if src.len() < end + 2 {
+            return Ok(None);
+        }
+        let digits = std::str::from_utf8(&src[..end]).map_err(|_| HttpError::Malformed("chunk"))?;
+        let plain = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_hexdigit());
+        if !plain || src[end + 1] != b'\n' {
+            return Err(HttpError::Malformed("chunk size"));
+        }
+        let n = u64::from_str_radix(digits, 16).map_err(|_| HttpError::Malformed("chunk size"))?;
+        src.advance(end + 2);
+        Ok(Some(n))
+    }
+
+    /// Consumes the line end behind a chunk; false when it has not arrived whole.
+    fn line_end(src: &mut BytesMut) -> Result<bool, HttpError> {
+        if src.len() < 2 {
+            return Ok(false);
+        }
+        if &src[..2] != b"\r\n" {
+            return Err(HttpError::Malformed("chunk end or trailer"));
+        }
+        src.advance(2);
+        Ok(true)
+    }
+}
+
+impl Decoder for BodyDecoder {
+    /// A part of the body, or `None` behind the last one.
+    type Item = Option<Bytes>;
+    type Error = HttpError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, Self::Error> {
+        loop {
+            match self.state {
+                State::Done => return Ok(Decoded::Some(None)),
+                State::UntilClose | State::Fixed(_) | State::ChunkData(_) if src.is_empty() => {
+                    return Ok(Decoded::Insufficient);
+                }
+                State::UntilClose => return Ok(Decoded::Some(Some(src.split().freeze()))),
+                State::Fixed(left) => {
+                    let part = Self::take(src, left);
+                    let left = left - part.len() as u64;
+                    self.state = if left == 0 {
+                        State::Done
+                    } else {
+                        State::Fixed(left)
+                    };
+                    return Ok(Decoded::Some(Some(part)));
+                }
+                State::ChunkData(left) => {
+                    let part = Self::take(src, left);
+                    let left = left - part.len() as u64;
+                    self.state = if left == 0 {
+                        State::ChunkEnd
+                    } else {
+                        State::ChunkData(left)
+                    };
+                    return Ok(Decoded::Some(Some(part)));
+                }
+                State::ChunkSize => match Self::chunk_size(src)? {
+                    None => return Ok(Decoded::Insufficient),
+                    Some(0) => self.state = State::LastChunkEnd,
+                    Some(n) => self.state = State::ChunkData(n),
+                },
+                State::ChunkEnd => {
+                    if !Self::line_end(src)? {
+                        return Ok(Decoded::Insufficient);
+                    }
+                    self.state = State::ChunkSize;
+                }
+                State::LastChunkEnd => {
+                    if !Self::line_end(src)? {
+                        return Ok(Decoded::Insufficient);
+                    }
+                    self.state = State::Done;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,21 @@
+//! HTTP/1.1 over `monoio`, with bounds and framing checks around `monoio-http`.
+
+mod body_decoder;
+mod body_kind;
+mod client;
+mod encode;
+mod error;
+mod guard;
+mod head_limits;
+mod reader;
+mod writer;
+
+pub use body_decoder::BodyDecoder;
+pub use body_kind::BodyKind;
+pub use client::{call, CallRequest, CallResponse};
+pub use encode::{encode_request_head, encode_response_head, Framing};
+pub use error::HttpError;
+pub use guard::{request_body_kind, response_body_kind};
+pub use head_limits::HeadLimits;
+pub use reader::HttpReader;
+pub use writer::HttpWriter;
--- /dev/null
+++ b/src/http/reader.rs
@@ -0,0 +1,179 @@
+//! The reading half of one HTTP/1.1 connection.
+
+use bytes::{Bytes, BytesMut};
+use http::{request, response};
+use monoio::{
+    buf::IoBufMut,
+    io::{AsyncReadRent, OwnedReadHalf},
+    net::TcpStream,
+    time::timeout,
+};
+use monoio_codec::{Decoded, Decoder};
+use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
+
+use super::{guard, BodyDecoder, HeadLimits, HttpError};
+
+/// Bytes asked of the socket at a time.
+const READ_BYTES: usize = 16 * 1024;
+
+/// The reading half of one HTTP/1.1 connection.
+pub struct HttpReader {
+    io: OwnedReadHalf<TcpStream>,
+    buf: BytesMut,
+}
+
+impl HttpReader {
+    /// Wraps the reading half of a socket.
+    pub fn new(io: OwnedReadHalf<TcpStream>) -> Self {
+        Self {
+            io,
+            buf: BytesMut::new(),
+        }
+    }
+
+    /// Tells whether bytes were read that belong to no message yet.
+    pub fn has_buffered(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Returns how many bytes were read that belong to no message yet.
+    pub fn buffered_len(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Reads once from the socket and returns the count of bytes, 0 at its end.
+    ///
+    /// Dropping the future loses no byte: the epoll driver reads only when polled as ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Io`] when the socket fails.
+    pub async fn fill(&mut self) -> Result<usize, HttpError> {
+        let scratch = BytesMut::with_capacity(READ_BYTES);
+        let (res, slice) = self.io.read(scratch.slice_mut(0..READ_BYTES)).await;
+        let n = res?;
+        let mut part = slice.into_inner();
+        part.truncate(n);
+        if self.buf.is_empty() {
+            self.buf = part;
+        } else {
+            self.buf.extend_from_slice(&part);
+        }
+        Ok(n)
+    }
+
+    /// Waits until bytes of a next message are there; returns false when the other side closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Io`] when the socket fails.
+    pub async fn wait_for_message(&mut self) -> Result<bool, HttpError> {
+        if self.has_buffered() {
+            return Ok(true);
+        }
+        Ok(self.fill().await? > 0)
+    }
+
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the head is too large, too slow, malformed or cut off.
+    pub async fn read_request_head(
+        &mut self,
+        limits: &HeadLimits,
+    ) -> Result<request::Parts, HttpError> {
+        self.complete_head(limits).await?;
+        match RequestHeadDecoder.decode(&mut self.buf) {
+            Ok(Decoded::Some(head)) => Ok(head),
+            _ => Err(HttpError::Malformed("request head")),
+        }
+    }
+
+    /// Reads the head of a response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the head is too large, too slow, malformed or cut off.
+    pub async fn read_response_head(
+        &mut self,
+        limits: &HeadLimits,
+    ) -> Result<response::Parts, HttpError> {
+        self.complete_head(limits).await?;
+        match ResponseHeadDecoder.decode(&mut self.buf) {
+            Ok(Decoded::Some(head)) => Ok(head),
+            _ => Err(HttpError::Malformed("response head")),
+        }
+    }
+
+    async fn complete_head(&mut self, limits: &HeadLimits) -> Result<(), HttpError> {
+        match timeout(limits.timeout, self.fill_head(limits.max_bytes)).await {
+            Ok(res) => res,
+            Err(_) => Err(HttpError::Timeout),
+        }
+    }
+
+    async fn fill_head(&mut self, max_bytes: usize) -> Result<(), HttpError> {
+        let mut searched = 0;
+        loop {
+            let from = searched;
+            if let Some(at) = find_head_end(&self.buf[from..]) {
+                let end = from + at;
+                if end > max_bytes {
+                    return Err(HttpError::HeadTooLarge);
+                }
+                return guard::check_line_ends(&self.buf[..end]);
+            }
+            if self.buf.len() >= max_bytes {
+                return Err(HttpError::HeadTooLarge);
+            }
+            searched = self.buf.len().saturating_sub(3);
+            if self.fill().await? == 0 {
+                return Err(HttpError::UnexpectedEof);
+            }
+        }
+    }
+
+    /// Reads the next part of a body, or `None` behind the last one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the body is malformed or cut off.
+    pub async fn next_part(&mut self, body: &mut BodyDecoder) -> Result<Option<Bytes>, HttpError> {
+        loop {
+            if let Decoded::Some(part) = body.decode(&mut self.buf)? {
+                return Ok(part);
+            }
+            if self.fill().await? == 0 {
+                body.close()?;
+            }
+        }
+    }
+
+    /// Reads a whole body of at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the body is malformed, cut off or longer.
+    pub async fn read_body(
+        &mut self,
+        mut body: BodyDecoder,
+        max_bytes: usize,
+    ) -> Result<Bytes, HttpError> {
+        let mut whole = BytesMut::new();
+        while let Some(part) = self.next_part(&mut body).await? {
+            if whole.len() + part.len() > max_bytes {
+                return Err(HttpError::Malformed("body too large"));
+            }
+            whole.extend_from_slice(&part);
+        }
+        Ok(whole.freeze())
+    }
+}
+
+/// Returns the length of a head that ends in `buf`.
+fn find_head_end(buf: &[u8]) -> Option<usize> {
+    buf.windows(4)
+        .position(|w| w == b"\r\n\r\n")
+        .map(|at| at + 4)
+}
--- /dev/null
+++ b/src/http/writer.rs
@@ -0,0 +1,68 @@
+//! The writing half of one HTTP/1.1 connection.
+
+use bytes::{Bytes, BytesMut};
+use monoio::{
+    io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf},
+    net::TcpStream,
+};
+
+use super::{Framing, HttpError};
+
+/// The writing half of one HTTP/1.1 connection.
+pub struct HttpWriter {
+    io: OwnedWriteHalf<TcpStream>,
+}
+
+impl HttpWriter {
+    /// Wraps the writing half of a socket.
+    pub fn new(io: OwnedWriteHalf<TcpStream>) -> Self {
+        Self { io }
+    }
+
+    /// Writes `buf` as it is.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Io`] when the socket fails.
+    pub async fn write(&mut self, buf: Bytes) -> Result<(), HttpError> {
+        let (res, _) = self.io.write_all(buf).await;
+        res?;
+        Ok(())
+    }
+
+    /// Writes one part of a body in the given framing.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Io`] when the socket fails.
+    pub async fn write_part(&mut self, framing: Framing, part: Bytes) -> Result<(), HttpError> {
+        if part.is_empty() {
+            return Ok(());
+        }
+        if framing != Framing::Chunked {
+            return self.write(part).await;
+        }
+        let mut buf = BytesMut::with_capacity(part.len() + 20);
+        buf.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+        buf.extend_from_slice(&part);
+        buf.extend_from_slice(b"\r\n");
+        self.write(buf.freeze()).await
+    }
+
+    /// Ends a body in the given framing.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Io`] when the socket fails.
+    pub async fn finish(&mut self, framing: Framing) -> Result<(), HttpError> {
+        if framing == Framing::Chunked {
+            return self.write(Bytes::from_static(b"0\r\n\r\n")).await;
+        }
+        Ok(())
+    }
+
+    /// Closes the writing direction of the socket.
+    pub async fn shutdown(&mut self) {
+        let _ = self.io.shutdown().await;
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,29 @@
+//! A proxy fleet for targets with gray failures.
+//!
+//! The crate is a library so that tests and measurements reach its parts; the product is the
+//! program `chervillug`.
+
+pub mod catalog;
+pub mod cli;
+pub mod clock;
+pub mod command;
+pub mod config;
+pub mod daemon;
+pub mod exit_code;
+pub mod health;
+pub mod hosts;
+pub mod http;
+pub mod lifecycle;
+pub mod limit;
+pub mod logging;
+pub mod metrics;
+pub mod operator;
+pub mod outcome;
+pub mod peer;
+pub mod platform;
+pub mod pool;
+pub mod proxy;
+pub mod retry;
+pub mod sync;
+
+pub use command::run;
--- /dev/null
+++ b/src/limit/admission.rs
@@ -0,0 +1,14 @@
+//! The answer to a request for admission.
+
+use std::time::Duration;
+
+/// The answer to a request for admission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// The request is inside the workspace's rate and burst.
+    Granted,
+    /// The workspace used up its rate and burst; a token is due after this time.
+    Exceeded(Duration),
+    /// Whoever counts the workspace's rate cannot be reached.
+    Unavailable,
+}
--- /dev/null
+++ b/src/metrics/counter.rs
@@ -0,0 +1,42 @@
+//! The closed list of counters besides those of refusals and retries.
+
+use strum::{EnumCount, EnumIter, IntoStaticStr};
+
+/// Counters besides those of refusals and retries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Counter {
+    /// Connections accepted from callers.
+    CallerConnections,
+    /// Requests whose head arrived whole.
+    Requests,
+    /// Requests that got a target's answer.
+    Answers,
+    /// Answers cut off because the target failed in the body.
+    AnswersCutOff,
+    /// Requests whose caller went away.
+    CallersGone,
+    /// Attempts sent to targets.
+    Attempts,
+    /// Connections opened to targets.
+    TargetConnections,
+    /// Edits applied.
+    EditsApplied,
+    /// Failed calls to the platform.
+    PlatformErrors,
+    /// Messages of strangers, or replayed ones, on the peer port.
+    PeerUnauthenticated,
+    /// Messages over the size limit on the peer port.
+    PeerOversized,
+    /// Messages on the peer port that could not be decoded.
+    PeerUnreadable,
+    /// Targets ejected.
+    Ejections,
+}
+
+impl Counter {
+    /// Returns the name of the counter.
+    pub fn name(self) -> &'static str {
+        self.into()
+    }
+}
--- /dev/null
+++ b/src/metrics/registry.rs
@@ -0,0 +1,62 @@
+//! Storage of the counters.
+
+use std::cell::Cell;
+
+use strum::{EnumCount, IntoEnumIterator};
+
+use crate::{outcome::ErrorKind, retry::RetryReason};
+
+use super::Counter;
+
+/// The counters of one daemon, owned by its single thread.
+pub struct Metrics {
+    counters: [Cell<u64>; Counter::COUNT],
+    refusals: [Cell<u64>; ErrorKind::COUNT],
+    retries: [Cell<u64>; RetryReason::COUNT],
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self {
+            counters: std::array::from_fn(|_| Cell::new(0)),
+            refusals: std::array::from_fn(|_| Cell::new(0)),
+            retries: std::array::from_fn(|_| Cell::new(0)),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts one event.
+    pub fn count(&self, counter: Counter) {
+        increment(&self.counters[counter as usize]);
+    }
+
+    /// Counts one request that got the answer of `kind`.
+    pub fn count_refusal(&self, kind: ErrorKind) {
+        increment(&self.refusals[kind as usize]);
+    }
+
+    /// Counts one retry.
+    pub fn count_retry(&self, reason: RetryReason) {
+        increment(&self.retries[reason as usize]);
+    }
+
+    /// Calls `f` with the name and value of each counter.
+    pub fn for_each(&self, mut f: impl FnMut(&str, u64)) {
+        for counter in Counter::iter() {
+            f(counter.name(), self.counters[counter as usize].get());
+        }
+        for kind in ErrorKind::iter() {
+            let name = format!("refused.{}", kind.name());
+            f(&name, self.refusals[kind as usize].get());
+        }
+        for reason in RetryReason::iter() {
+            let name = format!("retried.{}", reason.name());
+            f(&name, self.retries[reason as usize].get());
+        }
+    }
+}
+
+fn increment(cell: &Cell<u64>) {
+    cell.set(cell.get() + 1);
+}
--- /dev/null
+++ b/src/operator/server.rs
@@ -0,0 +1,281 @@
+//! The server of the operator port.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{header, HeaderMap, Method, StatusCode};
+use local_sync::{mpsc, oneshot};
+use monoio::{io::Splitable, net::TcpListener, net::TcpStream};
+use serde::{Deserialize, Serialize};
+use subtle::ConstantTimeEq;
+
+use crate::{
+    catalog::{Change, Route},
+    config::Settings,
+    health::BalancerHandle,
+    http::{
+        encode_response_head, request_body_kind, BodyDecoder, Framing, HeadLimits, HttpError,
+        HttpReader, HttpWriter,
+    },
+    proxy::ProxyContext,
+    sync::{EditAnswer, EditRequest, SyncMessage},
+};
+
+use super::{key_material::new_key, KeyGiven, Status};
+
+/// Bounds of a request head.
+const HEAD_LIMITS: HeadLimits = HeadLimits {
+    max_bytes: 16 * 1024,
+    timeout: Duration::from_secs(5),
+};
+/// Most bytes of a request body.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// What the operator port needs of the daemon.
+pub struct OperatorContext {
+    /// Settings of the daemon.
+    pub settings: Rc<Settings>,
+    /// What the callers' side shares.
+    pub proxy: Rc<ProxyContext>,
+    /// Chooses targets.
+    pub balancer: BalancerHandle,
+    /// Takes edits.
+    pub sync: mpsc::unbounded::Tx<SyncMessage>,
+}
+
+struct Reply {
+    status: StatusCode,
+    body: Bytes,
+}
+
+#[derive(Deserialize)]
+struct GiveKey {
+    workspace: String,
+}
+
+#[derive(Serialize)]
+struct PlanEntry<'a> {
+    workspace: &'a str,
+    plan: &'a str,
+    rate_per_s: f64,
+    burst: u32,
+}
+
+#[derive(Serialize)]
+struct AccessEntry<'a> {
+    plan: &'a str,
+    routes: &'a [Route],
+}
+
+#[derive(Serialize)]
+struct KeyEntry<'a> {
+    hash: String,
+    workspace: &'a str,
+}
+
+/// Accepts operators until the daemon ends.
+pub async fn operator_task(cx: Rc<OperatorContext>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let cx = cx.clone();
+                monoio::spawn(async move {
+                    let _ = serve(&cx, stream).await;
+                });
+            }
+            Err(e) => {
+                log::error!("operator port: {e}");
+                monoio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn serve(cx: &OperatorContext, stream: TcpStream) -> Result<(), HttpError> {
+    let (r, w) = stream.into_split();
+    let mut reader = HttpReader::new(r);
+    let mut writer = HttpWriter::new(w);
+    while reader.wait_for_message().await? {
+        let head = reader.read_request_head(&HEAD_LIMITS).await?;
+        let body = BodyDecoder::new(request_body_kind(&head)?);
+        let body = reader.read_body(body, MAX_BODY_BYTES).await?;
+        let reply = cx
+            .answer(&head.method, head.uri.path(), &head.headers, &body)
+            .await;
+        send(&mut writer, reply).await?;
+    }
+    Ok(())
+}
+
+async fn send(writer: &mut HttpWriter, reply: Reply) -> Result<(), HttpError> {
+    let (mut head, ()) = http::Response::new(()).into_parts();
+    head.status = reply.status;
+    head.headers.insert(
+        header::CONTENT_TYPE,
+        http::HeaderValue::from_static("application/json"),
+    );
+    let mut buf = BytesMut::new();
+    encode_response_head(&head, Framing::Length(reply.body.len() as u64), &mut buf);
+    buf.extend_from_slice(&reply.body);
+    writer.write(buf.freeze()).await
+}
+
+impl OperatorContext {
+    async fn answer(&self, method: &Method, path: &str, headers: &HeaderMap, body: &[u8]) -> Reply {
+        if path == "/ready" {
+            return self.ready();
+        }
+        if !self.is_operator(headers) {
+            return error(StatusCode::UNAUTHORIZED, "an operator token is needed");
+        }
+        match (method.as_str(), path) {
+            ("GET", "/status") => json(StatusCode::OK, &self.status().await),
+            ("GET", "/plans") => self.plans(),
+            ("GET", "/access") => self.access(),
+            ("GET", "/keys") => self.keys(),
+            ("POST", "/edit") => match serde_json::from_slice(body) {
+                Ok(req) => edit_reply(&self.edit(req).await),
+                Err(e) => error(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            ("POST", "/key/give") => match serde_json::from_slice(body) {
+                Ok(req) => self.give_key(req).await,
+                Err(e) => error(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            _ => error(StatusCode::NOT_FOUND, "no such operation"),
+        }
+    }
+
+    fn is_ready(&self) -> bool {
+        self.proxy.catalog.is_ready() && !self.proxy.leaving.has_begun()
+    }
+
+    fn ready(&self) -> Reply {
+        if self.is_ready() {
+            return json(StatusCode::OK, &true);
+        }
+        json(StatusCode::SERVICE_UNAVAILABLE, &false)
+    }
+
+    fn is_operator(&self, headers: &HeaderMap) -> bool {
+        let value = headers.get(header::AUTHORIZATION).map(|v| v.as_bytes());
+        let Some(token) = value.and_then(|v| v.strip_prefix(b"Bearer ")) else {
+            return false;
+        };
+        let tokens = &self.settings.operator_tokens;
+        tokens.iter().any(|t| t.as_bytes().ct_eq(token).into())
+    }
+
+    async fn status(&self) -> Status {
+        let mut counters = BTreeMap::new();
+        self.proxy.metrics.for_each(|name, value| {
+            counters.insert(name.to_owned(), value);
+        });
+        let targets = self.balancer.status().await;
+        Status {
+            host: self.settings.host.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            ready: self.is_ready(),
+            revision: self.proxy.catalog.get().revision(),
+            in_flight: self.proxy.in_flight.count(),
+            connections: self.proxy.connections.count(),
+            counters,
+            targets: serde_json::to_value(targets).unwrap_or_default(),
+        }
+    }
+
+    fn plans(&self) -> Reply {
+        let catalog = self.proxy.catalog.get();
+        let mut entries: Vec<PlanEntry<'_>> = catalog
+            .plans()
+            .map(|(workspace, plan)| PlanEntry {
+                workspace,
+                plan: &plan.plan,
+                rate_per_s: plan.rate_per_s,
+                burst: plan.burst,
+            })
+            .collect();
+        entries.sort_by_key(|e| e.workspace);
+        json(StatusCode::OK, &entries)
+    }
+
+    fn access(&self) -> Reply {
+        let catalog = self.proxy.catalog.get();
+        let mut entries: Vec<AccessEntry<'_>> = catalog
+            .access()
+            .map(|(plan, routes)| AccessEntry { plan, routes })
+            .collect();
+        entries.sort_by_key(|e| e.plan);
+        json(StatusCode::OK, &entries)
+    }
+
+    fn keys(&self) -> Reply {
+        let catalog = self.proxy.catalog.get();
+        let mut entries: Vec<KeyEntry<'_>> = catalog
+            .keys()
+            .map(|(hash, workspace)| KeyEntry {
+                hash: hash.to_string(),
+                workspace,
+            })
+            .collect();
+        entries.sort_by(|a, b| (a.workspace, &a.hash).cmp(&(b.workspace, &b.hash)));
+        json(StatusCode::OK, &entries)
+    }
+
+    async fn edit(&self, req: EditRequest) -> EditAnswer {
+        let (reply, rx) = oneshot::channel();
+        if self.sync.send(SyncMessage::Edit(req, reply)).is_err() {
+            return EditAnswer::Unavailable;
+        }
+        rx.await.unwrap_or(EditAnswer::Unknown)
+    }
+
+    async fn give_key(&self, req: GiveKey) -> Reply {
+        let Some(key) = new_key() else {
+            return error(StatusCode::INTERNAL_SERVER_ERROR, "no randomness");
+        };
+        let hash = self.proxy.hasher.hash(key.as_bytes());
+        let change = Change::GiveKey {
+            hash,
+            workspace: req.workspace,
+        };
+        let edit = self
+            .edit(EditRequest {
+                from_revision: None,
+                changes: vec![change],
+            })
+            .await;
+        let accepted = matches!(edit, EditAnswer::Accepted { .. } | EditAnswer::Unknown);
+        let given = KeyGiven {
+            key: accepted.then_some(key),
+            hash,
+            edit,
+        };
+        json(status_of(&given.edit), &given)
+    }
+}
+
+fn status_of(answer: &EditAnswer) -> StatusCode {
+    match answer {
+        EditAnswer::Accepted { .. } => StatusCode::OK,
+        EditAnswer::Stale { .. } => StatusCode::CONFLICT,
+        EditAnswer::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        EditAnswer::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+        EditAnswer::Unknown => StatusCode::GATEWAY_TIMEOUT,
+    }
+}
+
+fn edit_reply(answer: &EditAnswer) -> Reply {
+    json(status_of(answer), answer)
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Reply {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    Reply {
+        status,
+        body: Bytes::from(body),
+    }
+}
+
+fn error(status: StatusCode, text: &str) -> Reply {
+    json(status, &serde_json::json!({ "error": text }))
+}
--- /dev/null
+++ b/src/outcome/error_kind.rs
@@ -0,0 +1,116 @@
+//! The closed list of error kinds, and the answer to each.
+
+use http::StatusCode;
+use strum::{EnumCount, EnumIter, IntoStaticStr};
+
+use super::Outcome;
+
+/// Every reason for which a caller gets an answer that is not a target's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EnumCount, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ErrorKind {
+    /// The request is malformed or ambiguous.
+    BadRequest,
+    /// The head exceeds its limit.
+    HeadTooLarge,
+    /// The head did not arrive in time.
+    HeadTimeout,
+    /// The body did not arrive in time, or was cut off before any of it was sent on.
+    BodyIncomplete,
+    /// No key came with the request.
+    KeyMissing,
+    /// The key is not known, or was withdrawn.
+    KeyUnknown,
+    /// The key stands in a part of the request that a target would see.
+    KeyExposed,
+    /// The workspace has no plan.
+    PlanMissing,
+    /// No route open to the plan matches the path.
+    RouteClosed,
+    /// The workspace used up its rate and burst.
+    RateExceeded,
+    /// The part of the fleet that counts the workspace's rate cannot be reached.
+    RateUnavailable,
+    /// The daemon holds no revision of the lists yet, or may have lost contact with the fleet.
+    NotReady,
+    /// The daemon is shutting down.
+    ShuttingDown,
+    /// Too many connections are open.
+    TooManyConnections,
+    /// Too many requests are in flight.
+    TooManyInFlight,
+    /// The service has no target that may take the request now.
+    NoTarget,
+    /// No connection to a target could be opened.
+    ConnectFailed,
+    /// The targets shed the request.
+    TargetShed,
+    /// The deadline passed before the request was sent to a target.
+    DeadlineBeforeRun,
+    /// The target closed or failed while it had the request.
+    TargetLost,
+    /// The target gave no answer before the deadline.
+    TargetTimeout,
+    /// The target's answer is malformed.
+    TargetMalformed,
+}
+
+/// The answer to one error kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// Status of the response.
+    pub status: StatusCode,
+    /// What became of the request.
+    pub outcome: Outcome,
+    /// Text for people.
+    pub title: &'static str,
+    /// Value of `retry-after`, s.
+    pub retry_after_s: Option<u32>,
+}
+
+impl ErrorKind {
+    /// Returns the name of the kind in answers, logs and counters.
+    pub fn name(self) -> &'static str {
+        self.into()
+    }
+
+    /// Returns the answer to this kind.
+    pub fn answer(self) -> Answer {
+        use Outcome::{NotRun, Unknown};
+        let (status, outcome, retry_after_s, title) = match self {
+            Self::BadRequest => (400, NotRun, None, "the request is malformed or ambiguous"),
+            Self::HeadTooLarge => (431, NotRun, None, "the request head is too large"),
+            Self::HeadTimeout => (408, NotRun, None, "the request head did not arrive in time"),
+            Self::BodyIncomplete => (408, NotRun, None, "the request body did not arrive whole"),
+            Self::KeyMissing => (401, NotRun, None, "a key is needed"),
+            Self::KeyUnknown => (401, NotRun, None, "the key is not valid"),
+            Self::KeyExposed => (
+                400,
+                NotRun,
+                None,
+                "the key may stand in its own header only",
+            ),
+            Self::PlanMissing => (403, NotRun, None, "the workspace has no plan"),
+            Self::RouteClosed => (404, NotRun, None, "no route of the plan matches the path"),
+            Self::RateExceeded => (429, NotRun, Some(1), "the workspace used up its rate"),
+            Self::RateUnavailable => (503, NotRun, Some(1), "the rate cannot be checked now"),
+            Self::NotReady => (503, NotRun, Some(1), "this host does not serve yet"),
+            Self::ShuttingDown => (503, NotRun, Some(0), "this host is shutting down"),
+            Self::TooManyConnections => (503, NotRun, Some(1), "too many connections"),
+            Self::TooManyInFlight => (503, NotRun, Some(1), "too many requests in flight"),
+            Self::NoTarget => (503, NotRun, Some(1), "no target can take the request now"),
+            Self::ConnectFailed => (503, NotRun, Some(1), "no target could be connected"),
+            Self::TargetShed => (503, NotRun, Some(1), "the targets shed the request"),
+            Self::DeadlineBeforeRun => (504, NotRun, Some(0), "the deadline passed before the run"),
+            Self::TargetLost => (502, Unknown, None, "the target failed during the request"),
+            Self::TargetTimeout => (504, Unknown, None, "the target did not answer in time"),
+            Self::TargetMalformed => (502, Unknown, None, "the target's answer is malformed"),
+        };
+        Answer {
+            status: StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
+            outcome,
+            title,
+            retry_after_s,
+        }
+    }
+}
--- /dev/null
+++ b/src/outcome/mod.rs
@@ -0,0 +1,9 @@
+//! What callers are told about their requests.
+
+mod error_kind;
+mod outcome_kind;
+mod problem;
+
+pub use error_kind::{Answer, ErrorKind};
+pub use outcome_kind::Outcome;
+pub use problem::problem_response;
--- /dev/null
+++ b/src/peer/connection.rs
@@ -0,0 +1,143 @@
+//! One kept connection to another daemon.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{Method, StatusCode};
+use monoio::{io::Splitable, net::TcpStream};
+
+use crate::http::{
+    encode_request_head, response_body_kind, BodyDecoder, Framing, HeadLimits, HttpReader,
+    HttpWriter,
+};
+
+use super::{
+    auth::{Direction, FleetSecrets, Nonce, Signed},
+    server::{
+        HELLO_PATH, MAC_HEADER, MAX_BODY_BYTES, MESSAGES_PATH, SENDER_HEADER, SEQUENCE_HEADER,
+    },
+    Envelope, PeerError,
+};
+
+/// Bounds of a response head.
+const HEAD_LIMITS: HeadLimits = HeadLimits {
+    max_bytes: 4 * 1024,
+    timeout: Duration::from_secs(10),
+};
+
+/// One kept connection to another daemon.
+pub(super) struct PeerConnection {
+    reader: HttpReader,
+    writer: HttpWriter,
+    nonce: Nonce,
+    sequence: u64,
+}
+
+struct Answer {
+    body: Bytes,
+    mac: Option<String>,
+}
+
+impl PeerConnection {
+    /// Connects and fetches the other side's nonce.
+    pub(super) async fn open(address: SocketAddr) -> Result<Self, PeerError> {
+        let stream = TcpStream::connect_addr(address)
+            .await
+            .map_err(|_| PeerError::NoAnswer)?;
+        let _ = stream.set_nodelay(true);
+        let (r, w) = stream.into_split();
+        let mut conn = Self {
+            reader: HttpReader::new(r),
+            writer: HttpWriter::new(w),
+            nonce: Nonce([0; 16]),
+            sequence: 0,
+        };
+        let answer = conn.exchange(HELLO_PATH, &[], Bytes::new()).await?;
+        conn.nonce = rmp_serde::from_slice(&answer.body).map_err(|_| PeerError::BadAnswer)?;
+        Ok(conn)
+    }
+
+    /// Sends a batch of messages and returns the replies, in the same order.
+    pub(super) async fn send(
+        &mut self,
+        secrets: &FleetSecrets,
+        own_host: &str,
+        batch: &[Envelope],
+    ) -> Result<Vec<Envelope>, PeerError> {
+        self.sequence += 1;
+        let body = rmp_serde::to_vec(batch).map_err(|_| PeerError::Refused)?;
+        let signed = |direction, body| Signed {
+            direction,
+            from: own_host,
+            nonce: self.nonce,
+            sequence: self.sequence,
+            body,
+        };
+        let mac = secrets.sign(&signed(Direction::Request, &body));
+        let sequence = self.sequence.to_string();
+        let headers = [
+            (SENDER_HEADER, own_host),
+            (SEQUENCE_HEADER, &sequence),
+            (MAC_HEADER, &mac),
+        ];
+        let nonce = self.nonce;
+        let sequence = self.sequence;
+        let answer = self
+            .exchange(MESSAGES_PATH, &headers, Bytes::from(body))
+            .await?;
+        let signed = Signed {
+            direction: Direction::Response,
+            from: own_host,
+            nonce,
+            sequence,
+            body: &answer.body,
+        };
+        let mac = answer.mac.ok_or(PeerError::BadAnswer)?;
+        if !secrets.verify(&signed, &mac) {
+            return Err(PeerError::BadAnswer);
+        }
+        let replies: Vec<Envelope> =
+            rmp_serde::from_slice(&answer.body).map_err(|_| PeerError::BadAnswer)?;
+        if replies.len() != batch.len() {
+            return Err(PeerError::BadAnswer);
+        }
+        Ok(replies)
+    }
+
+    async fn exchange(
+        &mut self,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+    ) -> Result<Answer, PeerError> {
+        let mut builder = http::Request::builder().method(Method::POST).uri(path);
+        builder = builder.header("host", "peer");
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let req = builder.body(()).map_err(|_| PeerError::Refused)?;
+        let (head, ()) = req.into_parts();
+        let mut buf = BytesMut::new();
+        encode_request_head(&head, Framing::Length(body.len() as u64), &mut buf);
+        buf.extend_from_slice(&body);
+        let sent = self.writer.write(buf.freeze()).await;
+        sent.map_err(|_| PeerError::NoAnswer)?;
+
+        let head = self.reader.read_response_head(&HEAD_LIMITS).await;
+        let head = head.map_err(|_| PeerError::NoAnswer)?;
+        let kind = response_body_kind(&Method::POST, &head).map_err(|_| PeerError::BadAnswer)?;
+        let body = self
+            .reader
+            .read_body(BodyDecoder::new(kind), MAX_BODY_BYTES)
+            .await;
+        let body = body.map_err(|_| PeerError::NoAnswer)?;
+        if head.status != StatusCode::OK {
+            return Err(PeerError::Refused);
+        }
+        let mac = head.headers.get(MAC_HEADER).and_then(|v| v.to_str().ok());
+        Ok(Answer {
+            body,
+            mac: mac.map(str::to_owned),
+        })
+    }
+}
--- /dev/null
+++ b/src/peer/handler.rs
@@ -0,0 +1,52 @@
+//! The border between the peer server and the parts that handle messages.
+
+use std::rc::Rc;
+
+use rustc_hash::FxHashMap;
+use serde::{de::DeserializeOwned, Serialize};
+
+use crate::platform::BoxFuture;
+
+use super::{Envelope, PeerKind};
+
+/// Handles messages of one kind.
+pub trait PeerHandler {
+    /// Handles a message of the daemon `from`; none refuses it.
+    fn handle<'a>(&'a self, from: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>>;
+}
+
+/// Encodes a body.
+pub fn encode(body: &impl Serialize) -> Option<Vec<u8>> {
+    rmp_serde::to_vec(body).ok()
+}
+
+/// Decodes a body.
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Option<T> {
+    rmp_serde::from_slice(body).ok()
+}
+
+/// Knows the handler of each kind.
+#[derive(Default, Clone)]
+pub struct PeerRouter {
+    handlers: FxHashMap<PeerKind, Rc<dyn PeerHandler>>,
+}
+
+impl PeerRouter {
+    /// Sets the handler of a kind.
+    pub fn set(&mut self, kind: PeerKind, handler: Rc<dyn PeerHandler>) {
+        self.handlers.insert(kind, handler);
+    }
+
+    /// Handles one message.
+    pub(super) async fn handle(&self, from: &str, msg: &Envelope) -> Envelope {
+        let handler = self.handlers.get(&msg.kind);
+        let body = match (handler, &msg.body) {
+            (Some(handler), Some(body)) => handler.handle(from, body).await,
+            _ => None,
+        };
+        Envelope {
+            kind: msg.kind,
+            body,
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,195 @@
+//! The server for other daemons.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{request, HeaderMap, HeaderValue, StatusCode};
+use monoio::{
+    io::Splitable,
+    net::{TcpListener, TcpStream},
+};
+
+use crate::{
+    http::{
+        encode_response_head, request_body_kind, BodyDecoder, BodyKind, Framing, HeadLimits,
+        HttpError, HttpReader, HttpWriter,
+    },
+    metrics::{Counter, Metrics},
+};
+
+use super::{
+    auth::{Direction, FleetSecrets, Nonce, Signed},
+    Envelope, PeerRouter,
+};
+
+/// Path that answers with a nonce.
+pub(super) const HELLO_PATH: &str = "/peer/hello";
+/// Path that takes messages.
+pub(super) const MESSAGES_PATH: &str = "/peer/messages";
+/// Header with the name of the sending host.
+pub(super) const SENDER_HEADER: &str = "peer-host";
+/// Header with the sequence number.
+pub(super) const SEQUENCE_HEADER: &str = "peer-sequence";
+/// Header with the authentication code.
+pub(super) const MAC_HEADER: &str = "peer-mac";
+/// Most bytes of one body.
+pub(super) const MAX_BODY_BYTES: usize = 8 << 20;
+/// Bounds of a request head.
+const HEAD_LIMITS: HeadLimits = HeadLimits {
+    max_bytes: 4 * 1024,
+    timeout: Duration::from_secs(10),
+};
+
+/// What the server for other daemons needs.
+pub struct PeerServer {
+    /// The secrets that senders must prove.
+    pub secrets: FleetSecrets,
+    /// Knows who handles messages.
+    pub router: PeerRouter,
+    /// The counters.
+    pub metrics: Rc<Metrics>,
+}
+
+/// State of one connection.
+struct Session {
+    nonce: Option<Nonce>,
+    last_sequence: u64,
+}
+
+/// A message batch whose sender proved the secret.
+struct Authentic<'a> {
+    from: &'a str,
+    nonce: Nonce,
+    sequence: u64,
+}
+
+/// Accepts other daemons until this one ends.
+pub async fn peer_server_task(cx: Rc<PeerServer>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let cx = cx.clone();
+                monoio::spawn(async move {
+                    let _ = cx.serve(stream).await;
+                });
+            }
+            Err(e) => {
+                log::error!("peer port: {e}");
+                monoio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+impl PeerServer {
+    async fn serve(&self, stream: TcpStream) -> Result<(), HttpError> {
+        let _ = stream.set_nodelay(true);
+        let (r, w) = stream.into_split();
+        let mut reader = HttpReader::new(r);
+        let mut writer = HttpWriter::new(w);
+        let mut session = Session {
+            nonce: None,
+            last_sequence: 0,
+        };
+        while reader.wait_for_message().await? {
+            let head = reader.read_request_head(&HEAD_LIMITS).await?;
+            let kind = request_body_kind(&head)?;
+            if matches!(kind, BodyKind::Fixed(n) if n > MAX_BODY_BYTES as u64) {
+                self.metrics.count(Counter::PeerOversized);
+                return Ok(());
+            }
+            let body = reader
+                .read_body(BodyDecoder::new(kind), MAX_BODY_BYTES)
+                .await?;
+            if !self.answer(&head, &body, &mut session, &mut writer).await? {
+                return Ok(());
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers one request; returns false when the connection must close.
+    async fn answer(
+        &self,
+        head: &request::Parts,
+        body: &[u8],
+        session: &mut Session,
+        writer: &mut HttpWriter,
+    ) -> Result<bool, HttpError> {
+        if head.uri.path() == HELLO_PATH {
+            session.nonce = Nonce::random();
+            session.last_sequence = 0;
+            let body = session.nonce.and_then(|n| rmp_serde::to_vec(&n).ok());
+            send(writer, StatusCode::OK, body.unwrap_or_default(), None).await?;
+            return Ok(true);
+        }
+        let Some(sender) = self.authenticate(&head.headers, body, session) else {
+            self.metrics.count(Counter::PeerUnauthenticated);
+            send(writer, StatusCode::UNAUTHORIZED, Vec::new(), None).await?;
+            return Ok(false);
+        };
+        let Ok(batch) = rmp_serde::from_slice::<Vec<Envelope>>(body) else {
+            self.metrics.count(Counter::PeerUnreadable);
+            return Ok(false);
+        };
+        let mut replies = Vec::with_capacity(batch.len());
+        for msg in &batch {
+            replies.push(self.router.handle(sender.from, msg).await);
+        }
+        let body = rmp_serde::to_vec(&replies).unwrap_or_default();
+        let mac = self.secrets.sign(&Signed {
+            direction: Direction::Response,
+            from: sender.from,
+            nonce: sender.nonce,
+            sequence: sender.sequence,
+            body: &body,
+        });
+        send(writer, StatusCode::OK, body, Some(&mac)).await?;
+        Ok(true)
+    }
+
+    fn authenticate<'a>(
+        &self,
+        headers: &'a HeaderMap,
+        body: &[u8],
+        session: &mut Session,
+    ) -> Option<Authentic<'a>> {
+        let text = |name: &str| headers.get(name).and_then(|v| v.to_str().ok());
+        let from = text(SENDER_HEADER)?;
+        let sequence: u64 = text(SEQUENCE_HEADER)?.parse().ok()?;
+        let nonce = session.nonce?;
+        let signed = Signed {
+            direction: Direction::Request,
+            from,
+            nonce,
+            sequence,
+            body,
+        };
+        if sequence <= session.last_sequence || !self.secrets.verify(&signed, text(MAC_HEADER)?) {
+            return None;
+        }
+        session.last_sequence = sequence;
+        Some(Authentic {
+            from,
+            nonce,
+            sequence,
+        })
+    }
+}
+
+async fn send(
+    writer: &mut HttpWriter,
+    status: StatusCode,
+    body: Vec<u8>,
+    mac: Option<&str>,
+) -> Result<(), HttpError> {
+    let (mut head, ()) = http::Response::new(()).into_parts();
+    head.status = status;
+    if let Some(mac) = mac.and_then(|m| HeaderValue::from_str(m).ok()) {
+        head.headers.insert(MAC_HEADER, mac);
+    }
+    let mut buf = BytesMut::new();
+    encode_response_head(&head, Framing::Length(body.len() as u64), &mut buf);
+    buf.extend_from_slice(&Bytes::from(body));
+    writer.write(buf.freeze()).await
+}
--- /dev/null
+++ b/src/platform/host_list.rs
@@ -0,0 +1,33 @@
+//! The platform's lagging list of hosts.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use super::{BoxFuture, PlatformError};
+
+/// One host of the list.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct ListedHost {
+    /// Name of the host.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Address under which it serves.
+    pub address: SocketAddr,
+    /// Service of a target; none for a host of the fleet.
+    #[serde(default)]
+    pub service: Option<String>,
+    /// Requests that a target runs at a time.
+    #[serde(default)]
+    pub slots: u32,
+    /// Whether the host is about to leave.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// The platform's lagging list of live and leaving hosts.
+pub trait HostList {
+    /// Reads the whole list.
+    fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, PlatformError>>;
+}
--- /dev/null
+++ b/src/platform/object_store.rs
@@ -0,0 +1,14 @@
+//! The object store.
+
+use bytes::Bytes;
+
+use super::{BoxFuture, PlatformError};
+
+/// The object store.
+pub trait ObjectStore {
+    /// Stores `body` under `name`.
+    fn put<'a>(&'a self, name: &'a str, body: Bytes) -> BoxFuture<'a, Result<(), PlatformError>>;
+
+    /// Reads the object under `name`; none when there is none.
+    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<Option<Bytes>, PlatformError>>;
+}
--- /dev/null
+++ b/src/platform/table.rs
@@ -0,0 +1,103 @@
+//! The transactional table service.
+
+use std::{future::Future, pin::Pin};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::PlatformError;
+
+/// A future of a trait object's method.
+pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// Names one row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowKey {
+    /// The table.
+    pub table: &'static str,
+    /// The key in the table.
+    pub key: String,
+}
+
+/// One row as read.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Row {
+    /// Its value.
+    pub value: Value,
+    /// Its version, which changes with each write; never 0.
+    pub version: u64,
+}
+
+/// One row of a scan.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct ScannedRow {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Value,
+    /// Its version.
+    pub version: u64,
+}
+
+/// A condition of a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RowCheck {
+    /// The table.
+    pub table: &'static str,
+    /// The key in the table.
+    pub key: String,
+    /// Version that the row must have, 0 when it must be absent.
+    pub version: u64,
+}
+
+/// A write of a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct RowWrite {
+    /// The table.
+    pub table: &'static str,
+    /// The key in the table.
+    pub key: String,
+    /// New value; none removes the row.
+    pub value: Option<Value>,
+}
+
+/// Conditions and writes that take effect together or not at all.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Transaction {
+    /// Conditions, all of which must hold.
+    pub checks: Vec<RowCheck>,
+    /// Writes.
+    pub writes: Vec<RowWrite>,
+}
+
+/// The answer to a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Committed {
+    /// All writes took effect.
+    Yes,
+    /// A condition did not hold; no write took effect.
+    No,
+}
+
+/// The transactional table service.
+pub trait Table {
+    /// Runs a transaction.
+    fn transact<'a>(
+        &'a self,
+        tx: &'a Transaction,
+    ) -> BoxFuture<'a, Result<Committed, PlatformError>>;
+
+    /// Reads rows; absent ones are none, in the order of `keys`.
+    fn read<'a>(
+        &'a self,
+        keys: &'a [RowKey],
+    ) -> BoxFuture<'a, Result<Vec<Option<Row>>, PlatformError>>;
+
+    /// Reads up to `limit` rows of a table in the order of keys, those behind `after`.
+    fn scan<'a>(
+        &'a self,
+        table: &'static str,
+        after: &'a str,
+        limit: usize,
+    ) -> BoxFuture<'a, Result<Vec<ScannedRow>, PlatformError>>;
+}
--- /dev/null
+++ b/src/pool/idle.rs
@@ -0,0 +1,70 @@
+//! Idle connections, by target.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use rustc_hash::FxHashMap;
+
+use crate::clock::BootTime;
+
+use super::TargetConnection;
+
+/// Longest time that a connection stays idle.
+const MAX_IDLE: Duration = Duration::from_secs(10);
+/// Most idle connections to one target.
+const MAX_IDLE_PER_TARGET: usize = 16;
+
+struct Idle {
+    conn: TargetConnection,
+    since: BootTime,
+}
+
+/// Idle connections, by target.
+#[derive(Default)]
+pub struct IdleConnections {
+    by_address: FxHashMap<SocketAddr, VecDeque<Idle>>,
+}
+
+impl IdleConnections {
+    /// Takes the connection to `address` that was used last, if one is still usable.
+    pub fn take(&mut self, address: SocketAddr, now: BootTime) -> Option<TargetConnection> {
+        let queue = self.by_address.get_mut(&address)?;
+        while let Some(idle) = queue.pop_back() {
+            if now.since(idle.since) <= MAX_IDLE && idle.conn.is_quiet() {
+                return Some(idle.conn);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for a later request.
+    pub fn put(&mut self, conn: TargetConnection, now: BootTime) {
+        if !conn.is_quiet() {
+            return;
+        }
+        let queue = self.by_address.entry(conn.address).or_default();
+        while queue
+            .front()
+            .is_some_and(|idle| now.since(idle.since) > MAX_IDLE)
+        {
+            queue.pop_front();
+        }
+        if queue.len() < MAX_IDLE_PER_TARGET {
+            queue.push_back(Idle { conn, since: now });
+        }
+    }
+
+    /// Closes the idle connections to `address` that were opened up to `opened`.
+    pub fn drop_older(&mut self, address: SocketAddr, opened: BootTime) {
+        if let Some(queue) = self.by_address.get_mut(&address) {
+            queue.retain(|idle| idle.conn.opened > opened);
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&mut self, now: BootTime) {
+        self.by_address.retain(|_, queue| {
+            queue.retain(|idle| now.since(idle.since) <= MAX_IDLE);
+            !queue.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/src/pool/task.rs
@@ -0,0 +1,72 @@
+//! The task that owns the idle connections.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use local_sync::{mpsc, oneshot};
+
+use crate::clock::{BootTime, Clock};
+
+use super::{IdleConnections, TargetConnection};
+
+/// Time between two sweeps.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// A message to the task that owns the idle connections.
+pub enum PoolMessage {
+    /// Asks for an idle connection.
+    Take(SocketAddr, oneshot::Sender<Option<TargetConnection>>),
+    /// Gives a connection back.
+    Put(TargetConnection),
+    /// Closes idle connections to a target that were opened up to a time.
+    DropOlder(SocketAddr, BootTime),
+}
+
+/// Sends messages to the task that owns the idle connections.
+#[derive(Clone)]
+pub struct PoolHandle {
+    tx: mpsc::unbounded::Tx<PoolMessage>,
+}
+
+impl PoolHandle {
+    /// Makes a handle that sends to the receiver of `tx`.
+    pub fn new(tx: mpsc::unbounded::Tx<PoolMessage>) -> Self {
+        Self { tx }
+    }
+
+    /// Asks for an idle connection to `address`.
+    pub async fn take(&self, address: SocketAddr) -> Option<TargetConnection> {
+        let (reply, rx) = oneshot::channel();
+        self.tx.send(PoolMessage::Take(address, reply)).ok()?;
+        rx.await.ok().flatten()
+    }
+
+    /// Gives a connection back.
+    pub fn put(&self, conn: TargetConnection) {
+        let _ = self.tx.send(PoolMessage::Put(conn));
+    }
+
+    /// Closes idle connections to `address` that were opened up to `opened`.
+    pub fn drop_older(&self, address: SocketAddr, opened: BootTime) {
+        let _ = self.tx.send(PoolMessage::DropOlder(address, opened));
+    }
+}
+
+/// Owns the idle connections and answers messages until all senders are gone.
+pub async fn pool_task(mut rx: mpsc::unbounded::Rx<PoolMessage>, clock: Rc<dyn Clock>) {
+    let mut idle = IdleConnections::default();
+    loop {
+        monoio::select! {
+            () = monoio::time::sleep(SWEEP_INTERVAL) => idle.sweep(clock.now()),
+            msg = rx.recv() => match msg {
+                Some(PoolMessage::Take(address, reply)) => {
+                    let _ = reply.send(idle.take(address, clock.now()));
+                }
+                Some(PoolMessage::Put(conn)) => idle.put(conn, clock.now()),
+                Some(PoolMessage::DropOlder(address, opened)) => {
+                    idle.drop_older(address, opened);
+                }
+                None => return,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/context.rs
@@ -0,0 +1,103 @@
+//! What all caller connections share.
+
+use std::{cell::RefCell, rc::Rc};
+
+use crate::{
+    catalog::KeyHasher,
+    clock::Clock,
+    config::LimitSettings,
+    health::BalancerHandle,
+    http::HeadLimits,
+    lifecycle::{InFlight, Shutdown},
+    limit::Limiter,
+    metrics::Metrics,
+    pool::PoolHandle,
+    sync::CatalogView,
+};
+
+use super::request_id::RequestIds;
+
+/// What all caller connections share.
+pub struct ProxyContext {
+    /// Bounds of this daemon.
+    pub limits: LimitSettings,
+    /// The lists and keys.
+    pub catalog: CatalogView,
+    /// Hashes callers' keys.
+    pub hasher: KeyHasher,
+    /// Counts rates.
+    pub limiter: Box<dyn Limiter>,
+    /// Chooses targets.
+    pub balancer: BalancerHandle,
+    /// Keeps idle connections.
+    pub pool: PoolHandle,
+    /// The counters.
+    pub metrics: Rc<Metrics>,
+    /// Source of time.
+    pub clock: Rc<dyn Clock>,
+    /// The signal that the balancer is to send no new callers.
+    pub leaving: Shutdown,
+    /// The signal that no further connections and requests are taken.
+    pub shutdown: Shutdown,
+    /// Open connections of callers.
+    pub connections: InFlight,
+    /// Requests in flight.
+    pub in_flight: InFlight,
+    request_ids: RefCell<RequestIds>,
+}
+
+/// The parts of which a [`ProxyContext`] is made.
+pub struct ProxyParts {
+    /// Bounds of this daemon.
+    pub limits: LimitSettings,
+    /// The lists and keys.
+    pub catalog: CatalogView,
+    /// Hashes callers' keys.
+    pub hasher: KeyHasher,
+    /// Counts rates.
+    pub limiter: Box<dyn Limiter>,
+    /// Chooses targets.
+    pub balancer: BalancerHandle,
+    /// Keeps idle connections.
+    pub pool: PoolHandle,
+    /// The counters.
+    pub metrics: Rc<Metrics>,
+    /// Source of time.
+    pub clock: Rc<dyn Clock>,
+    /// The signal of a shutdown.
+    pub shutdown: Shutdown,
+}
+
+impl ProxyContext {
+    /// Makes the context from its parts.
+    pub fn new(parts: ProxyParts) -> Self {
+        Self {
+            connections: InFlight::new(parts.limits.connections),
+            in_flight: InFlight::new(parts.limits.in_flight),
+            limits: parts.limits,
+            catalog: parts.catalog,
+            hasher: parts.hasher,
+            limiter: parts.limiter,
+            balancer: parts.balancer,
+            pool: parts.pool,
+            metrics: parts.metrics,
+            clock: parts.clock,
+            leaving: Shutdown::default(),
+            shutdown: parts.shutdown,
+            request_ids: RefCell::new(RequestIds::default()),
+        }
+    }
+
+    /// Returns a new request id.
+    pub fn next_request_id(&self) -> String {
+        self.request_ids.borrow_mut().next()
+    }
+
+    /// Returns the bounds of message heads.
+    pub fn head_limits(&self) -> HeadLimits {
+        HeadLimits {
+            max_bytes: self.limits.head_bytes,
+            timeout: self.limits.head_timeout,
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/mod.rs
@@ -0,0 +1,16 @@
+//! The path of a request from its caller to a target and back.
+
+mod admit;
+mod attempt;
+mod caller;
+mod context;
+mod deadline;
+mod dispatch;
+mod headers;
+mod listener;
+mod relay;
+mod request_body;
+mod request_id;
+
+pub use context::{ProxyContext, ProxyParts};
+pub use listener::listen_task;
--- /dev/null
+++ b/src/proxy/request_id.rs
@@ -0,0 +1,25 @@
+//! Identities of requests.
+
+/// Makes request ids that are unique in the fleet.
+pub(super) struct RequestIds {
+    random: fastrand::Rng,
+}
+
+impl Default for RequestIds {
+    fn default() -> Self {
+        let mut seed = [0; 8];
+        if getrandom::fill(&mut seed).is_err() {
+            fastrand::fill(&mut seed);
+        }
+        Self {
+            random: fastrand::Rng::with_seed(u64::from_le_bytes(seed)),
+        }
+    }
+}
+
+impl RequestIds {
+    /// Returns a new id.
+    pub(super) fn next(&mut self) -> String {
+        format!("{:032x}", self.random.u128(..))
+    }
+}
--- /dev/null
+++ b/src/sync/load.rs
@@ -0,0 +1,86 @@
+//! Reading lists and keys from the table service.
+
+use crate::{
+    catalog::{Catalog, Edit},
+    platform::{PlatformError, RowKey, Table},
+};
+
+use super::rows::{change_of_row, edit_key, head_key, Head, ACCESS, KEYS, PLANS};
+
+/// Rows per scan.
+const SCAN_ROWS: usize = 1000;
+/// Edits per read.
+const EDIT_ROWS: u64 = 100;
+
+/// Reads the newest revision; 0 when there was no edit yet.
+pub(super) async fn read_head(table: &dyn Table) -> Result<u64, PlatformError> {
+    let rows = table.read(&[head_key()]).await?;
+    let Some(row) = rows.into_iter().next().flatten() else {
+        return Ok(0);
+    };
+    let head: Head = serde_json::from_value(row.value).map_err(|_| PlatformError::BadAnswer)?;
+    Ok(head.revision)
+}
+
+/// Reads up to 100 edits behind `from`, up to `to`, in order and without a gap.
+pub(super) async fn read_edits(
+    table: &dyn Table,
+    from: u64,
+    to: u64,
+) -> Result<Vec<Edit>, PlatformError> {
+    let last = to.min(from + EDIT_ROWS);
+    let keys: Vec<RowKey> = (from + 1..=last).map(edit_key).collect();
+    let rows = table.read(&keys).await?;
+    let mut edits = Vec::with_capacity(rows.len());
+    for row in rows {
+        let Some(row) = row else { break };
+        let edit = serde_json::from_value(row.value).map_err(|_| PlatformError::BadAnswer)?;
+        edits.push(edit);
+    }
+    Ok(edits)
+}
+
+/// Reads everything into a new catalog.
+///
+/// The scans may see rows of later edits. Since changes set whole rows, applying the edits of
+/// all revisions from before the scans leads to the exact state of the last one.
+pub(super) async fn load_catalog(table: &dyn Table) -> Result<Catalog, PlatformError> {
+    let mut catalog = Catalog::default();
+    let base = read_head(table).await?;
+    for name in [PLANS, ACCESS, KEYS] {
+        load_table(table, name, &mut catalog).await?;
+    }
+    catalog.advance_to(base);
+    let head = read_head(table).await?;
+    while catalog.revision() < head {
+        let edits = read_edits(table, catalog.revision(), head).await?;
+        if edits.is_empty() {
+            return Err(PlatformError::BadAnswer);
+        }
+        for edit in &edits {
+            catalog.apply(edit);
+        }
+    }
+    Ok(catalog)
+}
+
+async fn load_table(
+    table: &dyn Table,
+    name: &'static str,
+    catalog: &mut Catalog,
+) -> Result<(), PlatformError> {
+    let mut after = String::new();
+    loop {
+        let rows = table.scan(name, &after, SCAN_ROWS).await?;
+        let Some(last) = rows.last() else {
+            return Ok(());
+        };
+        after = last.key.clone();
+        for row in rows {
+            match change_of_row(name, row) {
+                Some(change) => catalog.apply_change(&change),
+                None => log::error!("unreadable row in table {name}"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/cluster.rs
@@ -0,0 +1,302 @@
+//! A small fleet on loopback: a platform, targets, and daemons as processes.
+
+use std::{
+    fs, io,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    sync::atomic::{AtomicU16, AtomicU32, Ordering},
+    time::Duration,
+};
+
+use serde_json::{json, Value};
+
+use crate::{
+    Client, DaemonCommand, DaemonProcess, HostRow, Platform, Reply, Target, TargetOptions,
+};
+
+/// Lowest port of [`free_address`].
+const FIRST_PORT: u16 = 10_000;
+/// Highest port of [`free_address`], below the kernel's ephemeral range.
+const LAST_PORT: u16 = 32_000;
+/// Operator token of every fleet that [`Cluster`] starts.
+const OPERATOR_TOKEN: &str = "operator-token-for-tests";
+
+/// Shape of a small fleet.
+#[derive(Debug, Clone)]
+pub struct ClusterOptions {
+    /// How daemons are started.
+    pub command: DaemonCommand,
+    /// Count of daemons, spread over the data centres in turn.
+    pub daemons: usize,
+    /// Names of the data centres.
+    pub data_centres: Vec<String>,
+    /// Services, each with its count of targets.
+    pub services: Vec<(String, usize)>,
+    /// Slots of each target.
+    pub slots: u32,
+    /// Time that one request takes at a target.
+    pub work: Duration,
+    /// Settings that replace or add to those of each daemon.
+    pub settings: Value,
+}
+
+impl ClusterOptions {
+    /// Returns one daemon, one service `catalogue` with two targets.
+    pub fn new(command: DaemonCommand) -> Self {
+        Self {
+            command,
+            daemons: 1,
+            data_centres: vec!["hobart".into(), "launceston".into(), "devonport".into()],
+            services: vec![("catalogue".into(), 2)],
+            slots: 4,
+            work: Duration::from_millis(1),
+            settings: json!({}),
+        }
+    }
+}
+
+/// A running small fleet; everything stops when dropped.
+pub struct Cluster {
+    /// The platform.
+    pub platform: Platform,
+    /// The targets of all services.
+    pub targets: Vec<Target>,
+    /// The daemons.
+    pub daemons: Vec<DaemonProcess>,
+    /// Directory of settings and logs, removed at the end.
+    pub directory: PathBuf,
+    opts: ClusterOptions,
+}
+
+impl Cluster {
+    /// Starts the fleet and waits until each daemon serves.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a part does not start.
+    pub fn start(opts: ClusterOptions) -> io::Result<Self> {
+        let platform = Platform::start(free_address()?)?;
+        let targets = start_targets(&platform, &opts)?;
+        let mut cluster = Self {
+            platform,
+            targets,
+            daemons: Vec::new(),
+            directory: make_directory()?,
+            opts,
+        };
+        cluster.start_daemons()?;
+        Ok(cluster)
+    }
+
+    fn start_daemons(&mut self) -> io::Result<()> {
+        let mut planned = Vec::new();
+        for i in 0..self.opts.daemons {
+            let settings = self.settings_of(i)?;
+            self.list_daemon(&settings)?;
+            planned.push(settings);
+        }
+        for settings in &planned {
+            let daemon = DaemonProcess::start(&self.opts.command, &self.directory, settings)?;
+            self.daemons.push(daemon);
+        }
+        for daemon in &self.daemons {
+            if !daemon.wait_ready(Duration::from_secs(20)) {
+                let log = fs::read_to_string(&daemon.log_path).unwrap_or_default();
+                return Err(io::Error::other(format!(
+                    "{} not ready: {log}",
+                    daemon.host
+                )));
+            }
+        }
+        Ok(())
+    }
+
+    fn settings_of(&self, i: usize) -> io::Result<Value> {
+        let data_centre = &self.opts.data_centres[i % self.opts.data_centres.len()];
+        let mut settings = json!({
+            "host": format!("entry-{i}"),
+            "data_centre": data_centre,
+            "caller_address": free_address()?,
+            "peer_address": free_address()?,
+            "operator_address": free_address()?,
+            "platform_address": self.platform.address,
+            "fleet_secrets": ["fleet-secret-for-tests-0123456789"],
+            "key_secret": "key-secret-for-tests-0123456789abcdef",
+            "operator_tokens": [OPERATOR_TOKEN],
+        });
+        if let (Some(all), Some(more)) = (settings.as_object_mut(), self.opts.settings.as_object())
+        {
+            all.extend(more.clone());
+        }
+        Ok(settings)
+    }
+
+    fn list_daemon(&self, settings: &Value) -> io::Result<()> {
+        let text = |key: &str| settings[key].as_str().unwrap_or("").to_owned();
+        let address = text("peer_address").parse();
+        self.platform.put_host(HostRow {
+            name: text("host"),
+            data_centre: text("data_centre"),
+            address: address.map_err(|_| io::Error::other("peer_address"))?,
+            service: None,
+            slots: 0,
+            leaving: false,
+        });
+        Ok(())
+    }
+
+    /// Returns the operator token.
+    pub fn operator_token(&self) -> &'static str {
+        OPERATOR_TOKEN
+    }
+
+    /// Sends an operator request to daemon `i`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the daemon does not answer.
+    pub fn operate(&self, i: usize, method: &str, path: &str, body: &Value) -> io::Result<Reply> {
+        let bearer = format!("Bearer {OPERATOR_TOKEN}");
+        let headers = [("authorization", bearer.as_str())];
+        let body = if body.is_null() {
+            Vec::new()
+        } else {
+            body.to_string().into_bytes()
+        };
+        Client::once(
+            self.daemons[i].operator_address,
+            method,
+            path,
+            &headers,
+            &body,
+        )
+    }
+
+    /// Makes one edit through daemon `i`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the daemon does not answer.
+    pub fn edit(&self, i: usize, change: &Value) -> io::Result<Reply> {
+        self.operate(i, "POST", "/edit", &json!({"changes": [change]}))
+    }
+
+    /// Gives a workspace a plan open to all services and returns a key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an edit is not accepted.
+    pub fn add_workspace(&self, name: &str, rate: f64, burst: u32) -> io::Result<String> {
+        let routes: Vec<Value> = self
+            .opts
+            .services
+            .iter()
+            .map(|(s, _)| json!({"service": s, "prefix": format!("/{s}")}))
+            .collect();
+        let plan = format!("plan-of-{name}");
+        let changes = [
+            json!({"set_access": {"plan": plan, "routes": routes}}),
+            json!({"set_plan": {"workspace": name, "plan": plan, "rate_per_s": rate, "burst": burst}}),
+        ];
+        for change in &changes {
+            let reply = self.edit(0, change)?;
+            if reply.status != 200 {
+                return Err(io::Error::other(reply.text()));
+            }
+        }
+        let reply = self.operate(0, "POST", "/key/give", &json!({"workspace": name}))?;
+        let key = reply.json()["key"].as_str().map(str::to_owned);
+        key.ok_or_else(|| io::Error::other(reply.text()))
+    }
+
+    /// Sends a caller's request to daemon `i`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when no response head arrives.
+    pub fn request(&self, i: usize, key: &str, method: &str, path: &str) -> io::Result<Reply> {
+        let bearer = format!("Bearer {key}");
+        let headers = [("authorization", bearer.as_str())];
+        Client::once(self.daemons[i].caller_address, method, path, &headers, b"")
+    }
+
+    /// Returns the targets of a service.
+    pub fn targets_of<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Target> + 'a {
+        self.targets
+            .iter()
+            .filter(move |t| t.options().service == service)
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.daemons.clear();
+        if std::thread::panicking() {
+            eprintln!("logs kept in {}", self.directory.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+fn start_targets(platform: &Platform, opts: &ClusterOptions) -> io::Result<Vec<Target>> {
+    let mut targets = Vec::new();
+    for (service, count) in &opts.services {
+        for i in 0..*count {
+            let data_centre = opts.data_centres[i % opts.data_centres.len()].clone();
+            let name = format!("{service}-{i}");
+            let target = Target::start(
+                free_address()?,
+                TargetOptions {
+                    name: name.clone(),
+                    service: service.clone(),
+                    data_centre: data_centre.clone(),
+                    slots: opts.slots,
+                    work: opts.work,
+                },
+            )?;
+            platform.put_host(HostRow {
+                name,
+                data_centre,
+                address: target.address,
+                service: Some(service.clone()),
+                slots: opts.slots,
+                leaving: false,
+            });
+            targets.push(target);
+        }
+    }
+    Ok(targets)
+}
+
+/// Returns a loopback address that is free now and that no other process's call returns.
+///
+/// The IP number derives from the process id, and the port lies below the ephemeral range, so
+/// that neither another test process nor an outgoing connection takes it before its use.
+///
+/// # Errors
+///
+/// Returns an error when no port can be bound.
+pub fn free_address() -> io::Result<SocketAddr> {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let [_, a, b, c] = std::process::id().to_be_bytes();
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        if port >= LAST_PORT {
+            return Err(io::Error::other("no port left"));
+        }
+        let address = SocketAddr::from(([127, a.wrapping_add(1), b, c.max(1)], port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+}
+
+fn make_directory() -> io::Result<PathBuf> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("chervillug-{}-{n}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
+    fs::create_dir_all(&directory)?;
+    Ok(directory)
+}
--- /dev/null
+++ b/standins/src/daemon.rs
@@ -0,0 +1,152 @@
+//! A daemon of the fleet as a child process.
+
+use std::{
+    fs, io,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+
+use crate::Client;
+
+/// How the daemon's binary is started: a program and its leading arguments.
+#[derive(Debug, Clone)]
+pub struct DaemonCommand {
+    /// Path of the program.
+    pub program: PathBuf,
+    /// Arguments before the product's own.
+    pub leading: Vec<String>,
+}
+
+/// A daemon that runs as a child process; killed when dropped.
+pub struct DaemonProcess {
+    /// Name of the host.
+    pub host: String,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where operators connect.
+    pub operator_address: SocketAddr,
+    /// Where other daemons connect.
+    pub peer_address: SocketAddr,
+    /// File that takes its log.
+    pub log_path: PathBuf,
+    command: DaemonCommand,
+    settings_path: PathBuf,
+    child: Child,
+}
+
+impl DaemonProcess {
+    /// Writes the settings to `directory` and starts the daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the files cannot be written or the process does not start.
+    pub fn start(command: &DaemonCommand, directory: &Path, settings: &Value) -> io::Result<Self> {
+        let host = settings["host"].as_str().unwrap_or("host").to_owned();
+        let settings_path = directory.join(format!("{host}.json"));
+        fs::write(&settings_path, serde_json::to_vec_pretty(settings)?)?;
+        let log_path = directory.join(format!("{host}.log"));
+        let child = spawn(command, &settings_path, &log_path)?;
+        let address = |key: &str| {
+            let text = settings[key].as_str().unwrap_or("");
+            text.parse()
+                .map_err(|_| io::Error::other(format!("{key}: no address")))
+        };
+        Ok(Self {
+            caller_address: address("caller_address")?,
+            operator_address: address("operator_address")?,
+            peer_address: address("peer_address")?,
+            host,
+            log_path,
+            command: command.clone(),
+            settings_path,
+            child,
+        })
+    }
+
+    /// Starts a stopped daemon again with the same settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process does not start.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.kill();
+        self.child = spawn(&self.command, &self.settings_path, &self.log_path)?;
+        Ok(())
+    }
+
+    /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(self.child.id().to_string())
+            .status();
+    }
+
+    /// Kills the process at once and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end and returns the exit code; none when it lasts longer than `limit`.
+    pub fn wait_exit(&mut self, limit: Duration) -> Option<i32> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the daemon's status page, null when it does not answer.
+    pub fn status(&self, token: &str) -> Value {
+        let bearer = format!("Bearer {token}");
+        let headers = [("authorization", bearer.as_str())];
+        Client::once(self.operator_address, "GET", "/status", &headers, b"")
+            .map_or(Value::Null, |reply| reply.json())
+    }
+
+    /// Waits until the daemon tells its balancer that it serves.
+    pub fn wait_ready(&self, limit: Duration) -> bool {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            let reply = Client::once(self.operator_address, "GET", "/ready", &[], b"");
+            if reply.is_ok_and(|r| r.status == 200) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(command: &DaemonCommand, settings: &Path, log: &Path) -> io::Result<Child> {
+    let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
+    Command::new(&command.program)
+        .args(&command.leading)
+        .arg("serve")
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins for the platform and for targets, and an environment that runs a small fleet.
+//!
+//! They serve tests, examples and measurements and are never shipped.
+
+mod client;
+mod cluster;
+mod daemon;
+mod http;
+mod platform;
+mod process_role;
+mod target;
+
+pub use client::{Client, Reply};
+pub use cluster::{free_address, Cluster, ClusterOptions};
+pub use daemon::{DaemonCommand, DaemonProcess};
+pub use platform::{HostRow, Platform, PlatformFaults, PlatformStats};
+pub use process_role::run_role;
+pub use target::{Target, TargetFaults, TargetOptions, WorkRecord};
--- /dev/null
+++ b/tests/env/mod.rs
@@ -0,0 +1,58 @@
+//! The environment of tests that drive the real program.
+
+#![allow(dead_code)]
+
+use std::{
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
+
+use standins::{Cluster, ClusterOptions, DaemonCommand};
+
+/// Returns how tests start the program.
+pub(crate) fn command() -> DaemonCommand {
+    DaemonCommand {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_chervillug")),
+        leading: Vec::new(),
+    }
+}
+
+/// Returns the shape of a small fleet of the real program.
+pub(crate) fn options() -> ClusterOptions {
+    ClusterOptions::new(command())
+}
+
+/// Starts a fleet.
+pub(crate) fn start(opts: ClusterOptions) -> Cluster {
+    Cluster::start(opts).expect("the fleet starts")
+}
+
+/// Waits until `done` holds, and tells whether it did within `limit`.
+pub(crate) fn eventually(limit: Duration, mut done: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+        if done() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    done()
+}
+
+/// Adds a workspace and waits until every daemon serves its key.
+pub(crate) fn workspace(cluster: &Cluster, name: &str, rate: f64, burst: u32) -> String {
+    let key = cluster
+        .add_workspace(name, rate, burst)
+        .expect("the edits are accepted");
+    let path = format!("/{}", cluster.targets[0].options().service);
+    for i in 0..cluster.daemons.len() {
+        let served = eventually(Duration::from_secs(5), || {
+            cluster
+                .request(i, &key, "OPTIONS", &path)
+                .is_ok_and(|r| r.status == 200)
+        });
+        assert!(served, "daemon {i} does not serve the key of {name}");
+    }
+    key
+}
