Measure one daemon's state at the size to design for

Cause: docs/CAPACITY.md needs slopes that were measured, not guessed.

Ruled out: resident memory before and after loading, which gave 2.6 bytes a route, since a growing map leaves freed pages behind that the next load reuses. An allocator that counts live bytes gives the same value each time.

Change: `measure -- capacity` loads 540,000 workspaces and keys, 25,000 routes and 120,000 targets into the daemon's own state and times look-ups, edits and choices.

--- /dev/null
+++ b/examples/measure/capacity.rs
@@ -0,0 +1,195 @@
+//! Memory and time of one daemon's state at the size to design for.
+
+use std::{
+    hint, io,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use chervillug::{
+    catalog::{Catalog, Change, Edit, EditId, KeyHasher, Plan, Route, RouteLookup},
+    clock::BootTime,
+    health::{Balancer, Consecutive},
+    platform::ListedHost,
+};
+use serde_json::json;
+
+use crate::{figure::Report, RunOptions, ALLOCATOR};
+
+const WORKSPACES: usize = 540_000;
+const ROUTES: usize = 25_000;
+const PLANS: usize = 50;
+const TARGETS: usize = 120_000;
+const SERVICES: usize = 4_200;
+/// Repetitions of a timed operation.
+const REPEATS: usize = 200_000;
+const FLOOR: f64 = 0.7;
+
+/// Measures memory per workspace, key, route and target, and the time of look-ups.
+pub(crate) fn capacity(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
+    let hasher = KeyHasher::new("capacity-key-secret");
+    let mut catalog = Catalog::default();
+    let workspaces = (0..WORKSPACES).map(plan_of_workspace);
+    load(&mut catalog, report, "workspace", WORKSPACES, workspaces);
+    let keys = (0..WORKSPACES).map(|i| key_of_workspace(&hasher, i));
+    load(&mut catalog, report, "key", WORKSPACES, keys);
+    load(
+        &mut catalog,
+        report,
+        "route",
+        ROUTES,
+        (0..PLANS).map(routes_of_plan),
+    );
+    catalog.advance_to(1);
+    time_lookups(&catalog, &hasher, opts, report)?;
+    time_edits(&mut catalog, report)?;
+    measure_targets(opts, report)
+}
+
+fn load(
+    catalog: &mut Catalog,
+    report: &mut Report,
+    what: &str,
+    count: usize,
+    changes: impl Iterator<Item = Change>,
+) {
+    let before = live_bytes();
+    let begin = Instant::now();
+    for change in changes {
+        catalog.apply_change(&change);
+    }
+    let bytes = (live_bytes() - before) / count as f64;
+    let field = json!({"of": what, "count": count});
+    report.figure("state_bytes_each", bytes, "bytes", &field);
+    report.figure("load_s", begin.elapsed().as_secs_f64(), "s", &field);
+}
+
+fn plan_of_workspace(i: usize) -> Change {
+    Change::SetPlan {
+        workspace: format!("workspace-{i}"),
+        plan: Plan {
+            plan: format!("plan-{}", i % PLANS),
+            rate_per_s: 5.0,
+            burst: 10,
+        },
+    }
+}
+
+fn key_of_workspace(hasher: &KeyHasher, i: usize) -> Change {
+    Change::GiveKey {
+        hash: hasher.hash(key_text(i).as_bytes()),
+        workspace: format!("workspace-{i}"),
+    }
+}
+
+fn key_text(i: usize) -> String {
+    format!("ck_{i:048x}")
+}
+
+fn routes_of_plan(plan: usize) -> Change {
+    let routes = (0..ROUTES / PLANS).map(|i| Route {
+        service: format!("service-{}", (plan * 97 + i) % SERVICES),
+        prefix: format!("/plan-{plan}/area-{}/route-{i}", i % 10),
+        repeatable: None,
+    });
+    Change::SetAccess {
+        plan: format!("plan-{plan}"),
+        routes: routes.collect(),
+    }
+}
+
+fn time_lookups(
+    catalog: &Catalog,
+    hasher: &KeyHasher,
+    opts: &RunOptions,
+    report: &mut Report,
+) -> io::Result<()> {
+    let mut random = fastrand::Rng::with_seed(opts.seed);
+    let picks: Vec<(String, String)> = (0..REPEATS)
+        .map(|_| {
+            let i = random.usize(0..WORKSPACES);
+            let route = random.usize(0..ROUTES / PLANS);
+            let path = format!("/plan-{}/area-{}/route-{route}/item", i % PLANS, route % 10);
+            (key_text(i), path)
+        })
+        .collect();
+    let begin = Instant::now();
+    for (key, path) in &picks {
+        let hash = hasher.hash(key.as_bytes());
+        let found = catalog
+            .workspace_of(&hash)
+            .and_then(|w| catalog.plan_of(w))
+            .map(|plan| catalog.route(&plan.plan, path));
+        if !matches!(found, Some(RouteLookup::Open(_))) {
+            return Err(io::Error::other("a key or route was not found"));
+        }
+    }
+    report_each(report, "lookup_us", begin.elapsed(), picks.len());
+    Ok(())
+}
+
+fn time_edits(catalog: &mut Catalog, report: &mut Report) -> io::Result<()> {
+    let count = 10_000;
+    let begin = Instant::now();
+    for i in 0..count {
+        let edit = Edit {
+            revision: catalog.revision() + 1,
+            id: EditId([0; 16]),
+            changes: vec![plan_of_workspace(i)],
+        };
+        if !catalog.apply(&edit) {
+            return Err(io::Error::other("an edit was not applied"));
+        }
+    }
+    report_each(report, "edit_apply_us", begin.elapsed(), count);
+    Ok(())
+}
+
+fn measure_targets(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
+    let hosts: Vec<ListedHost> = (0..TARGETS).map(listed_target).collect();
+    let before = live_bytes();
+    let mut balancer = Balancer::new(Box::<Consecutive>::default(), FLOOR, opts.seed);
+    let begin = Instant::now();
+    balancer.set_targets(&hosts);
+    let field = json!({"of": "target", "count": TARGETS});
+    report.figure("load_s", begin.elapsed().as_secs_f64(), "s", &field);
+    let bytes = (live_bytes() - before) / TARGETS as f64;
+    report.figure("state_bytes_each", bytes, "bytes", &field);
+    let begin = Instant::now();
+    balancer.set_targets(&hosts);
+    report.figure("list_refresh_s", begin.elapsed().as_secs_f64(), "s", &field);
+
+    let now = BootTime::from_duration(Duration::from_secs(1));
+    let mut random = fastrand::Rng::with_seed(opts.seed);
+    let names: Vec<String> = (0..REPEATS)
+        .map(|_| format!("service-{}", random.usize(0..SERVICES)))
+        .collect();
+    let begin = Instant::now();
+    for name in &names {
+        let picked = balancer.pick(name, &[], now).map(|t| t.id);
+        let id = picked.map_err(|_| io::Error::other("no target"))?;
+        balancer.release(hint::black_box(id));
+    }
+    report_each(report, "pick_us", begin.elapsed(), names.len());
+    Ok(())
+}
+
+fn listed_target(i: usize) -> ListedHost {
+    ListedHost {
+        name: format!("target-{i}"),
+        data_centre: format!("data-centre-{}", i % 12),
+        address: SocketAddr::from(([10, (i >> 16) as u8, (i >> 8) as u8, i as u8], 80)),
+        service: Some(format!("service-{}", i % SERVICES)),
+        slots: 4,
+        leaving: false,
+    }
+}
+
+fn report_each(report: &mut Report, name: &str, time: Duration, count: usize) {
+    let each = time.as_secs_f64() * 1e6 / count as f64;
+    report.figure(name, each, "us", &json!({}));
+}
+
+fn live_bytes() -> f64 {
+    ALLOCATOR.live_bytes() as f64
+}
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -2,6 +2,8 @@
 //!
 //! `cargo run --release --example measure -- path --seed 1`
 
+mod capacity;
+mod counting_allocator;
 mod figure;
 mod fleet;
 mod gray;
@@ -13,13 +15,16 @@
 
 use argh::FromArgs;
 
-use crate::figure::Report;
+use crate::{counting_allocator::CountingAllocator, figure::Report};
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator::new();
 
 /// Runs one case of measurements.
 #[derive(FromArgs)]
 struct Args {
-    /// case: path, rate, edit, outage, outcomes, silent, poison, gray, flap, noise, neighbour or
-    /// overload
+    /// case: path, rate, edit, outage, outcomes, silent, poison, gray, flap, noise, neighbour,
+    /// overload or capacity
     #[argh(positional)]
     case: String,
     /// seed of all random choices
@@ -40,7 +45,7 @@
 
 type Case = fn(&RunOptions, &mut Report) -> io::Result<()>;
 
-const CASES: [(&str, Case); 12] = [
+const CASES: &[(&str, Case)] = &[
     ("path", path::path),
     ("rate", rate::rate),
     ("edit", rate::edit),
@@ -53,6 +58,7 @@
     ("noise", gray::noise),
     ("neighbour", gray::neighbour),
     ("overload", gray::overload),
+    ("capacity", capacity::capacity),
 ];
 
 /// Exit code of a case that could not run.
