Count rates at the owners of slices

Cause: a static split refuses workspaces whose requests arrive unevenly, and counts too much when daemons come and go. Ruled out here: a central counter (one write a request), forwarding requests to an owner (one more host on the path of each body).

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use super::LimitSettings;
+use super::{LimitSettings, LimiterKind};
 
 /// The settings of one daemon.
 #[derive(Debug, Clone, Deserialize)]
@@ -31,6 +31,9 @@
     /// Smallest share of a service's live capacity that stays in use, from 0 to 1.
     #[serde(default = "default_floor")]
     pub floor: f64,
+    /// How rates are counted; all daemons of a fleet must agree.
+    #[serde(default)]
+    pub limiter: LimiterKind,
     /// Bounds of this daemon.
     #[serde(default)]
     pub limits: LimitSettings,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,7 @@
 //! One daemon: its tasks, from start to shutdown.
 
 use std::{
+    cell::{Cell, RefCell},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -16,14 +17,20 @@
 use crate::{
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
-    config::Settings,
+    config::{LimiterKind, Settings},
     health::{balancer_task, Balancer, BalancerHandle, Consecutive},
     hosts::host_list_task,
+    lease::SessionId,
     lifecycle::{wait_for_stop_signal, Shutdown},
-    limit::{static_split_task, TaskLimiter},
+    limit::{
+        ownership_task, static_split_task, AskHandler, AskMemory, HandoverHandler, Limiter,
+        OwnedLimiter, Owner, OwnerView, Ownership, TaskLimiter,
+    },
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
-    peer::{peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerRouter, PeerServer},
+    peer::{
+        peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
+    },
     platform::HttpPlatform,
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, ProxyContext, ProxyParts},
@@ -32,6 +39,8 @@
 
 /// Time for the balancer to see the failing check before the listener closes.
 const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Longest time to hand over what this daemon owns.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two looks at the requests in flight.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -78,8 +87,8 @@
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
     let directory = PeerDirectory::new(&settings.host);
-    let _peers = PeerClient::new(secrets.clone(), directory.clone());
-    let router = PeerRouter::default();
+    let peers = PeerClient::new(secrets.clone(), directory.clone());
+    let mut router = PeerRouter::default();
 
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
@@ -109,11 +118,50 @@
         metrics: metrics.clone(),
     };
     monoio::spawn(sync_task(sync, sync_rx));
+    let (refresh_tx, refresh_rx) = mpsc::unbounded::channel();
+    let session = SessionId::new(&settings.host, random_u64()?);
+    let owner = OwnerView::new(Owner::new(session, &settings.data_centre), refresh_tx);
+    let ownership = Rc::new(Ownership {
+        owner: owner.clone(),
+        table: platform.clone(),
+        list: platform.clone(),
+        peers: peers.clone(),
+        host: settings.host.clone(),
+        data_centre: settings.data_centre.clone(),
+        clock: clock.clone(),
+        metrics: metrics.clone(),
+        released: Cell::new(false),
+    });
+    let limiter: Box<dyn Limiter> = match settings.limiter {
+        LimiterKind::StaticSplit => Box::new(TaskLimiter::new(limiter_tx.clone())),
+        LimiterKind::Owned => {
+            let ask = AskHandler {
+                owner: owner.clone(),
+                catalog: catalog.clone(),
+                clock: clock.clone(),
+                metrics: metrics.clone(),
+            };
+            router.set(PeerKind::Ask, Rc::new(ask));
+            let handover = HandoverHandler {
+                owner: owner.clone(),
+            };
+            router.set(PeerKind::Handover, Rc::new(handover));
+            monoio::spawn(ownership_task(ownership.clone(), refresh_rx));
+            Box::new(OwnedLimiter {
+                owner,
+                peers,
+                data_centre: settings.data_centre.clone(),
+                memory: RefCell::new(AskMemory::default()),
+                clock: clock.clone(),
+                metrics: metrics.clone(),
+            })
+        }
+    };
     monoio::spawn(host_list_task(
         platform,
         balancer.clone(),
         directory,
-        limiter_tx.clone(),
+        limiter_tx,
         metrics.clone(),
     ));
     monoio::spawn(peer_server_task(
@@ -132,7 +180,7 @@
         limits: settings.limits.clone(),
         catalog,
         hasher: KeyHasher::new(&settings.key_secret),
-        limiter: Box::new(TaskLimiter::new(limiter_tx)),
+        limiter,
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
         metrics,
@@ -156,10 +204,17 @@
     proxy.leaving.begin();
     monoio::time::sleep(BALANCER_NOTICE).await;
     shutdown.begin();
+    if settings.limiter == LimiterKind::Owned {
+        let _ = monoio::time::timeout(RELEASE_TIMEOUT, ownership.release()).await;
+    }
     drain(&proxy, settings.limits.shutdown_timeout).await;
     Ok(())
 }
 
+fn random_u64() -> io::Result<u64> {
+    getrandom::u64().map_err(|_| io::Error::other("no random bytes"))
+}
+
 /// Waits until nothing is in flight, or the limit has passed.
 async fn drain(proxy: &ProxyContext, limit: Duration) {
     let end = Instant::now() + limit;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod hosts;
 pub mod http;
+pub mod lease;
 pub mod lifecycle;
 pub mod limit;
 pub mod logging;
--- /dev/null
+++ b/src/limit/handlers.rs
@@ -0,0 +1,78 @@
+//! Handlers of other daemons' messages about tokens.
+
+use std::rc::Rc;
+
+use crate::{
+    clock::Clock,
+    lease::{partition_of, SliceId},
+    metrics::{Counter, Metrics},
+    peer::{decode, encode, PeerHandler},
+    platform::BoxFuture,
+    sync::CatalogView,
+};
+
+use super::{AskAnswer, AskRequest, HandoverRequest, OwnerView, Taken};
+
+/// Answers asks for tokens.
+pub struct AskHandler {
+    /// What this daemon owns.
+    pub owner: OwnerView,
+    /// The plans.
+    pub catalog: CatalogView,
+    /// Source of time.
+    pub clock: Rc<dyn Clock>,
+    /// The counters.
+    pub metrics: Rc<Metrics>,
+}
+
+impl AskHandler {
+    fn answer(&self, req: &AskRequest) -> AskAnswer {
+        self.metrics.count(Counter::AsksAnswered);
+        let catalog = self.catalog.get();
+        let Some(plan) = catalog.plan_of(&req.workspace) else {
+            return AskAnswer::NotOwner;
+        };
+        let workspace: Rc<str> = Rc::from(req.workspace.as_str());
+        let slice = SliceId {
+            partition: partition_of(&req.workspace),
+            index: req.index,
+        };
+        let now = self.clock.now();
+        let taken = self.owner.with(|o| o.take(slice, &workspace, plan, now));
+        match taken {
+            Taken::Granted(grant) => AskAnswer::Granted(grant.life),
+            Taken::Exceeded(wait) => AskAnswer::Exceeded(wait),
+            Taken::NotOwner => AskAnswer::NotOwner,
+        }
+    }
+}
+
+impl PeerHandler for AskHandler {
+    fn handle<'a>(&'a self, _: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
+        Box::pin(async move {
+            let req: AskRequest = decode(body)?;
+            encode(&self.answer(&req))
+        })
+    }
+}
+
+/// Takes levels that another daemon hands over.
+pub struct HandoverHandler {
+    /// What this daemon owns.
+    pub owner: OwnerView,
+}
+
+impl PeerHandler for HandoverHandler {
+    fn handle<'a>(&'a self, _: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
+        Box::pin(async move {
+            let reqs: Vec<HandoverRequest> = decode(body)?;
+            self.owner.with(|o| {
+                for req in reqs {
+                    o.take_levels(req.slice, req.epoch, req.levels);
+                }
+            });
+            self.owner.refresh();
+            encode(&true)
+        })
+    }
+}
--- /dev/null
+++ b/src/limit/owner.rs
@@ -0,0 +1,361 @@
+//! What one daemon owns, wants to own, and knows of the other owners.
+
+use std::{rc::Rc, time::Duration};
+
+use rustc_hash::FxHashMap;
+
+use crate::{
+    catalog::Plan,
+    clock::BootTime,
+    lease::{
+        first_choice, Candidate, LeasePhase, Renewal, SessionId, SessionLease, SessionRow,
+        SessionWatch, SliceId, SliceRow, Terms,
+    },
+};
+
+use super::{Holdings, LeaseStep, Levels, SessionChange, SliceChange, Taken};
+
+/// Time for which slices without an owner are left to the hosts that the platform lists.
+const CLAIM_GRACE: Duration = Duration::from_secs(3);
+
+/// A row as read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Versioned<T> {
+    /// The row.
+    pub row: T,
+    /// Its version.
+    pub version: u64,
+}
+
+/// What one daemon owns, wants to own, and knows of the other owners.
+#[derive(Debug, Clone)]
+pub struct Owner {
+    session: SessionId,
+    data_centre: String,
+    lease: SessionLease,
+    own_version: u64,
+    watch: SessionWatch,
+    holdings: Holdings,
+    rows: FxHashMap<SliceId, Versioned<SliceRow>>,
+    started: Option<BootTime>,
+    levels: FxHashMap<(SliceId, u64), Levels>,
+}
+
+impl Owner {
+    /// Makes an owner without a lease.
+    pub fn new(session: SessionId, data_centre: &str) -> Self {
+        Self {
+            session,
+            data_centre: data_centre.to_owned(),
+            lease: SessionLease::default(),
+            own_version: 0,
+            watch: SessionWatch::default(),
+            holdings: Holdings::default(),
+            rows: FxHashMap::default(),
+            started: None,
+            levels: FxHashMap::default(),
+        }
+    }
+
+    /// Returns the session.
+    pub fn session(&self) -> &SessionId {
+        &self.session
+    }
+
+    /// Returns what the lease allows at `now`.
+    pub fn phase(&self, now: BootTime) -> LeasePhase {
+        self.lease.phase(now)
+    }
+
+    /// Tells whether the session ended for good.
+    pub fn has_ended(&self) -> bool {
+        self.lease.has_ended()
+    }
+
+    /// Returns how many slices are held.
+    pub fn held_slices(&self) -> usize {
+        self.holdings.len()
+    }
+
+    /// Tells whether a slice is held and may be used at `now`.
+    pub fn may_use(&self, slice: SliceId, now: BootTime) -> bool {
+        self.holdings.holds(slice) && self.phase(now) != LeasePhase::Lapsed
+    }
+
+    /// Returns the owner of a slice as last read.
+    pub fn owner_of(&self, slice: SliceId) -> Option<&SessionId> {
+        self.rows.get(&slice).map(|r| &r.row.owner)
+    }
+
+    /// Takes one token of a slice.
+    pub fn take(
+        &mut self,
+        slice: SliceId,
+        workspace: &Rc<str>,
+        plan: &Plan,
+        now: BootTime,
+    ) -> Taken {
+        let phase = self.phase(now);
+        self.holdings.take(slice, workspace, plan, phase, now)
+    }
+
+    /// Begins a renewal of the lease; returns it and the change of the table that carries it.
+    pub fn begin_renewal(&mut self, terms: Terms, now: BootTime) -> (Renewal, LeaseStep) {
+        let renewal = self.lease.begin_renewal(terms, now);
+        let row = SessionRow {
+            counter: renewal.counter,
+            fenced: false,
+            short: terms.short,
+            long: terms.long,
+            data_centre: self.data_centre.clone(),
+        };
+        let step = LeaseStep::Session(SessionChange {
+            session: self.session.clone(),
+            version: self.own_version,
+            row: Some(row),
+        });
+        (renewal, step)
+    }
+
+    /// Takes in that the table committed a renewal.
+    pub fn renewed(&mut self, renewal: &Renewal) {
+        self.lease.renewed(renewal);
+    }
+
+    /// Ends the session: nothing is used from now on.
+    pub fn end_session(&mut self) {
+        self.lease.end();
+        self.holdings.clear();
+        self.levels.clear();
+    }
+
+    /// Begins a new session after the former one ended.
+    pub fn begin_session(&mut self, session: SessionId) {
+        *self = Self::new(session, &self.data_centre);
+    }
+
+    /// Keeps levels that another owner handed over with the change to `epoch`.
+    pub fn take_levels(&mut self, slice: SliceId, epoch: u64, levels: Levels) {
+        self.levels.insert((slice, epoch), levels);
+    }
+
+    /// Takes in all session rows; `now` lies after the read's answer.
+    pub fn observe_sessions(&mut self, rows: &[(SessionId, Versioned<SessionRow>)], now: BootTime) {
+        self.started.get_or_insert(now);
+        self.watch
+            .retain(|id| rows.iter().any(|(present, _)| present == id));
+        for (id, read) in rows {
+            self.watch.observe(id, &read.row, read.version, now);
+        }
+        let own = rows.iter().find(|(id, _)| *id == self.session);
+        match own {
+            Some((_, read)) if read.row.fenced => self.end_session(),
+            Some((_, read)) => self.own_version = read.version,
+            None if self.own_version > 0 => self.end_session(),
+            None => {}
+        }
+    }
+
+    /// Takes in all slice rows.
+    pub fn observe_slices(&mut self, rows: Vec<(SliceId, Versioned<SliceRow>)>, now: BootTime) {
+        self.rows = rows.into_iter().collect();
+        if self.has_ended() {
+            return;
+        }
+        for (slice, read) in &self.rows {
+            if read.row.owner != self.session {
+                self.holdings.release(*slice, now);
+                continue;
+            }
+            let start = match self.levels.remove(&(*slice, read.row.epoch)) {
+                Some(levels) => levels,
+                None if read.row.epoch == 1 => Levels::full(),
+                None => Levels::empty(),
+            };
+            self.holdings.hold(*slice, &read.row.portions, start, now);
+        }
+    }
+
+    /// Returns the changes of the table that this daemon should make now, given the hosts that
+    /// the platform lists.
+    pub fn steps(&self, listed: &[Candidate<'_>], now: BootTime) -> Vec<LeaseStep> {
+        if self.phase(now) != LeasePhase::Full || self.own_version == 0 {
+            return Vec::new();
+        }
+        let live = self.live(now);
+        let mut steps = Vec::new();
+        let first = live.iter().map(|c| c.host).min();
+        if first == Some(self.session.host()) {
+            steps.extend(self.session_steps(now));
+        }
+        let grace = self.started.is_none_or(|at| now.since(at) < CLAIM_GRACE);
+        let claimers = if grace { listed } else { &live };
+        for slice in SliceId::all() {
+            let change = match self.rows.get(&slice) {
+                None => self.claim(slice, claimers),
+                Some(read) if read.row.owner == self.session => self.reclaim(slice, read, now),
+                Some(read) => self.take_over(slice, read, &live),
+            };
+            steps.extend(change.map(LeaseStep::Slice));
+        }
+        steps
+    }
+
+    /// Ends the session and returns each slice's change of owner, with the levels to hand over.
+    pub fn release(
+        &mut self,
+        successors: &[(Candidate<'_>, SessionId)],
+        now: BootTime,
+    ) -> Vec<(SliceChange, Levels)> {
+        let hosts: Vec<Candidate<'_>> = successors.iter().map(|(c, _)| *c).collect();
+        let mut released = Vec::new();
+        for (slice, read) in &self.rows {
+            if read.row.owner != self.session || self.has_ended() {
+                continue;
+            }
+            let Some(best) = first_choice(*slice, &hosts) else {
+                continue;
+            };
+            let session = successors.iter().find(|(c, _)| *c == best);
+            let Some((_, session)) = session else {
+                continue;
+            };
+            let change = SliceChange {
+                slice: *slice,
+                version: read.version,
+                row: read.row.hand_over(session.clone()),
+                other: None,
+            };
+            released.push((change, self.holdings.release(*slice, now)));
+        }
+        self.end_session();
+        released
+    }
+
+    /// Returns the sessions of other hosts that renew, one a host.
+    pub fn live_others(&self, now: BootTime) -> Vec<(Candidate<'_>, SessionId)> {
+        let live = self.live_sessions(now);
+        let others = live.filter(|(id, _)| **id != self.session);
+        others
+            .map(|(id, row)| (candidate(id, row), id.clone()))
+            .collect()
+    }
+
+    /// Returns the change that removes the session's row, which releases whatever it kept.
+    pub fn forget_step(session: &SessionId, version: u64) -> LeaseStep {
+        LeaseStep::Session(SessionChange {
+            session: session.clone(),
+            version,
+            row: None,
+        })
+    }
+
+    /// Returns the version of the session's own row as last read, 0 when it was absent.
+    pub fn own_version(&self) -> u64 {
+        self.own_version
+    }
+
+    /// Tells whether slices without an owner are still left to the listed hosts.
+    pub fn is_settling(&self, now: BootTime) -> bool {
+        let is_new = self.started.is_some_and(|at| now.since(at) < CLAIM_GRACE);
+        is_new || self.rows.len() < SliceId::all().count()
+    }
+
+    fn live_sessions(&self, now: BootTime) -> impl Iterator<Item = (&SessionId, &SessionRow)> {
+        self.watch
+            .sessions()
+            .filter(move |(id, row)| !row.fenced && !self.watch.is_short_over(id, now))
+    }
+
+    fn live(&self, now: BootTime) -> Vec<Candidate<'_>> {
+        self.live_sessions(now)
+            .map(|(id, row)| candidate(id, row))
+            .collect()
+    }
+
+    /// Fences sessions whose short term is over, and removes those whose long term is.
+    fn session_steps(&self, now: BootTime) -> Vec<LeaseStep> {
+        let mut steps = Vec::new();
+        for (id, row) in self.watch.sessions() {
+            let Some((_, version)) = self.watch.find(id) else {
+                continue;
+            };
+            if row.fenced && self.watch.is_long_over(id, now) {
+                steps.push(Self::forget_step(id, version));
+            } else if !row.fenced && self.watch.is_short_over(id, now) {
+                steps.push(LeaseStep::Session(SessionChange {
+                    session: id.clone(),
+                    version,
+                    row: Some(row.fence()),
+                }));
+            }
+        }
+        steps
+    }
+
+    fn is_best(&self, slice: SliceId, candidates: &[Candidate<'_>]) -> bool {
+        first_choice(slice, candidates).is_some_and(|c| c.host == self.session.host())
+    }
+
+    fn claim(&self, slice: SliceId, candidates: &[Candidate<'_>]) -> Option<SliceChange> {
+        if !self.is_best(slice, candidates) {
+            return None;
+        }
+        Some(SliceChange {
+            slice,
+            version: 0,
+            row: SliceRow::first(self.session.clone()),
+            other: None,
+        })
+    }
+
+    fn take_over(
+        &self,
+        slice: SliceId,
+        read: &Versioned<SliceRow>,
+        live: &[Candidate<'_>],
+    ) -> Option<SliceChange> {
+        let former = &read.row.owner;
+        let (row, version) = match self.watch.find(former) {
+            None => (read.row.hand_over(self.session.clone()), 0),
+            Some((row, version)) if row.fenced => {
+                (read.row.take_over(self.session.clone()), version)
+            }
+            Some(_) => return None,
+        };
+        if !self.is_best(slice, live) {
+            return None;
+        }
+        Some(SliceChange {
+            slice,
+            version: read.version,
+            row,
+            other: Some((former.clone(), version)),
+        })
+    }
+
+    fn reclaim(
+        &self,
+        slice: SliceId,
+        read: &Versioned<SliceRow>,
+        now: BootTime,
+    ) -> Option<SliceChange> {
+        let over = |former: &SessionId| self.watch.is_long_over(former, now);
+        let residue = read.row.residues.iter().find(|r| over(&r.session))?;
+        let former = &residue.session;
+        let version = self.watch.find(former).map_or(0, |(_, version)| version);
+        Some(SliceChange {
+            slice,
+            version: read.version,
+            row: read.row.reclaim(former),
+            other: Some((former.clone(), version)),
+        })
+    }
+}
+
+fn candidate<'a>(id: &'a SessionId, row: &'a SessionRow) -> Candidate<'a> {
+    Candidate {
+        host: id.host(),
+        data_centre: &row.data_centre,
+    }
+}
--- /dev/null
+++ b/src/limit/split.rs
@@ -0,0 +1,113 @@
+//! How a plan is split over slices and portions.
+
+use std::time::Duration;
+
+use crate::{
+    catalog::Plan,
+    lease::{Portion, PARTS, SLICES},
+};
+
+/// Longest time for which a grant may be used, from when it was asked for.
+const MAX_LIFE: Duration = Duration::from_millis(50);
+/// Shortest such time.
+const MIN_LIFE: Duration = Duration::from_millis(5);
+/// Part of the burst that may pay for the life of grants, 1 / 4.
+const LIFE_DIVISOR: f64 = 4.0;
+
+/// Shape of one bucket.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BucketShape {
+    /// Tokens per second.
+    pub rate_per_s: f64,
+    /// Most tokens at once, always whole.
+    pub burst: f64,
+}
+
+/// How a plan is split: the sum over all slices and portions is never above the plan, also when
+/// each token is used up to its life after it was taken.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PlanSplit {
+    rate_per_s: f64,
+    tokens: u32,
+    slices: u8,
+    life: Duration,
+}
+
+impl PlanSplit {
+    /// Splits a plan.
+    pub fn new(plan: &Plan) -> Self {
+        let burst = f64::from(plan.burst);
+        let rate_per_s = if plan.rate_per_s.is_finite() {
+            plan.rate_per_s.max(0.0)
+        } else {
+            0.0
+        };
+        let life = life_of(rate_per_s, burst);
+        let paid = (burst - rate_per_s * life.as_secs_f64()).floor();
+        if paid < 1.0 {
+            return Self::spaced(rate_per_s, plan.burst, life);
+        }
+        let tokens = paid as u32;
+        Self {
+            rate_per_s,
+            tokens,
+            slices: u8::try_from(tokens).unwrap_or(u8::MAX).min(SLICES),
+            life,
+        }
+    }
+
+    /// Splits a plan whose burst cannot pay for the life: one token, spaced by the life as well.
+    fn spaced(rate_per_s: f64, burst: u32, life: Duration) -> Self {
+        let rate_per_s = if rate_per_s > 0.0 {
+            1.0 / (1.0 / rate_per_s + life.as_secs_f64())
+        } else {
+            0.0
+        };
+        Self {
+            rate_per_s,
+            tokens: burst.min(1),
+            slices: 1,
+            life,
+        }
+    }
+
+    /// Returns the count of slices.
+    pub fn slices(&self) -> u8 {
+        self.slices
+    }
+
+    /// Returns the time for which a grant may be used, from when it was asked for.
+    pub fn life(&self) -> Duration {
+        self.life
+    }
+
+    /// Returns the bucket for `portions` of slice `index`; none when they hold no whole token.
+    pub fn bucket(&self, index: u8, portions: &[Portion]) -> Option<BucketShape> {
+        if index >= self.slices {
+            return None;
+        }
+        let tokens: u64 = portions.iter().map(|p| self.tokens_in(index, p)).sum();
+        if tokens == 0 {
+            return None;
+        }
+        Some(BucketShape {
+            rate_per_s: self.rate_per_s * tokens as f64 / f64::from(self.tokens),
+            burst: tokens as f64,
+        })
+    }
+
+    /// Counts the whole tokens of a portion; adjacent portions add up without loss.
+    fn tokens_in(&self, index: u8, portion: &Portion) -> u64 {
+        let below = |part: u32| {
+            let position = u64::from(index) * u64::from(PARTS) + u64::from(part);
+            position * u64::from(self.tokens) / (u64::from(self.slices) * u64::from(PARTS))
+        };
+        below(portion.to) - below(portion.from)
+    }
+}
+
+fn life_of(rate_per_s: f64, burst: f64) -> Duration {
+    let affordable = burst / (rate_per_s * LIFE_DIVISOR);
+    let affordable = Duration::try_from_secs_f64(affordable).unwrap_or(MAX_LIFE);
+    affordable.clamp(MIN_LIFE, MAX_LIFE)
+}
--- a/src/limit/static_split.rs
+++ b/src/limit/static_split.rs
@@ -10,7 +10,7 @@
     clock::{BootTime, Clock},
 };
 
-use super::{Admission, Bucket, LimiterMessage};
+use super::{Admission, Bucket, Grant, LimiterMessage};
 
 /// Buckets that each hold an Nth part of a plan.
 pub struct StaticSplit {
@@ -43,7 +43,7 @@
             .or_insert_with(|| Bucket::new(rate, burst, burst, now));
         bucket.reshape(rate, burst, now);
         match bucket.take(now) {
-            Ok(()) => Admission::Granted,
+            Ok(()) => Admission::Granted(Grant::UNLIMITED),
             Err(wait) => Admission::Exceeded(wait),
         }
     }
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -30,6 +30,16 @@
     PeerOversized,
     /// Messages on the peer port that could not be decoded.
     PeerUnreadable,
+    /// Tokens asked for at other daemons.
+    Asks,
+    /// Asks of other daemons that were answered.
+    AsksAnswered,
+    /// Asks that no daemon answered in time.
+    AsksUnanswered,
+    /// Grants that became void before their use.
+    GrantsLate,
+    /// Sessions of this daemon that another one fenced.
+    SessionsFenced,
     /// Targets ejected.
     Ejections,
 }
--- a/src/proxy/admit.rs
+++ b/src/proxy/admit.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     catalog::{Plan, RouteLookup},
-    limit::Admission,
+    limit::{Admission, Grant},
     outcome::ErrorKind,
 };
 
@@ -98,9 +98,9 @@
 }
 
 /// Asks for one request inside the workspace's rate and burst.
-pub(super) async fn admit(cx: &ProxyContext, allowed: &Allowed) -> Result<(), Refusal> {
+pub(super) async fn admit(cx: &ProxyContext, allowed: &Allowed) -> Result<Grant, Refusal> {
     match cx.limiter.admit(&allowed.workspace, &allowed.plan).await {
-        Admission::Granted => Ok(()),
+        Admission::Granted(grant) => Ok(grant),
         Admission::Exceeded(wait) => Err(Refusal {
             kind: ErrorKind::RateExceeded,
             retry_after: Some(wait),
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -111,9 +111,10 @@
             Ok(allowed) => allowed,
             Err(refusal) => return self.refuse_request(refusal, id, &head, kind).await,
         };
-        if let Err(refusal) = admit(&cx, &allowed).await {
-            return self.refuse_request(refusal, id, &head, kind).await;
-        }
+        let grant = match admit(&cx, &allowed).await {
+            Ok(grant) => grant,
+            Err(refusal) => return self.refuse_request(refusal, id, &head, kind).await,
+        };
         if !self.confirm_body(&head, kind).await {
             return After::Close;
         }
@@ -124,6 +125,13 @@
                 return After::Close;
             }
         };
+        if !grant.is_valid(cx.clock.now()) {
+            cx.metrics.count(Counter::GrantsLate);
+            if let Err(refusal) = admit(&cx, &allowed).await {
+                self.tell(refusal, id, false).await;
+                return After::Close;
+            }
+        }
         let keep_alive = wants_keep_alive(&head);
         let mark = repeatable_mark(&head.headers);
         let dispatch = Dispatch {
