--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -20,7 +20,7 @@
     config::{LimiterKind, Settings},
     health::{balancer_task, Balancer, BalancerHandle, Consecutive},
     hosts::host_list_task,
-    lease::SessionId,
+    lease::{SessionId, SliceId},
     lifecycle::{wait_for_stop_signal, Shutdown},
     limit::{
         ownership_task, static_split_task, AskHandler, AskMemory, HandoverHandler, Limiter,
@@ -130,6 +130,7 @@
         data_centre: settings.data_centre.clone(),
         clock: clock.clone(),
         metrics: metrics.clone(),
+        slices: SliceId::all().collect(),
         released: Cell::new(false),
     });
     let limiter: Box<dyn Limiter> = match settings.limiter {
--- a/src/lease/session_watch.rs
+++ b/src/lease/session_watch.rs
@@ -1,6 +1,6 @@
 //! Other sessions' leases, as seen from outside.
 
-use rustc_hash::FxHashMap;
+use std::collections::BTreeMap;
 
 use crate::clock::BootTime;
 
@@ -18,7 +18,7 @@
 /// A term counts from when its row was first seen, which is later than its renewal was sent.
 #[derive(Debug, Clone, Default)]
 pub struct SessionWatch {
-    seen: FxHashMap<SessionId, Seen>,
+    seen: BTreeMap<SessionId, Seen>,
 }
 
 impl SessionWatch {
--- a/src/limit/holdings.rs
+++ b/src/limit/holdings.rs
@@ -1,8 +1,6 @@
 //! The slices that a daemon owns, and the buckets in them.
 
-use std::{rc::Rc, time::Duration};
-
-use rustc_hash::FxHashMap;
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use crate::{
     catalog::Plan,
@@ -30,14 +28,14 @@
     since: BootTime,
     /// Time for which buckets gained tokens before `since`; none when they begin full.
     idle: Option<Duration>,
-    buckets: FxHashMap<Rc<str>, Bucket>,
-    handed_over: FxHashMap<Rc<str>, f64>,
+    buckets: BTreeMap<Rc<str>, Bucket>,
+    handed_over: BTreeMap<Rc<str>, f64>,
 }
 
 /// The slices that a daemon owns, and the buckets in them.
 #[derive(Debug, Clone, Default)]
 pub struct Holdings {
-    slices: FxHashMap<SliceId, Holding>,
+    slices: BTreeMap<SliceId, Holding>,
 }
 
 impl Holdings {
@@ -74,7 +72,7 @@
             kept: keep_of(portions),
             since: now,
             idle: start.idle,
-            buckets: FxHashMap::default(),
+            buckets: BTreeMap::default(),
             handed_over,
         };
         self.slices.insert(slice, holding);
@@ -88,6 +86,11 @@
         }
     }
 
+    /// Returns the portions of a slice that the lease's phase allows to use.
+    pub fn usable(&self, slice: SliceId, phase: LeasePhase) -> &[Portion] {
+        self.slices.get(&slice).map_or(&[], |h| h.usable(phase))
+    }
+
     /// Ends all holdings.
     pub fn clear(&mut self) {
         self.slices.clear();
@@ -125,6 +128,14 @@
         self.idle = Some(Duration::ZERO);
     }
 
+    fn usable(&self, phase: LeasePhase) -> &[Portion] {
+        match phase {
+            LeasePhase::Full => &self.portions,
+            LeasePhase::Reduced => &self.kept,
+            LeasePhase::Lapsed => &[],
+        }
+    }
+
     fn into_levels(mut self, now: BootTime) -> Levels {
         let held = self.buckets.iter_mut().map(|(workspace, bucket)| {
             let level = bucket.level(now);
@@ -154,13 +165,8 @@
         phase: LeasePhase,
         now: BootTime,
     ) -> Taken {
-        let portions = match phase {
-            LeasePhase::Full => &self.portions,
-            LeasePhase::Reduced => &self.kept,
-            LeasePhase::Lapsed => return Taken::NotOwner,
-        };
         let split = PlanSplit::new(plan);
-        let Some(shape) = split.bucket(index, portions) else {
+        let Some(shape) = split.bucket(index, self.usable(phase)) else {
             return Taken::NotOwner;
         };
         let bucket = self.buckets.entry(workspace.clone()).or_insert_with(|| {
--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -1,14 +1,12 @@
 //! What one daemon owns, wants to own, and knows of the other owners.
 
-use std::{rc::Rc, time::Duration};
-
-use rustc_hash::FxHashMap;
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use crate::{
     catalog::Plan,
     clock::BootTime,
     lease::{
-        first_choice, Candidate, LeasePhase, Renewal, SessionId, SessionLease, SessionRow,
+        first_choice, Candidate, LeasePhase, Portion, Renewal, SessionId, SessionLease, SessionRow,
         SessionWatch, SliceId, SliceRow, Terms,
     },
 };
@@ -36,9 +34,9 @@
     own_version: u64,
     watch: SessionWatch,
     holdings: Holdings,
-    rows: FxHashMap<SliceId, Versioned<SliceRow>>,
+    rows: BTreeMap<SliceId, Versioned<SliceRow>>,
     started: Option<BootTime>,
-    levels: FxHashMap<(SliceId, u64), Levels>,
+    levels: BTreeMap<(SliceId, u64), Levels>,
 }
 
 impl Owner {
@@ -51,9 +49,9 @@
             own_version: 0,
             watch: SessionWatch::default(),
             holdings: Holdings::default(),
-            rows: FxHashMap::default(),
+            rows: BTreeMap::default(),
             started: None,
-            levels: FxHashMap::default(),
+            levels: BTreeMap::default(),
         }
     }
 
@@ -176,9 +174,14 @@
         }
     }
 
-    /// Returns the changes of the table that this daemon should make now, given the hosts that
-    /// the platform lists.
-    pub fn steps(&self, listed: &[Candidate<'_>], now: BootTime) -> Vec<LeaseStep> {
+    /// Returns the changes of the table that this daemon should make now for `slices`, given the
+    /// hosts that the platform lists.
+    pub fn steps(
+        &self,
+        slices: &[SliceId],
+        listed: &[Candidate<'_>],
+        now: BootTime,
+    ) -> Vec<LeaseStep> {
         if self.phase(now) != LeasePhase::Full || self.own_version == 0 {
             return Vec::new();
         }
@@ -190,17 +193,35 @@
         }
         let grace = self.started.is_none_or(|at| now.since(at) < CLAIM_GRACE);
         let claimers = if grace { listed } else { &live };
-        for slice in SliceId::all() {
-            let change = match self.rows.get(&slice) {
-                None => self.claim(slice, claimers),
-                Some(read) if read.row.owner == self.session => self.reclaim(slice, read, now),
-                Some(read) => self.take_over(slice, read, &live),
-            };
-            steps.extend(change.map(LeaseStep::Slice));
-        }
+        let changes = slices
+            .iter()
+            .filter_map(|slice| self.slice_change(*slice, claimers, &live, now))
+            .map(LeaseStep::Slice);
+        steps.extend(changes);
         steps
     }
 
+    /// Returns the change of one slice that this daemon should make now, given the hosts that
+    /// claim slices without a row, and those that renew.
+    fn slice_change(
+        &self,
+        slice: SliceId,
+        claimers: &[Candidate<'_>],
+        live: &[Candidate<'_>],
+        now: BootTime,
+    ) -> Option<SliceChange> {
+        match self.rows.get(&slice) {
+            None => self.claim(slice, claimers),
+            Some(read) if read.row.owner == self.session => self.reclaim(slice, read, now),
+            Some(read) => self.take_over(slice, read, live),
+        }
+    }
+
+    /// Returns the portions of a slice that this daemon may use at `now`.
+    pub fn usable(&self, slice: SliceId, now: BootTime) -> Vec<Portion> {
+        self.holdings.usable(slice, self.phase(now)).to_vec()
+    }
+
     /// Ends the session and returns each slice's change of owner, with the levels to hand over.
     pub fn release(
         &mut self,
--- a/src/limit/ownership_task.rs
+++ b/src/limit/ownership_task.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     clock::Clock,
-    lease::{Candidate, SessionId, Terms},
+    lease::{Candidate, SessionId, SliceId, Terms},
     metrics::{Counter, Metrics},
     peer::{PeerClient, PeerKind},
     platform::{Committed, HostList, PlatformError, ScannedRow, Table, Transaction},
@@ -48,6 +48,8 @@
     pub clock: Rc<dyn Clock>,
     /// The counters.
     pub metrics: Rc<Metrics>,
+    /// The slices that this daemon may own.
+    pub slices: Vec<SliceId>,
     /// Whether the slices were released for good.
     pub released: Cell<bool>,
 }
@@ -195,14 +197,21 @@
             .filter_map(|r| Some((SessionId::from_key(&r.key), versioned(r)?)))
             .collect();
         let now = self.clock.now();
-        self.owner.with(|o| {
+        let ended = self.owner.with(|o| {
             o.observe_sessions(&rows, now);
-            if o.has_ended() && !self.released.get() {
-                log::warn!("session {} was fenced", o.session());
-                self.metrics.count(Counter::SessionsFenced);
-                o.begin_session(SessionId::new(&self.host, random()));
+            if !o.has_ended() || self.released.get() {
+                return None;
             }
+            log::warn!("session {} was fenced", o.session());
+            self.metrics.count(Counter::SessionsFenced);
+            let old = o.session().clone();
+            o.begin_session(SessionId::new(&self.host, random()));
+            let row = rows.iter().find(|(id, _)| *id == old);
+            row.map(|(_, read)| Owner::forget_step(&old, read.version))
         });
+        if let Some(step) = ended {
+            self.commit_all(&[step]).await;
+        }
         let marks = rows.into_iter().map(|(id, read)| (id, is_fenced(&read)));
         Ok(marks.collect())
     }
@@ -243,7 +252,7 @@
             })
             .collect();
         let now = self.clock.now();
-        self.owner.with(|o| o.steps(&candidates, now))
+        self.owner.with(|o| o.steps(&self.slices, &candidates, now))
     }
 
     /// Tells whether the next round should read the slices again.
