Answer hostile requests and keep keys from targets in every part

Cause: a table of 58 hostile requests against the real program showed these faults: a refused HEAD request got a body (the next answer could not be framed), a percent-encoded key and a key in a body reached the target, a malformed chunked body ended without an answer, 97 headers were told as bad_request, a backslash and '..;x' passed the path check, any expectation was taken for 100-continue, and a refused body that was not read reset the connection. An answer that came before the end of a streamed body gave the target's connection back to the pool.

Ruled out: scanning the body as it is streamed without holding anything back, since the beginning of a key could pass; refusing all chunked bodies.

Change: a decoder holds back the end of a part that may begin the key. Chunked bodies up to buffered_body_bytes are read whole first, so that they can be refused and sent again. Bytes of all buffered bodies are bounded by buffered_bytes (answer buffer_full). Connections end with a bounded read of what still comes, and with a reset when an answer was cut off. Log lines carry fields. The environment probes a port by connecting, since a child that was forked while the port was bound kept it for a moment (seen once: 'address in use').

--- a/src/config/limits.rs
+++ b/src/config/limits.rs
@@ -26,6 +26,8 @@
     pub idle_timeout: Duration,
     /// Most bytes of a request body that are buffered before the request is sent on.
     pub buffered_body_bytes: usize,
+    /// Most bytes of request bodies that are buffered at a time.
+    pub buffered_bytes: usize,
     /// Deadline of a request whose caller names none, ms.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "deadline_ms")]
@@ -38,6 +40,14 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "body_part_ms")]
     pub body_part_timeout: Duration,
+    /// Time from the failing check of the balancer until no new connections are taken, ms.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "notice_ms")]
+    pub notice: Duration,
+    /// Time for which an idle connection waits for a last request at a shutdown, ms.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "idle_grace_ms")]
+    pub idle_grace: Duration,
     /// Longest time for requests in flight to end at a shutdown, ms.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "shutdown_ms")]
@@ -53,9 +63,12 @@
             head_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(60),
             buffered_body_bytes: 64 * 1024,
+            buffered_bytes: 64 << 20,
             deadline: Duration::from_secs(10),
             connect_timeout: Duration::from_millis(250),
             body_part_timeout: Duration::from_secs(10),
+            notice: Duration::from_secs(1),
+            idle_grace: Duration::from_secs(2),
             shutdown_timeout: Duration::from_secs(30),
         }
     }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -19,7 +19,7 @@
     config::Settings,
     health::{balancer_task, Balancer, BalancerHandle, Consecutive},
     hosts::host_list_task,
-    lifecycle::{wait_for_stop_signal, Shutdown},
+    lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
     limit::{static_split_task, TaskLimiter},
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
@@ -30,8 +30,8 @@
     sync::{sync_task, CatalogView, SyncTask},
 };
 
-/// Time for the balancer to see the failing check before the listener closes.
-const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Longest time for one step behind the last request of a shutdown.
+const STEP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two looks at the requests in flight.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -75,6 +75,7 @@
     let metrics = Rc::new(Metrics::default());
     let platform = Rc::new(HttpPlatform::new(settings.platform_address, &settings.host));
     let shutdown = Shutdown::default();
+    let steps = ShutdownSteps::default();
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
     let directory = PeerDirectory::new(&settings.host);
@@ -154,9 +155,10 @@
     wait_for_stop_signal().await?;
     log::info!("shutting down");
     proxy.leaving.begin();
-    monoio::time::sleep(BALANCER_NOTICE).await;
+    monoio::time::sleep(settings.limits.notice).await;
     shutdown.begin();
     drain(&proxy, settings.limits.shutdown_timeout).await;
+    steps.run(STEP_TIMEOUT).await;
     Ok(())
 }
 
--- a/src/http/body_decoder.rs
+++ b/src/http/body_decoder.rs
@@ -3,7 +3,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use monoio_codec::{Decoded, Decoder};
 
-use super::{BodyKind, HttpError};
+use super::{BodyKind, ForbiddenBytes, HttpError};
 
 /// Most hexadecimal digits of a chunk size.
 const MAX_SIZE_DIGITS: usize = 15;
@@ -25,6 +25,9 @@
 #[derive(Debug)]
 pub struct BodyDecoder {
     state: State,
+    /// Parts that were decoded before and are yielded again.
+    decoded: Bytes,
+    forbidden: Option<ForbiddenBytes>,
 }
 
 impl BodyDecoder {
@@ -36,7 +39,22 @@
             BodyKind::Chunked => State::ChunkSize,
             BodyKind::UntilClose => State::UntilClose,
         };
-        Self { state }
+        Self {
+            state,
+            decoded: Bytes::new(),
+            forbidden: None,
+        }
+    }
+
+    /// Makes the decoder refuse a body that contains the bytes of `forbidden`.
+    pub fn refuse(mut self, forbidden: ForbiddenBytes) -> Self {
+        self.forbidden = Some(forbidden);
+        self
+    }
+
+    /// Gives back parts that were decoded, to be yielded again.
+    pub fn give_back(&mut self, decoded: Bytes) {
+        self.decoded = decoded;
     }
 
     /// Tells whether the whole body was decoded.
@@ -105,6 +123,30 @@
     type Error = HttpError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Decoded<Self::Item>, Self::Error> {
+        if !self.decoded.is_empty() {
+            return Ok(Decoded::Some(Some(std::mem::take(&mut self.decoded))));
+        }
+        loop {
+            let decoded = self.decode_framing(src)?;
+            let (Decoded::Some(part), Some(forbidden)) = (&decoded, &mut self.forbidden) else {
+                return Ok(decoded);
+            };
+            let clean = match part {
+                Some(part) => forbidden.pass(part.clone())?,
+                None => forbidden.finish(),
+            };
+            if !clean.is_empty() {
+                return Ok(Decoded::Some(Some(clean)));
+            }
+            if part.is_none() {
+                return Ok(decoded);
+            }
+        }
+    }
+}
+
+impl BodyDecoder {
+    fn decode_framing(&mut self, src: &mut BytesMut) -> Result<Decoded<Option<Bytes>>, HttpError> {
         loop {
             match self.state {
                 State::Done => return Ok(Decoded::Some(None)),
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -13,6 +13,8 @@
     HeadTooLarge,
     /// The head or the body framing is malformed or ambiguous.
     Malformed(&'static str),
+    /// The body contains bytes that it must not contain.
+    Forbidden,
     /// A step did not end within its time limit.
     Timeout,
 }
@@ -24,6 +26,7 @@
             Self::UnexpectedEof => f.write_str("connection closed in the middle of a message"),
             Self::HeadTooLarge => f.write_str("head too large"),
             Self::Malformed(what) => write!(f, "malformed message: {what}"),
+            Self::Forbidden => f.write_str("body contains forbidden bytes"),
             Self::Timeout => f.write_str("timeout"),
         }
     }
--- a/src/http/reader.rs
+++ b/src/http/reader.rs
@@ -9,12 +9,14 @@
     time::timeout,
 };
 use monoio_codec::{Decoded, Decoder};
-use monoio_http::h1::codec::decoder::{RequestHeadDecoder, ResponseHeadDecoder};
+use monoio_http::h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder};
 
 use super::{guard, BodyDecoder, HeadLimits, HttpError};
 
 /// Bytes asked of the socket at a time.
 const READ_BYTES: usize = 16 * 1024;
+/// Bytes asked of the socket while the connection is idle, enough for most heads.
+const IDLE_READ_BYTES: usize = 1024;
 
 /// The reading half of one HTTP/1.1 connection.
 pub struct HttpReader {
@@ -49,8 +51,12 @@
     ///
     /// Returns [`HttpError::Io`] when the socket fails.
     pub async fn fill(&mut self) -> Result<usize, HttpError> {
-        let scratch = BytesMut::with_capacity(READ_BYTES);
-        let (res, slice) = self.io.read(scratch.slice_mut(0..READ_BYTES)).await;
+        self.fill_at_most(READ_BYTES).await
+    }
+
+    async fn fill_at_most(&mut self, max: usize) -> Result<usize, HttpError> {
+        let scratch = BytesMut::with_capacity(max);
+        let (res, slice) = self.io.read(scratch.slice_mut(0..max)).await;
         let n = res?;
         let mut part = slice.into_inner();
         part.truncate(n);
@@ -71,7 +77,25 @@
         if self.has_buffered() {
             return Ok(true);
         }
-        Ok(self.fill().await? > 0)
+        self.buf = BytesMut::new();
+        Ok(self.fill_at_most(IDLE_READ_BYTES).await? > 0)
+    }
+
+    /// Reads and discards up to `max_bytes`, until the other side closes.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Io`] when the socket fails.
+    pub async fn discard(&mut self, max_bytes: usize) -> Result<(), HttpError> {
+        let mut read = 0;
+        while read < max_bytes {
+            self.buf = BytesMut::new();
+            match self.fill().await? {
+                0 => return Ok(()),
+                n => read += n,
+            }
+        }
+        Ok(())
     }
 
     /// Reads the head of a request.
@@ -86,7 +110,8 @@
         self.complete_head(limits).await?;
         match RequestHeadDecoder.decode(&mut self.buf) {
             Ok(Decoded::Some(head)) => Ok(head),
-            _ => Err(HttpError::Malformed("request head")),
+            Ok(_) => Err(HttpError::Malformed("request head")),
+            Err(e) => Err(head_error(&e)),
         }
     }
 
@@ -102,7 +127,8 @@
         self.complete_head(limits).await?;
         match ResponseHeadDecoder.decode(&mut self.buf) {
             Ok(Decoded::Some(head)) => Ok(head),
-            _ => Err(HttpError::Malformed("response head")),
+            Ok(_) => Err(HttpError::Malformed("response head")),
+            Err(e) => Err(head_error(&e)),
         }
     }
 
@@ -171,6 +197,13 @@
     }
 }
 
+fn head_error(e: &DecodeError) -> HttpError {
+    match e {
+        DecodeError::Parse(httparse::Error::TooManyHeaders) => HttpError::HeadTooLarge,
+        _ => HttpError::Malformed("head"),
+    }
+}
+
 /// Returns the length of a head that ends in `buf`.
 fn find_head_end(buf: &[u8]) -> Option<usize> {
     buf.windows(4)
--- a/src/http/writer.rs
+++ b/src/http/writer.rs
@@ -1,5 +1,7 @@
 //! The writing half of one HTTP/1.1 connection.
 
+use std::os::fd::AsRawFd;
+
 use bytes::{Bytes, BytesMut};
 use monoio::{
     io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf},
@@ -61,6 +63,27 @@
         Ok(())
     }
 
+    /// Makes the closing of the socket reset the connection, so that a cut-off message does not
+    /// look whole to the other side.
+    pub fn reset_on_close(&mut self) {
+        let linger = libc::linger {
+            l_onoff: 1,
+            l_linger: 0,
+        };
+        // SAFETY: the halves live on one thread, and no reference is kept beyond this statement.
+        let fd = unsafe { &*self.io.0.get() }.as_raw_fd();
+        // SAFETY: `fd` is open while `self` lives, and `linger` outlives the call.
+        unsafe {
+            libc::setsockopt(
+                fd,
+                libc::SOL_SOCKET,
+                libc::SO_LINGER,
+                std::ptr::from_ref(&linger).cast(),
+                size_of::<libc::linger>() as libc::socklen_t,
+            );
+        }
+    }
+
     /// Closes the writing direction of the socket.
     pub async fn shutdown(&mut self) {
         let _ = self.io.shutdown().await;
--- a/src/lifecycle/in_flight.rs
+++ b/src/lifecycle/in_flight.rs
@@ -25,23 +25,31 @@
 
     /// Adds one; none when the bound is reached.
     pub fn enter(&self) -> Option<InFlightGuard> {
-        if self.count.get() >= self.max {
+        self.reserve(1)
+    }
+
+    /// Adds `n` at once; none when that exceeds the bound.
+    pub fn reserve(&self, n: usize) -> Option<InFlightGuard> {
+        let sum = self.count.get().checked_add(n)?;
+        if sum > self.max {
             return None;
         }
-        self.count.set(self.count.get() + 1);
+        self.count.set(sum);
         Some(InFlightGuard {
             count: self.count.clone(),
+            n,
         })
     }
 }
 
-/// One thing in flight; dropping it ends it.
+/// Things in flight; dropping this ends them.
 pub struct InFlightGuard {
     count: Rc<Cell<usize>>,
+    n: usize,
 }
 
 impl Drop for InFlightGuard {
     fn drop(&mut self) {
-        self.count.set(self.count.get() - 1);
+        self.count.set(self.count.get() - self.n);
     }
 }
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -2,8 +2,10 @@
 
 mod in_flight;
 mod shutdown;
+mod shutdown_steps;
 mod signals;
 
 pub use in_flight::{InFlight, InFlightGuard};
 pub use shutdown::Shutdown;
+pub use shutdown_steps::ShutdownSteps;
 pub use signals::wait_for_stop_signal;
--- /dev/null
+++ b/src/lifecycle/shutdown_steps.rs
@@ -0,0 +1,33 @@
+//! Steps of a graceful shutdown behind the last request.
+
+use std::{future::Future, pin::Pin, time::Duration};
+
+use monoio::time::timeout;
+
+struct Step {
+    name: &'static str,
+    work: Pin<Box<dyn Future<Output = ()>>>,
+}
+
+/// Steps of a graceful shutdown behind the last request, such as handing leases over.
+#[derive(Default)]
+pub struct ShutdownSteps {
+    steps: Vec<Step>,
+}
+
+impl ShutdownSteps {
+    /// Adds a step that runs behind those added before.
+    pub fn add(&mut self, name: &'static str, work: impl Future<Output = ()> + 'static) {
+        let work = Box::pin(work);
+        self.steps.push(Step { name, work });
+    }
+
+    /// Runs the steps in their order, each for at most `limit`.
+    pub async fn run(self, limit: Duration) {
+        for step in self.steps {
+            if timeout(limit, step.work).await.is_err() {
+                log::error!("shutdown step {} did not end in time", step.name);
+            }
+        }
+    }
+}
--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -39,6 +39,8 @@
     TooManyConnections,
     /// Too many requests are in flight.
     TooManyInFlight,
+    /// Too many bytes of request bodies are buffered.
+    BufferFull,
     /// The service has no target that may take the request now.
     NoTarget,
     /// No connection to a target could be opened.
@@ -98,6 +100,7 @@
             Self::ShuttingDown => (503, NotRun, Some(0), "this host is shutting down"),
             Self::TooManyConnections => (503, NotRun, Some(1), "too many connections"),
             Self::TooManyInFlight => (503, NotRun, Some(1), "too many requests in flight"),
+            Self::BufferFull => (503, NotRun, Some(1), "too many request bodies are buffered"),
             Self::NoTarget => (503, NotRun, Some(1), "no target can take the request now"),
             Self::ConnectFailed => (503, NotRun, Some(1), "no target could be connected"),
             Self::TargetShed => (503, NotRun, Some(1), "the targets shed the request"),
--- a/src/proxy/admit.rs
+++ b/src/proxy/admit.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use http::{request, Method, Version};
 
 use crate::{
@@ -35,6 +36,8 @@
 
 /// A request that its key and the lists allow.
 pub(super) struct Allowed {
+    /// The key.
+    pub(super) key: Bytes,
     /// Workspace of the key.
     pub(super) workspace: Rc<str>,
     /// Plan of the workspace.
@@ -62,6 +65,7 @@
     match catalog.route(&plan.plan, head.uri.path()) {
         RouteLookup::Closed => Err(ErrorKind::RouteClosed.into()),
         RouteLookup::Open(route) => Ok(Allowed {
+            key: Bytes::copy_from_slice(key),
             workspace: workspace.clone(),
             plan: plan.clone(),
             service: Rc::from(route.service.as_str()),
@@ -76,12 +80,16 @@
         return Err(ErrorKind::BadRequest);
     }
     let path = head.uri.path();
-    if path.split('/').any(|s| s == "." || s == "..") || path.contains("//") {
+    if path.split('/').any(is_dot_segment) || path.contains("//") || path.contains('\\') {
         return Err(ErrorKind::BadRequest);
     }
     if path.contains('%') && decodes_to_separator(path) {
         return Err(ErrorKind::BadRequest);
     }
+    let expect = head.headers.get(http::header::EXPECT);
+    if expect.is_some_and(|v| !v.as_bytes().eq_ignore_ascii_case(b"100-continue")) {
+        return Err(ErrorKind::BadRequest);
+    }
     let hosts = head.headers.get_all(http::header::HOST).iter().count();
     if hosts > 1 || (hosts == 0 && head.version == Version::HTTP_11) {
         return Err(ErrorKind::BadRequest);
@@ -89,6 +97,12 @@
     Ok(())
 }
 
+/// Tells whether a segment is `.` or `..`, without its parameters.
+fn is_dot_segment(segment: &str) -> bool {
+    let name = segment.split(';').next().unwrap_or(segment);
+    name == "." || name == ".."
+}
+
 /// Tells whether `path` holds an encoded dot, slash or backslash, which a target may decode.
 fn decodes_to_separator(path: &str) -> bool {
     let lower = path.to_ascii_lowercase();
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -140,7 +140,7 @@
         match head {
             Ok(head) if head.status.is_informational() => {}
             Ok(head) => return Ok(head),
-            Err(HttpError::Malformed(_) | HttpError::HeadTooLarge) => {
+            Err(HttpError::Malformed(_) | HttpError::HeadTooLarge | HttpError::Forbidden) => {
                 return Err(target_failure(AttemptFailure::Malformed))
             }
             Err(HttpError::Timeout) => return Err(target_failure(AttemptFailure::Timeout)),
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -1,10 +1,14 @@
 //! One connection of a caller.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{header, request, response, HeaderValue, Version};
-use monoio::{io::Splitable, net::TcpStream, time::timeout};
+use http::{header, request, HeaderValue, Method, Version};
+use monoio::{
+    io::Splitable,
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 use crate::{
     http::{
@@ -13,31 +17,61 @@
     },
     metrics::Counter,
     outcome::{problem_response, ErrorKind},
-    retry::is_repeatable,
 };
 
 use super::{
-    admit::{admit, authorize, Refusal},
-    deadline::Deadline,
-    dispatch::{Dispatch, DispatchError},
-    headers::{add_outcome, prepare_for_target, repeatable_mark},
-    relay::{relay_answer, AnswerForm, Relayed},
-    request_body::RequestBody,
+    access_log::log_refusal,
+    admit::Refusal,
+    headers::add_outcome,
+    serve::{ServedRequest, Serving},
     ProxyContext,
 };
 
+/// Longest time for which bytes are discarded behind the last answer.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Most bytes that are discarded behind the last answer.
+const LINGER_BYTES: usize = 16 << 20;
+
 /// What becomes of the connection behind an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum After {
+pub(super) enum After {
+    /// The next request is awaited.
     KeepAlive,
+    /// The connection ends cleanly behind a whole answer.
     Close,
+    /// The connection is reset, so that a cut-off answer does not look whole.
+    Reset,
+}
+
+impl After {
+    /// Returns what follows a whole answer.
+    pub(super) fn whole_answer(keep_alive: bool) -> Self {
+        if keep_alive {
+            Self::KeepAlive
+        } else {
+            Self::Close
+        }
+    }
+}
+
+/// What of a request decides the form of a refusal.
+pub(super) struct RefusalForm<'a> {
+    /// Identity of the request.
+    pub(super) request_id: &'a str,
+    /// Method of the request; an answer to HEAD has no body.
+    pub(super) method: &'a Method,
+    /// Whether the connection stays open behind the answer.
+    pub(super) keep_alive: bool,
 }
 
 /// One connection of a caller.
 pub(super) struct CallerConnection {
-    cx: Rc<ProxyContext>,
-    reader: HttpReader,
-    writer: HttpWriter,
+    /// What all connections share.
+    pub(super) cx: Rc<ProxyContext>,
+    /// Reads requests.
+    pub(super) reader: HttpReader,
+    /// Writes answers.
+    pub(super) writer: HttpWriter,
 }
 
 impl CallerConnection {
@@ -55,30 +89,48 @@
     /// Serves requests until one side closes.
     pub(super) async fn serve(mut self) {
         while self.wait_for_request().await {
-            if self.serve_request().await == After::Close {
-                break;
+            // Boxed, so that an idle connection does not hold room for a request.
+            match Box::pin(self.serve_request()).await {
+                After::KeepAlive => {}
+                After::Close => break,
+                After::Reset => return self.writer.reset_on_close(),
             }
         }
-        self.writer.shutdown().await;
+        self.end().await;
     }
 
     /// Refuses the connection's first request without reading it.
     pub(super) async fn refuse(mut self, kind: ErrorKind) {
         let id = self.cx.next_request_id();
-        self.tell(kind.into(), &id, false).await;
+        self.refuse_unread(kind, &id).await;
+        self.end().await;
+    }
+
+    /// Ends the connection without a reset, which could discard the last answer on its way.
+    async fn end(&mut self) {
         self.writer.shutdown().await;
+        let _ = timeout(LINGER_TIMEOUT, self.reader.discard(LINGER_BYTES)).await;
     }
 
+    /// Waits for the next request; returns false when the connection is to end.
+    ///
+    /// In a shutdown it still waits for a while, since the caller may be sending a request.
     async fn wait_for_request(&mut self) -> bool {
-        if self.cx.shutdown.has_begun() {
-            return self.reader.has_buffered();
+        if self.reader.has_buffered() {
+            return true;
         }
         let shutdown = self.cx.shutdown.clone();
+        let grace = self.cx.limits.idle_grace;
         let next = timeout(self.cx.limits.idle_timeout, self.reader.wait_for_message());
-        monoio::select! {
-            next = next => matches!(next, Ok(Ok(true))),
-            () = shutdown.wait() => false,
-        }
+        let expired = async {
+            shutdown.wait().await;
+            sleep(grace).await;
+        };
+        let next = monoio::select! {
+            next = next => next,
+            () = expired => timeout(Duration::ZERO, self.reader.wait_for_message()).await,
+        };
+        matches!(next, Ok(Ok(true)))
     }
 
     async fn serve_request(&mut self) -> After {
@@ -89,141 +141,73 @@
             Err(e) => return self.refuse_head(&e, &id).await,
         };
         self.cx.metrics.count(Counter::Requests);
-        let kind = match request_body_kind(&head) {
-            Ok(kind) => kind,
-            Err(_) => {
-                self.tell(ErrorKind::BadRequest.into(), &id, false).await;
-                return After::Close;
-            }
-        };
-        let Some(_guard) = self.cx.in_flight.enter() else {
-            return self
-                .refuse_request(ErrorKind::TooManyInFlight.into(), &id, &head, kind)
-                .await;
+        let Ok(kind) = request_body_kind(&head) else {
+            return self.refuse_unread(ErrorKind::BadRequest, &id).await;
         };
-        self.answer(head, kind, &id).await
-    }
-
-    async fn answer(&mut self, mut head: request::Parts, kind: BodyKind, id: &str) -> After {
-        let cx = self.cx.clone();
-        let now = cx.clock.now();
-        let allowed = match authorize(&cx, &head) {
-            Ok(allowed) => allowed,
-            Err(refusal) => return self.refuse_request(refusal, id, &head, kind).await,
+        let keep_alive = kind == BodyKind::Empty && wants_keep_alive(&head);
+        let form = RefusalForm {
+            request_id: &id,
+            method: &head.method,
+            keep_alive: keep_alive && !self.cx.leaving.has_begun(),
         };
-        if let Err(refusal) = admit(&cx, &allowed).await {
-            return self.refuse_request(refusal, id, &head, kind).await;
-        }
-        if !self.confirm_body(&head, kind).await {
-            return After::Close;
-        }
-        let mut body = match RequestBody::receive(kind, &mut self.reader, &cx.limits).await {
-            Ok(body) => body,
-            Err(_) => {
-                self.tell(ErrorKind::BodyIncomplete.into(), id, false).await;
-                return After::Close;
-            }
+        let Some(_guard) = self.cx.in_flight.enter() else {
+            return self.tell(ErrorKind::TooManyInFlight.into(), &form).await;
         };
-        let keep_alive = wants_keep_alive(&head);
-        let mark = repeatable_mark(&head.headers);
-        let dispatch = Dispatch {
-            cx: &cx,
-            service: &allowed.service,
-            repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
-            deadline: Deadline::of_request(&head.headers, cx.limits.deadline, now),
+        let served = ServedRequest {
+            id: &id,
+            kind,
+            keep_alive: wants_keep_alive(&head),
         };
-        prepare_for_target(&mut head, &allowed.workspace, id);
-        let outcome = dispatch.run(&mut head, &mut body, &mut self.reader).await;
-        let keep_alive = keep_alive && body.is_received() && !cx.leaving.has_begun();
-        match outcome {
-            Err(DispatchError::CallerGone) => {
-                cx.metrics.count(Counter::CallersGone);
-                After::Close
-            }
-            Err(DispatchError::Failed(kind)) => {
-                self.tell(kind.into(), id, keep_alive).await;
-                after(keep_alive)
-            }
-            Ok(answer) => {
-                let form = AnswerForm {
-                    method: &head.method,
-                    version: head.version,
-                    keep_alive,
-                    request_id: id,
-                };
-                match relay_answer(&cx, answer, &form, &mut self.writer).await {
-                    Relayed::KeepAlive => After::KeepAlive,
-                    Relayed::Close | Relayed::CutOff => After::Close,
-                    Relayed::Malformed => {
-                        self.tell(ErrorKind::TargetMalformed.into(), id, keep_alive)
-                            .await;
-                        after(keep_alive)
-                    }
-                }
-            }
-        }
-    }
-
-    /// Answers `Expect: 100-continue`; returns false when the connection failed.
-    async fn confirm_body(&mut self, head: &request::Parts, kind: BodyKind) -> bool {
-        let expected = head.headers.contains_key(header::EXPECT) && kind != BodyKind::Empty;
-        if !expected || self.reader.has_buffered() {
-            return true;
-        }
-        let buf = Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n");
-        self.writer.write(buf).await.is_ok()
+        Serving { conn: self }.run(head, &served).await
     }
 
     async fn refuse_head(&mut self, e: &HttpError, id: &str) -> After {
         let kind = match e {
             HttpError::HeadTooLarge => ErrorKind::HeadTooLarge,
             HttpError::Timeout => ErrorKind::HeadTimeout,
-            HttpError::Malformed(_) => ErrorKind::BadRequest,
+            HttpError::Malformed(_) | HttpError::Forbidden => ErrorKind::BadRequest,
             HttpError::Io(_) | HttpError::UnexpectedEof => return After::Close,
         };
-        self.tell(kind.into(), id, false).await;
-        After::Close
+        self.refuse_unread(kind, id).await
     }
 
-    /// Refuses a request; the connection stays open only when no body follows.
-    async fn refuse_request(
-        &mut self,
-        refusal: Refusal,
-        id: &str,
-        head: &request::Parts,
-        kind: BodyKind,
-    ) -> After {
-        let keep_alive =
-            kind == BodyKind::Empty && wants_keep_alive(head) && !self.cx.leaving.has_begun();
-        self.tell(refusal, id, keep_alive).await;
-        after(keep_alive)
+    /// Refuses a request whose head was not understood.
+    async fn refuse_unread(&mut self, kind: ErrorKind, id: &str) -> After {
+        let form = RefusalForm {
+            request_id: id,
+            method: &Method::GET,
+            keep_alive: false,
+        };
+        self.tell(kind.into(), &form).await
     }
 
-    async fn tell(&mut self, refusal: Refusal, id: &str, keep_alive: bool) {
+    /// Tells the caller why its request got no target's answer.
+    pub(super) async fn tell(&mut self, refusal: Refusal, form: &RefusalForm<'_>) -> After {
         self.cx.metrics.count_refusal(refusal.kind);
-        log::info!("request {id}: {}", refusal.kind.name());
-        let (mut head, body) = problem_response(refusal.kind, id, refusal.retry_after);
-        add_outcome(&mut head, refusal.kind.answer().outcome, id);
-        if !keep_alive {
-            head.headers
-                .insert(header::CONNECTION, HeaderValue::from_static("close"));
+        log_refusal(form.request_id, refusal.kind);
+        let (mut head, body) = problem_response(refusal.kind, form.request_id, refusal.retry_after);
+        add_outcome(&mut head, refusal.kind.answer().outcome, form.request_id);
+        if !form.keep_alive {
+            let close = HeaderValue::from_static("close");
+            head.headers.insert(header::CONNECTION, close);
         }
-        let _ = self.send(&head, &body).await;
-    }
-
-    async fn send(&mut self, head: &response::Parts, body: &Bytes) -> Result<(), HttpError> {
         let mut buf = BytesMut::new();
-        encode_response_head(head, Framing::Length(body.len() as u64), &mut buf);
-        buf.extend_from_slice(body);
-        self.writer.write(buf.freeze()).await
+        encode_response_head(&head, Framing::Length(body.len() as u64), &mut buf);
+        if *form.method != Method::HEAD {
+            buf.extend_from_slice(&body);
+        }
+        match self.write(buf.freeze()).await {
+            Ok(()) => After::whole_answer(form.keep_alive),
+            Err(_) => After::Reset,
+        }
     }
-}
 
-fn after(keep_alive: bool) -> After {
-    if keep_alive {
-        After::KeepAlive
-    } else {
-        After::Close
+    /// Writes `buf` within the time limit for parts of a body.
+    pub(super) async fn write(&mut self, buf: Bytes) -> Result<(), HttpError> {
+        match timeout(self.cx.limits.body_part_timeout, self.writer.write(buf)).await {
+            Ok(res) => res,
+            Err(_) => Err(HttpError::Timeout),
+        }
     }
 }
 
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -17,6 +17,9 @@
 
 use super::request_id::RequestIds;
 
+/// Most connections that are open only to be told that there is no room.
+const MAX_REFUSED_CONNECTIONS: usize = 256;
+
 /// What all caller connections share.
 pub struct ProxyContext {
     /// Bounds of this daemon.
@@ -43,6 +46,10 @@
     pub connections: InFlight,
     /// Requests in flight.
     pub in_flight: InFlight,
+    /// Connections that are refused for lack of room.
+    pub refused_connections: InFlight,
+    /// Bytes of request bodies that are buffered.
+    pub buffered: InFlight,
     request_ids: RefCell<RequestIds>,
 }
 
@@ -74,6 +81,8 @@
         Self {
             connections: InFlight::new(parts.limits.connections),
             in_flight: InFlight::new(parts.limits.in_flight),
+            refused_connections: InFlight::new(MAX_REFUSED_CONNECTIONS),
+            buffered: InFlight::new(parts.limits.buffered_bytes),
             limits: parts.limits,
             catalog: parts.catalog,
             hasher: parts.hasher,
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -1,6 +1,10 @@
 //! Headers that the fleet reads, strips and sets.
 
+use std::borrow::Cow;
+
 use http::{header, request, response, HeaderMap, HeaderName, HeaderValue};
+use memchr::memmem;
+use percent_encoding::percent_decode;
 
 use crate::outcome::Outcome;
 
@@ -76,9 +80,16 @@
 
 /// Tells whether `key` stands anywhere in the head but in its own header.
 pub(super) fn exposes_key(head: &request::Parts, key: &[u8]) -> bool {
-    let holds = |bytes: &[u8]| bytes.windows(key.len()).any(|w| w == key);
-    if key.is_empty() || holds(head.uri.to_string().as_bytes()) {
-        return !key.is_empty();
+    let holds = |bytes: &[u8]| {
+        let decoded: Cow<'_, [u8]> = percent_decode(bytes).into();
+        memmem::find(&decoded, key).is_some() || memmem::find(bytes, key).is_some()
+    };
+    if key.is_empty() {
+        return false;
+    }
+    let target = head.uri.path_and_query();
+    if target.is_some_and(|p| holds(p.as_str().as_bytes())) {
+        return true;
     }
     head.headers
         .iter()
--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -1,37 +1,57 @@
 //! Accepting callers.
 
-use std::rc::Rc;
+use std::{io, rc::Rc, time::Duration};
 
-use monoio::net::TcpListener;
+use monoio::{
+    net::{TcpListener, TcpStream},
+    time::{sleep, timeout},
+};
 
 use crate::{metrics::Counter, outcome::ErrorKind};
 
 use super::{caller::CallerConnection, ProxyContext};
 
-/// Accepts callers until the shutdown has begun.
+/// Pause after a failed accept.
+const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+/// Longest time without a further connection before the listener closes in a shutdown.
+const BACKLOG_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Accepts callers until the shutdown has begun and all that had connected are accepted.
 pub async fn listen_task(cx: Rc<ProxyContext>, listener: TcpListener) {
     let shutdown = cx.shutdown.clone();
-    loop {
-        let accepted = monoio::select! {
-            accepted = listener.accept() => accepted,
-            () = shutdown.wait() => return,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::error!("accept: {e}");
-                monoio::time::sleep(std::time::Duration::from_millis(10)).await;
-                continue;
-            }
-        };
-        cx.metrics.count(Counter::CallerConnections);
-        let guard = cx.connections.enter();
-        let conn = CallerConnection::new(cx.clone(), stream);
+    while !shutdown.has_begun() {
+        monoio::select! {
+            accepted = listener.accept() => take(&cx, accepted.map(|(stream, _)| stream)).await,
+            () = shutdown.wait() => {}
+        }
+    }
+    while let Ok(Ok((stream, _))) = timeout(BACKLOG_TIMEOUT, listener.accept()).await {
+        take(&cx, Ok(stream)).await;
+    }
+}
+
+async fn take(cx: &Rc<ProxyContext>, accepted: io::Result<TcpStream>) {
+    let stream = match accepted {
+        Ok(stream) => stream,
+        Err(e) => {
+            log::error!("accept: {e}");
+            return sleep(ACCEPT_RETRY).await;
+        }
+    };
+    cx.metrics.count(Counter::CallerConnections);
+    let conn = CallerConnection::new(cx.clone(), stream);
+    if let Some(guard) = cx.connections.enter() {
+        monoio::spawn(async move {
+            let _guard = guard;
+            conn.serve().await;
+        });
+        return;
+    }
+    // Beyond this bound a connection is dropped without an answer.
+    if let Some(guard) = cx.refused_connections.enter() {
         monoio::spawn(async move {
-            match guard {
-                Some(_guard) => conn.serve().await,
-                None => conn.refuse(ErrorKind::TooManyConnections).await,
-            }
+            let _guard = guard;
+            conn.refuse(ErrorKind::TooManyConnections).await;
         });
     }
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -1,5 +1,6 @@
 //! The path of a request from its caller to a target and back.
 
+mod access_log;
 mod admit;
 mod attempt;
 mod caller;
@@ -11,6 +12,7 @@
 mod relay;
 mod request_body;
 mod request_id;
+mod serve;
 
 pub use context::{ProxyContext, ProxyParts};
 pub use listener::listen_task;
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -28,6 +28,8 @@
     pub(super) keep_alive: bool,
     /// Identity of the request.
     pub(super) request_id: &'a str,
+    /// Whether the target surely has the whole request, so that its connection can carry another.
+    pub(super) target_reusable: bool,
 }
 
 /// How an answer was passed on.
@@ -58,7 +60,7 @@
     let Ok(kind) = response_body_kind(form.method, &head) else {
         return Relayed::Malformed;
     };
-    let reusable = kind != BodyKind::UntilClose && allows_reuse(&head);
+    let reusable = form.target_reusable && kind != BodyKind::UntilClose && allows_reuse(&head);
     let framing = caller_framing(kind, form, &head);
     let keep_alive = form.keep_alive && !(framing == Framing::None && kind != BodyKind::Empty);
     prepare_for_caller(&mut head);
--- a/src/proxy/request_body.rs
+++ b/src/proxy/request_body.rs
@@ -1,11 +1,13 @@
 //! The body of a request on its way to a target.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use monoio::time::timeout;
 
 use crate::{
     config::LimitSettings,
-    http::{BodyDecoder, BodyKind, Framing, HttpError, HttpReader},
+    http::{BodyDecoder, BodyKind, ForbiddenBytes, Framing, HttpError, HttpReader},
+    lifecycle::{InFlight, InFlightGuard},
+    outcome::ErrorKind,
 };
 
 /// The body of a request on its way to a target.
@@ -16,33 +18,95 @@
     Streamed(BodyDecoder, Framing),
 }
 
-impl RequestBody {
+/// A body with its share of the buffered bytes.
+pub(super) struct ReceivedBody {
+    /// The body.
+    pub(super) body: RequestBody,
+    /// Holds the share until the request has ended.
+    pub(super) _buffered: Option<InFlightGuard>,
+}
+
+/// Receives the body of a request.
+pub(super) struct BodyReceiver<'a> {
+    /// How the body is framed.
+    pub(super) kind: BodyKind,
+    /// Key of the caller, which the body must not contain.
+    pub(super) key: &'a [u8],
+    /// Bounds of this daemon.
+    pub(super) limits: &'a LimitSettings,
+    /// Bytes of bodies that are buffered.
+    pub(super) buffered: &'a InFlight,
+}
+
+impl BodyReceiver<'_> {
     /// Reads a body that fits into the buffer whole; leaves a larger one to be streamed.
     ///
     /// # Errors
     ///
-    /// Returns an error when the body is malformed, cut off or too slow.
-    pub(super) async fn receive(
-        kind: BodyKind,
-        reader: &mut HttpReader,
-        limits: &LimitSettings,
-    ) -> Result<Self, HttpError> {
-        match kind {
-            BodyKind::Empty => Ok(Self::Whole(Bytes::new())),
-            BodyKind::Fixed(n) if n <= limits.buffered_body_bytes as u64 => {
-                let read = reader.read_body(BodyDecoder::new(kind), limits.buffered_body_bytes);
-                match timeout(limits.body_part_timeout, read).await {
-                    Ok(body) => Ok(Self::Whole(body?)),
-                    Err(_) => Err(HttpError::Timeout),
-                }
+    /// Returns the kind of refusal when the body is malformed, cut off, too slow, contains the
+    /// key, or finds no room in the buffer.
+    pub(super) async fn receive(&self, reader: &mut HttpReader) -> Result<ReceivedBody, ErrorKind> {
+        let max = self.limits.buffered_body_bytes;
+        let (framing, buffered) = match self.kind {
+            BodyKind::Empty => return Ok(unbuffered(RequestBody::Whole(Bytes::new()))),
+            BodyKind::Fixed(n) if n > max as u64 => {
+                let body = RequestBody::Streamed(self.decoder(), Framing::Length(n));
+                return Ok(unbuffered(body));
             }
-            BodyKind::Fixed(n) => Ok(Self::Streamed(BodyDecoder::new(kind), Framing::Length(n))),
-            BodyKind::Chunked | BodyKind::UntilClose => {
-                Ok(Self::Streamed(BodyDecoder::new(kind), Framing::Chunked))
+            BodyKind::Fixed(n) => (Framing::Length(n), n as usize),
+            BodyKind::Chunked | BodyKind::UntilClose => (Framing::Chunked, max),
+        };
+        let guard = self.buffered.reserve(buffered);
+        let guard = guard.ok_or(ErrorKind::BufferFull)?;
+        let read = self.read(reader, framing);
+        let body = match timeout(self.limits.body_part_timeout, read).await {
+            Ok(body) => body?,
+            Err(_) => return Err(ErrorKind::BodyIncomplete),
+        };
+        Ok(ReceivedBody {
+            body,
+            _buffered: Some(guard),
+        })
+    }
+
+    async fn read(
+        &self,
+        reader: &mut HttpReader,
+        framing: Framing,
+    ) -> Result<RequestBody, ErrorKind> {
+        let mut decoder = self.decoder();
+        let mut whole = BytesMut::new();
+        while let Some(part) = reader.next_part(&mut decoder).await.map_err(refusal)? {
+            whole.extend_from_slice(&part);
+            if whole.len() > self.limits.buffered_body_bytes {
+                decoder.give_back(whole.freeze());
+                return Ok(RequestBody::Streamed(decoder, framing));
             }
         }
+        Ok(RequestBody::Whole(whole.freeze()))
     }
 
+    fn decoder(&self) -> BodyDecoder {
+        BodyDecoder::new(self.kind).refuse(ForbiddenBytes::new(self.key))
+    }
+}
+
+fn unbuffered(body: RequestBody) -> ReceivedBody {
+    ReceivedBody {
+        body,
+        _buffered: None,
+    }
+}
+
+fn refusal(e: HttpError) -> ErrorKind {
+    match e {
+        HttpError::Malformed(_) => ErrorKind::BadRequest,
+        HttpError::Forbidden => ErrorKind::KeyExposed,
+        _ => ErrorKind::BodyIncomplete,
+    }
+}
+
+impl RequestBody {
     /// Returns how the body is framed towards the target.
     pub(super) fn framing(&self) -> Framing {
         match self {
--- /dev/null
+++ b/src/proxy/serve.rs
@@ -0,0 +1,158 @@
+//! Serving one request of a caller, from its head to the end of its answer.
+
+use bytes::Bytes;
+use http::{header, request, Version};
+
+use crate::{http::BodyKind, metrics::Counter, outcome::ErrorKind, retry::is_repeatable};
+
+use super::{
+    access_log::{log_answer, log_caller_gone, AnswerLine},
+    admit::{admit, authorize, Allowed, Refusal},
+    caller::{After, CallerConnection, RefusalForm},
+    deadline::Deadline,
+    dispatch::{Dispatch, DispatchError},
+    headers::{prepare_for_target, repeatable_mark},
+    relay::{relay_answer, AnswerForm, Relayed},
+    request_body::{BodyReceiver, ReceivedBody},
+};
+
+/// What is known of a request besides its head.
+pub(super) struct ServedRequest<'a> {
+    /// Identity of the request.
+    pub(super) id: &'a str,
+    /// How its body is framed.
+    pub(super) kind: BodyKind,
+    /// Whether the caller wants the connection to stay open.
+    pub(super) keep_alive: bool,
+}
+
+/// Serves one request of a caller.
+pub(super) struct Serving<'a> {
+    /// Connection of the caller.
+    pub(super) conn: &'a mut CallerConnection,
+}
+
+impl Serving<'_> {
+    /// Serves the request, and returns what becomes of the connection.
+    pub(super) async fn run(&mut self, head: request::Parts, req: &ServedRequest<'_>) -> After {
+        let allowed = match self.check(&head).await {
+            Ok(allowed) => allowed,
+            Err(refusal) => return self.refuse(refusal, &head, req).await,
+        };
+        if !self.confirm_body(&head, req.kind).await {
+            return After::Reset;
+        }
+        let cx = self.conn.cx.clone();
+        let receiver = BodyReceiver {
+            kind: req.kind,
+            key: &allowed.key,
+            limits: &cx.limits,
+            buffered: &cx.buffered,
+        };
+        match receiver.receive(&mut self.conn.reader).await {
+            Ok(body) => self.dispatch(head, body, &allowed, req).await,
+            Err(kind) => self.refuse(kind.into(), &head, req).await,
+        }
+    }
+
+    async fn check(&self, head: &request::Parts) -> Result<Allowed, Refusal> {
+        let allowed = authorize(&self.conn.cx, head)?;
+        admit(&self.conn.cx, &allowed).await?;
+        Ok(allowed)
+    }
+
+    /// Answers `Expect: 100-continue`; returns false when the connection failed.
+    async fn confirm_body(&mut self, head: &request::Parts, kind: BodyKind) -> bool {
+        let expected = head.headers.contains_key(header::EXPECT)
+            && head.version == Version::HTTP_11
+            && kind != BodyKind::Empty;
+        if !expected || self.conn.reader.has_buffered() {
+            return true;
+        }
+        let buf = Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n");
+        self.conn.write(buf).await.is_ok()
+    }
+
+    async fn dispatch(
+        &mut self,
+        mut head: request::Parts,
+        received: ReceivedBody,
+        allowed: &Allowed,
+        req: &ServedRequest<'_>,
+    ) -> After {
+        let cx = self.conn.cx.clone();
+        let started = cx.clock.now();
+        let mut body = received.body;
+        let mark = repeatable_mark(&head.headers);
+        let dispatch = Dispatch {
+            cx: &cx,
+            service: &allowed.service,
+            repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
+            deadline: Deadline::of_request(&head.headers, cx.limits.deadline, started),
+        };
+        prepare_for_target(&mut head, &allowed.workspace, req.id);
+        let outcome = dispatch
+            .run(&mut head, &mut body, &mut self.conn.reader)
+            .await;
+        let keep_alive = req.keep_alive && body.is_received() && !cx.leaving.has_begun();
+        let refusal = RefusalForm {
+            request_id: req.id,
+            method: &head.method,
+            keep_alive,
+        };
+        let answer = match outcome {
+            Ok(answer) => answer,
+            Err(DispatchError::CallerGone) => {
+                cx.metrics.count(Counter::CallersGone);
+                log_caller_gone(req.id);
+                return After::Reset;
+            }
+            Err(DispatchError::Failed(kind)) => {
+                return self.conn.tell(kind.into(), &refusal).await;
+            }
+        };
+        let status = answer.head.status;
+        let form = AnswerForm {
+            method: &head.method,
+            version: head.version,
+            keep_alive,
+            request_id: req.id,
+            target_reusable: body.is_replayable(),
+        };
+        let relayed = relay_answer(&cx, answer, &form, &mut self.conn.writer).await;
+        log_answer(&AnswerLine {
+            request_id: req.id,
+            workspace: &allowed.workspace,
+            service: &allowed.service,
+            method: &head.method,
+            status,
+            whole: matches!(relayed, Relayed::KeepAlive | Relayed::Close),
+            took: cx.clock.now().since(started),
+        });
+        match relayed {
+            Relayed::KeepAlive => After::KeepAlive,
+            Relayed::Close => After::Close,
+            Relayed::CutOff => After::Reset,
+            Relayed::Malformed => {
+                let kind = ErrorKind::TargetMalformed;
+                self.conn.tell(kind.into(), &refusal).await
+            }
+        }
+    }
+
+    /// Refuses the request; the connection stays open only when no body follows.
+    async fn refuse(
+        &mut self,
+        refusal: Refusal,
+        head: &request::Parts,
+        req: &ServedRequest<'_>,
+    ) -> After {
+        let open = req.kind == BodyKind::Empty && req.keep_alive;
+        let form = RefusalForm {
+            request_id: req.id,
+            method: &head.method,
+            keep_alive: open && !self.conn.cx.leaving.has_begun(),
+        };
+        self.conn.tell(refusal, &form).await
+    }
+}
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -113,6 +113,16 @@
         self.stream.write_all(bytes)
     }
 
+    /// Reads to the end of the connection and returns the count of further bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the connection was reset or stays open.
+    pub fn read_end(&mut self) -> io::Result<usize> {
+        while self.fill()? > 0 {}
+        Ok(self.buf.len())
+    }
+
     fn fill(&mut self) -> io::Result<usize> {
         let mut part = [0; 64 * 1024];
         let n = self.stream.read(&mut part)?;
--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs, io,
-    net::{SocketAddr, TcpListener},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     sync::atomic::{AtomicU16, AtomicU32, Ordering},
     time::Duration,
@@ -276,7 +276,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error when no port can be bound.
+/// Returns an error when no port is left.
 pub fn free_address() -> io::Result<SocketAddr> {
     static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
     let [_, a, b, c] = std::process::id().to_be_bytes();
@@ -286,7 +286,8 @@
             return Err(io::Error::other("no port left"));
         }
         let address = SocketAddr::from(([127, a.wrapping_add(1), b, c.max(1)], port));
-        if TcpListener::bind(address).is_ok() {
+        // Bound nowhere, since a child forked meanwhile would keep the port for a moment.
+        if TcpStream::connect(address).is_err() {
             return Ok(address);
         }
     }
