Tell the truth about hostile answers of targets

Cause: 27 scripted answers against the real program. An answer 101 was skipped as informational and ended in a timeout; a cut-off answer to an HTTP/1.0 caller ended cleanly and so looked whole.

Ruled out: SO_LINGER with a time of 0. Dropping monoio's OwnedWriteHalf shuts its direction down, so a FIN goes out before the reset (seen with strace, and the test read a clean end).

Change: 101 is malformed, since upgrades are stripped. A connection whose answer was cut off is dissolved by connect(AF_UNSPEC), which sends the reset at once.

--- a/src/http/writer.rs
+++ b/src/http/writer.rs
@@ -63,25 +63,18 @@
         Ok(())
     }
 
-    /// Makes the closing of the socket reset the connection, so that a cut-off message does not
-    /// look whole to the other side.
-    pub fn reset_on_close(&mut self) {
-        let linger = libc::linger {
-            l_onoff: 1,
-            l_linger: 0,
-        };
+    /// Resets the connection, so that a cut-off message does not look whole to the other side.
+    ///
+    /// `SO_LINGER` does not serve here: dropping the half closes its direction cleanly first.
+    pub fn abort(&mut self) {
         // SAFETY: the halves live on one thread, and no reference is kept beyond this statement.
         let fd = unsafe { &*self.io.0.get() }.as_raw_fd();
-        // SAFETY: `fd` is open while `self` lives, and `linger` outlives the call.
-        unsafe {
-            libc::setsockopt(
-                fd,
-                libc::SOL_SOCKET,
-                libc::SO_LINGER,
-                std::ptr::from_ref(&linger).cast(),
-                size_of::<libc::linger>() as libc::socklen_t,
-            );
-        }
+        // SAFETY: all fields of `sockaddr` are integers, for which zero is valid.
+        let mut unspecified: libc::sockaddr = unsafe { std::mem::zeroed() };
+        unspecified.sa_family = libc::AF_UNSPEC as libc::sa_family_t;
+        let len = size_of::<libc::sockaddr>() as libc::socklen_t;
+        // SAFETY: `fd` is open while `self` lives, and `unspecified` outlives the call.
+        unsafe { libc::connect(fd, std::ptr::from_ref(&unspecified), len) };
     }
 
     /// Closes the writing direction of the socket.
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
-use http::{request, response};
+use http::{request, response, StatusCode};
 use monoio::time::timeout;
 
 use crate::{
@@ -138,6 +138,9 @@
     loop {
         let head = reader.read_response_head(limits).await;
         match head {
+            Ok(head) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
+                return Err(target_failure(AttemptFailure::Malformed))
+            }
             Ok(head) if head.status.is_informational() => {}
             Ok(head) => return Ok(head),
             Err(HttpError::Malformed(_) | HttpError::HeadTooLarge | HttpError::Forbidden) => {
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -93,7 +93,7 @@
             match Box::pin(self.serve_request()).await {
                 After::KeepAlive => {}
                 After::Close => break,
-                After::Reset => return self.writer.reset_on_close(),
+                After::Reset => return self.writer.abort(),
             }
         }
         self.end().await;
