--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,9 +4,18 @@
 
 use argh::FromArgs;
 
-/// Proxy fleet for targets with gray failures.
+/// Proxy fleet for targets with gray failures. Example: chervillug --daemon 10.0.0.1:8081 status
 #[derive(Debug, FromArgs)]
 pub struct Cli {
+    /// operator address of any daemon; plan, access, key and status need it
+    #[argh(option)]
+    pub daemon: Option<SocketAddr>,
+    /// operator token; better set CHERVILLUG_TOKEN in the environment
+    #[argh(option)]
+    pub token: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
     /// what to do
     #[argh(subcommand)]
     pub command: Command,
@@ -48,7 +57,7 @@
     pub settings: PathBuf,
 }
 
-/// Edit the list of plans. Example: chervillug plan set parish --plan small --rate 20 --burst 40
+/// Edit the list of plans. Example: chervillug --daemon 10.0.0.1:8081 plan set parish --plan small --rate 20 --burst 40
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "plan")]
 pub struct PlanArgs {
@@ -69,7 +78,7 @@
     List(PlanListArgs),
 }
 
-/// Set the plan, rate and burst of a workspace.
+/// Set the plan, rate and burst of a workspace. Example: chervillug --daemon 10.0.0.1:8081 plan set parish --plan small --rate 20 --burst 40
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "set")]
 pub struct PlanSetArgs {
@@ -88,18 +97,9 @@
     /// revision that the edit was made from; a newer one refuses the edit
     #[argh(option)]
     pub from_revision: Option<u64>,
-    /// operator address of any daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
 }
 
-/// Remove a workspace from the list of plans.
+/// Remove a workspace from the list of plans. Example: chervillug --daemon 10.0.0.1:8081 plan remove parish
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "remove")]
 pub struct PlanRemoveArgs {
@@ -109,33 +109,14 @@
     /// revision that the edit was made from; a newer one refuses the edit
     #[argh(option)]
     pub from_revision: Option<u64>,
-    /// operator address of any daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
 }
 
-/// List all workspaces and their plans.
+/// List all workspaces and their plans. Example: chervillug --daemon 10.0.0.1:8081 --json plan list
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "list")]
-pub struct PlanListArgs {
-    /// operator address of any daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
-}
+pub struct PlanListArgs {}
 
-/// Edit what plans may use. Example: chervillug access set small --route catalogue=/catalogue
+/// Edit what plans may use. Example: chervillug --daemon 10.0.0.1:8081 access set small --route catalogue=/catalogue
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "access")]
 pub struct AccessArgs {
@@ -156,7 +137,7 @@
     List(AccessListArgs),
 }
 
-/// Set all routes that a plan may use.
+/// Set all routes that a plan may use. Example: chervillug --daemon 10.0.0.1:8081 access set small --route orders=/orders,once
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "set")]
 pub struct AccessSetArgs {
@@ -170,18 +151,9 @@
     /// revision that the edit was made from; a newer one refuses the edit
     #[argh(option)]
     pub from_revision: Option<u64>,
-    /// operator address of any daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
 }
 
-/// Remove a plan from the access list.
+/// Remove a plan from the access list. Example: chervillug --daemon 10.0.0.1:8081 access remove small
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "remove")]
 pub struct AccessRemoveArgs {
@@ -191,33 +163,14 @@
     /// revision that the edit was made from; a newer one refuses the edit
     #[argh(option)]
     pub from_revision: Option<u64>,
-    /// operator address of any daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
 }
 
-/// List all plans and their routes.
+/// List all plans and their routes. Example: chervillug --daemon 10.0.0.1:8081 access list
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "list")]
-pub struct AccessListArgs {
-    /// operator address of any daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
-}
+pub struct AccessListArgs {}
 
-/// Give and withdraw keys. Example: chervillug key give parish --daemon 10.0.0.1:8081
+/// Give and withdraw keys. Example: chervillug --daemon 10.0.0.1:8081 key give parish
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "key")]
 pub struct KeyArgs {
@@ -238,68 +191,30 @@
     List(KeyListArgs),
 }
 
-/// Give a workspace a new key and show it once.
+/// Give a workspace a new key and show it once. Example: chervillug --daemon 10.0.0.1:8081 key give parish
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "give")]
 pub struct KeyGiveArgs {
     /// workspace
     #[argh(positional)]
     pub workspace: String,
-    /// operator address of any daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
 }
 
-/// Withdraw a key by its hash, as 'key give' and 'key list' show it.
+/// Withdraw a key by its hash, as 'key give' and 'key list' show it. Example: chervillug --daemon 10.0.0.1:8081 key withdraw 00112233445566778899aabbccddeeff
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "withdraw")]
 pub struct KeyWithdrawArgs {
     /// hash of the key
     #[argh(positional)]
     pub hash: String,
-    /// operator address of any daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
 }
 
-/// List the hashes and workspaces of all keys.
+/// List the hashes and workspaces of all keys. Example: chervillug --daemon 10.0.0.1:8081 key list
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "list")]
-pub struct KeyListArgs {
-    /// operator address of any daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
-}
+pub struct KeyListArgs {}
 
-/// Show a daemon's status. Example: chervillug status --daemon 10.0.0.1:8081
+/// Show a daemon's status. Example: chervillug --daemon 10.0.0.1:8081 status
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "status")]
-pub struct StatusArgs {
-    /// operator address of the daemon
-    #[argh(option)]
-    pub daemon: SocketAddr,
-    /// operator token; better set CHERVILLUG_TOKEN in the environment
-    #[argh(option)]
-    pub token: Option<String>,
-    /// print JSON
-    #[argh(switch)]
-    pub json: bool,
-}
+pub struct StatusArgs {}
--- a/src/command/edit.rs
+++ b/src/command/edit.rs
@@ -7,19 +7,37 @@
 
 use crate::{
     catalog::{Change, Plan, Route},
-    cli::{AccessCommand, AccessSetArgs, KeyCommand, PlanCommand, StatusArgs},
+    cli::{AccessCommand, AccessSetArgs, Cli, KeyCommand, PlanCommand},
     exit_code::ExitCode,
 };
 
 use super::{operator_client::call_daemon, print::print_plain};
 
-struct Call<'a> {
+/// One operator's command to a daemon.
+pub(super) struct OperatorCall<'a> {
     daemon: SocketAddr,
     token: Option<&'a str>,
     json: bool,
 }
 
-impl Call<'_> {
+impl<'a> OperatorCall<'a> {
+    /// Takes the daemon, the token and the form of the output from the command line.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExitCode::Usage`] when the command line names no daemon.
+    pub(super) fn new(cli: &'a Cli) -> Result<Self, ExitCode> {
+        let Some(daemon) = cli.daemon else {
+            eprintln!("--daemon: expected the operator address of any daemon, before the command");
+            return Err(ExitCode::Usage);
+        };
+        Ok(Self {
+            daemon,
+            token: cli.token.as_deref(),
+            json: cli.json,
+        })
+    }
+
     fn get(&self, path: &str) -> ExitCode {
         self.send(Method::GET, path, None)
     }
@@ -45,58 +63,71 @@
             _ => ExitCode::Refused,
         }
     }
-}
 
-macro_rules! call {
-    ($args:expr) => {
-        Call {
-            daemon: $args.daemon,
-            token: $args.token.as_deref(),
-            json: $args.json,
+    /// Runs an operation on the list of plans.
+    pub(super) fn plan(&self, command: &PlanCommand) -> ExitCode {
+        match command {
+            PlanCommand::Set(args) => {
+                let plan = Plan {
+                    plan: args.plan.clone(),
+                    rate_per_s: args.rate,
+                    burst: args.burst,
+                };
+                let workspace = args.workspace.clone();
+                self.edit(&Change::SetPlan { workspace, plan }, args.from_revision)
+            }
+            PlanCommand::Remove(args) => {
+                let workspace = args.workspace.clone();
+                self.edit(&Change::RemovePlan { workspace }, args.from_revision)
+            }
+            PlanCommand::List(_) => self.get("/plans"),
         }
-    };
-}
+    }
 
-/// Runs an operation on the list of plans.
-pub(super) fn plan(command: &PlanCommand) -> ExitCode {
-    match command {
-        PlanCommand::Set(args) => {
-            let plan = Plan {
-                plan: args.plan.clone(),
-                rate_per_s: args.rate,
-                burst: args.burst,
-            };
-            let workspace = args.workspace.clone();
-            call!(args).edit(&Change::SetPlan { workspace, plan }, args.from_revision)
-        }
-        PlanCommand::Remove(args) => {
-            let workspace = args.workspace.clone();
-            call!(args).edit(&Change::RemovePlan { workspace }, args.from_revision)
+    /// Runs an operation on the access list.
+    pub(super) fn access(&self, command: &AccessCommand) -> ExitCode {
+        match command {
+            AccessCommand::Set(args) => self.set_access(args),
+            AccessCommand::Remove(args) => {
+                let plan = args.plan.clone();
+                self.edit(&Change::RemoveAccess { plan }, args.from_revision)
+            }
+            AccessCommand::List(_) => self.get("/access"),
         }
-        PlanCommand::List(args) => call!(args).get("/plans"),
     }
-}
 
-/// Runs an operation on the access list.
-pub(super) fn access(command: &AccessCommand) -> ExitCode {
-    match command {
-        AccessCommand::Set(args) => set_access(args),
-        AccessCommand::Remove(args) => {
-            let plan = args.plan.clone();
-            call!(args).edit(&Change::RemoveAccess { plan }, args.from_revision)
+    fn set_access(&self, args: &AccessSetArgs) -> ExitCode {
+        let routes: Option<Vec<Route>> = args.route.iter().map(|r| parse_route(r)).collect();
+        let Some(routes) = routes else {
+            eprintln!("--route: expected SERVICE=/PREFIX, with ',repeatable' or ',once' behind it");
+            return ExitCode::Usage;
+        };
+        let plan = args.plan.clone();
+        self.edit(&Change::SetAccess { plan, routes }, args.from_revision)
+    }
+
+    /// Runs an operation on keys.
+    pub(super) fn key(&self, command: &KeyCommand) -> ExitCode {
+        match command {
+            KeyCommand::Give(args) => {
+                let body = json!({"workspace": args.workspace});
+                self.send(Method::POST, "/key/give", Some(&body))
+            }
+            KeyCommand::Withdraw(args) => {
+                let Ok(hash) = serde_json::from_value(json!(args.hash)) else {
+                    eprintln!("hash: expected 32 hexadecimal digits, as 'key list' shows them");
+                    return ExitCode::Usage;
+                };
+                self.edit(&Change::WithdrawKey { hash }, None)
+            }
+            KeyCommand::List(_) => self.get("/keys"),
         }
-        AccessCommand::List(args) => call!(args).get("/access"),
     }
-}
 
-fn set_access(args: &AccessSetArgs) -> ExitCode {
-    let routes: Option<Vec<Route>> = args.route.iter().map(|text| parse_route(text)).collect();
-    let Some(routes) = routes else {
-        eprintln!("--route: expected SERVICE=/PREFIX, with ',repeatable' or ',once' behind it");
-        return ExitCode::Usage;
-    };
-    let plan = args.plan.clone();
-    call!(args).edit(&Change::SetAccess { plan, routes }, args.from_revision)
+    /// Shows a daemon's status.
+    pub(super) fn status(&self) -> ExitCode {
+        self.get("/status")
+    }
 }
 
 fn parse_route(text: &str) -> Option<Route> {
@@ -114,26 +145,3 @@
         repeatable,
     })
 }
-
-/// Runs an operation on keys.
-pub(super) fn key(command: &KeyCommand) -> ExitCode {
-    match command {
-        KeyCommand::Give(args) => {
-            let body = json!({"workspace": args.workspace});
-            call!(args).send(Method::POST, "/key/give", Some(&body))
-        }
-        KeyCommand::Withdraw(args) => {
-            let Ok(hash) = serde_json::from_value(json!(args.hash)) else {
-                eprintln!("hash: expected 32 hexadecimal digits, as 'key list' shows them");
-                return ExitCode::Usage;
-            };
-            call!(args).edit(&Change::WithdrawKey { hash }, None)
-        }
-        KeyCommand::List(args) => call!(args).get("/keys"),
-    }
-}
-
-/// Shows a daemon's status.
-pub(super) fn status(args: &StatusArgs) -> ExitCode {
-    call!(args).get("/status")
-}
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -7,6 +7,7 @@
 
 use argh::FromArgs;
 
+use self::edit::OperatorCall;
 use crate::{
     cli::{Cli, Command},
     exit_code::ExitCode,
@@ -26,12 +27,19 @@
             return ExitCode::Usage;
         }
     };
-    match &cli.command {
+    match run_command(&cli) {
+        Ok(code) | Err(code) => code,
+    }
+}
+
+fn run_command(cli: &Cli) -> Result<ExitCode, ExitCode> {
+    let code = match &cli.command {
         Command::Serve(args) => serve::serve(args),
         Command::Check(args) => serve::check(args),
-        Command::Plan(args) => edit::plan(&args.command),
-        Command::Access(args) => edit::access(&args.command),
-        Command::Key(args) => edit::key(&args.command),
-        Command::Status(args) => edit::status(args),
-    }
+        Command::Plan(args) => OperatorCall::new(cli)?.plan(&args.command),
+        Command::Access(args) => OperatorCall::new(cli)?.access(&args.command),
+        Command::Key(args) => OperatorCall::new(cli)?.key(&args.command),
+        Command::Status(_) => OperatorCall::new(cli)?.status(),
+    };
+    Ok(code)
 }
