Measure what the scheduler keeps from a daemon beside its added latency

Cause: added p99 was 3.57 ms at 64 connections, and the figure could not tell the daemon from the machine.

Ruled out: connections opened during the load (0 per request at 1, 8 and 64 connections).

The bound of 2.2 ms is to be judged on a quiet machine.

--- a/examples/measure/path.rs
+++ b/examples/measure/path.rs
@@ -62,6 +62,8 @@
     let full = load(daemon, key, connections, per_run, None, seed)?;
     let rps = full.len() as f64 / per_run.as_secs_f64();
     report.figure("throughput_rps", rps, "1/s", &field);
+    let opened_before = opened_connections(cluster);
+    let before = schedule(cluster)?;
     let mut paced = new_histogram()?;
     let mut straight = new_histogram()?;
     for _ in 0..TURNS {
@@ -77,6 +79,14 @@
             histogram.add(turn).map_err(io::Error::other)?;
         }
     }
+    let after = schedule(cluster)?;
+    let requests = paced.len().max(1) as f64;
+    let cpu_us = (after.running_ns - before.running_ns) as f64 / 1000.0 / requests;
+    let wait_us = (after.waiting_ns - before.waiting_ns) as f64 / 1000.0 / requests;
+    let opened = (opened_connections(cluster) - opened_before) / requests;
+    report.figure("opened_per_request", opened, "connections", &field);
+    report.figure("daemon_cpu_us", cpu_us, "us per request", &field);
+    report.figure("daemon_run_queue_us", wait_us, "us per request", &field);
     for (name, quantile) in [("added_p50_ms", 0.5), ("added_p99_ms", 0.99)] {
         let through = quantile_ms(&paced, quantile);
         let direct = quantile_ms(&straight, quantile);
@@ -91,6 +101,33 @@
     Ok(())
 }
 
+/// Returns how many connections to targets the loaded daemon opened so far.
+fn opened_connections(cluster: &Cluster) -> f64 {
+    let status = cluster.daemons[LOADED].status(cluster.operator_token());
+    status["counters"]["target_connections"]
+        .as_f64()
+        .unwrap_or(0.0)
+}
+
+/// Time that the scheduler gave to the loaded daemon, and kept it waiting while it could run.
+struct Schedule {
+    running_ns: u64,
+    waiting_ns: u64,
+}
+
+fn schedule(cluster: &Cluster) -> io::Result<Schedule> {
+    let path = format!("/proc/{}/schedstat", cluster.daemons[LOADED].id());
+    let text = fs::read_to_string(path)?;
+    let mut fields = text.split_whitespace().map(str::parse::<u64>);
+    match (fields.next(), fields.next()) {
+        (Some(Ok(running_ns)), Some(Ok(waiting_ns))) => Ok(Schedule {
+            running_ns,
+            waiting_ns,
+        }),
+        _ => Err(io::Error::other("no schedule of the process")),
+    }
+}
+
 fn measure_stream(cluster: &Cluster, key: &str, report: &mut Report) -> io::Result<()> {
     let mut stream = TcpStream::connect(cluster.daemons[WEIGHED].caller_address)?;
     let head = format!(
