--- a/src/http/writer.rs
+++ b/src/http/writer.rs
@@ -1,5 +1,7 @@
 //! The writing half of one HTTP/1.1 connection.
 
+use std::os::fd::AsRawFd;
+
 use bytes::{Bytes, BytesMut};
 use monoio::{
     io::{AsyncWriteRent, AsyncWriteRentExt, OwnedWriteHalf},
@@ -61,6 +63,20 @@
         Ok(())
     }
 
+    /// Resets the connection, so that a cut-off message does not look whole to the other side.
+    ///
+    /// `SO_LINGER` does not serve here: dropping the half closes its direction cleanly first.
+    pub fn abort(&mut self) {
+        // SAFETY: the halves live on one thread, and no reference is kept beyond this statement.
+        let fd = unsafe { &*self.io.0.get() }.as_raw_fd();
+        // SAFETY: all fields of `sockaddr` are integers, for which zero is valid.
+        let mut unspecified: libc::sockaddr = unsafe { std::mem::zeroed() };
+        unspecified.sa_family = libc::AF_UNSPEC as libc::sa_family_t;
+        let len = size_of::<libc::sockaddr>() as libc::socklen_t;
+        // SAFETY: `fd` is open while `self` lives, and `unspecified` outlives the call.
+        unsafe { libc::connect(fd, std::ptr::from_ref(&unspecified), len) };
+    }
+
     /// Closes the writing direction of the socket.
     pub async fn shutdown(&mut self) {
         let _ = self.io.shutdown().await;
