Add a relay with switchable faults between daemons of a test fleet

Cause: no test could silence one direction of the way between two daemons. Ruled out: dropping packets in the kernel, which needs rights that tests lack. Change: standins::Link relays TCP with one-way silence and cut; the setting peer_addresses names the address by which a host reaches another; Cluster puts a link between each pair with links. Seen failing first: the table of faults in tests/peer_link.rs fails when the relay ignores them.

--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of one daemon.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use serde::Deserialize;
 
@@ -28,6 +28,13 @@
     pub key_secret: String,
     /// Tokens that operators present; each one is accepted.
     pub operator_tokens: Vec<String>,
+    /// Addresses by which this host reaches other hosts of the fleet, where they differ from those
+    /// that the platform lists.
+    #[serde(default)]
+    pub peer_addresses: BTreeMap<String, SocketAddr>,
+    /// Addresses of other hosts that are asked for the lists while the platform cannot be reached.
+    #[serde(default)]
+    pub seed_peers: Vec<SocketAddr>,
     /// Smallest share of a service's live capacity that stays in use, from 0 to 1.
     #[serde(default = "default_floor")]
     pub floor: f64,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -77,7 +77,7 @@
     let shutdown = Shutdown::default();
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
-    let directory = PeerDirectory::new(&settings.host);
+    let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
     let _peers = PeerClient::new(secrets.clone(), directory.clone());
     let router = PeerRouter::default();
 
--- a/src/peer/directory.rs
+++ b/src/peer/directory.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Ref, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
 };
@@ -25,14 +26,17 @@
 #[derive(Clone)]
 pub struct PeerDirectory {
     own_host: Rc<str>,
+    addresses: Rc<BTreeMap<String, SocketAddr>>,
     peers: Rc<RefCell<Vec<Peer>>>,
 }
 
 impl PeerDirectory {
-    /// Makes an empty directory of the daemon `own_host`.
-    pub fn new(own_host: &str) -> Self {
+    /// Makes an empty directory of the daemon `own_host`, which reaches the hosts of `addresses`
+    /// there and all others as listed.
+    pub fn new(own_host: &str, addresses: &BTreeMap<String, SocketAddr>) -> Self {
         Self {
             own_host: Rc::from(own_host),
+            addresses: Rc::new(addresses.clone()),
             peers: Rc::default(),
         }
     }
@@ -51,7 +55,7 @@
             .map(|h| Peer {
                 host: Rc::from(h.name.as_str()),
                 data_centre: Rc::from(h.data_centre.as_str()),
-                address: h.address,
+                address: self.address_of(&h.name, h.address),
                 leaving: h.leaving,
             })
             .collect();
@@ -59,6 +63,11 @@
         *self.peers.borrow_mut() = peers;
     }
 
+    /// Returns the address by which this daemon reaches `host`, listed at `listed`.
+    pub fn address_of(&self, host: &str, listed: SocketAddr) -> SocketAddr {
+        self.addresses.get(host).copied().unwrap_or(listed)
+    }
+
     /// Returns all peers, sorted by name; the borrow must end before the next await.
     ///
     /// # Panics
--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -11,7 +11,8 @@
 use serde_json::{json, Value};
 
 use crate::{
-    Client, DaemonCommand, DaemonProcess, HostRow, Platform, Reply, Target, TargetOptions,
+    Client, DaemonCommand, DaemonProcess, HostRow, Link, LinkFaults, Platform, Reply, Target,
+    TargetOptions,
 };
 
 /// Lowest port of [`free_address`].
@@ -38,6 +39,8 @@
     pub work: Duration,
     /// Settings that replace or add to those of each daemon.
     pub settings: Value,
+    /// Whether a [`Link`] stands on the way from each daemon to each other one.
+    pub links: bool,
 }
 
 impl ClusterOptions {
@@ -51,6 +54,7 @@
             slots: 4,
             work: Duration::from_millis(1),
             settings: json!({}),
+            links: false,
         }
     }
 }
@@ -65,9 +69,17 @@
     pub daemons: Vec<DaemonProcess>,
     /// Directory of settings and logs, removed at the end.
     pub directory: PathBuf,
+    links: Vec<PeerLink>,
     opts: ClusterOptions,
 }
 
+/// The relay on the way from one daemon to another.
+struct PeerLink {
+    from: usize,
+    to: usize,
+    link: Link,
+}
+
 impl Cluster {
     /// Starts the fleet and waits until each daemon serves.
     ///
@@ -82,6 +94,7 @@
             targets,
             daemons: Vec::new(),
             directory: make_directory()?,
+            links: Vec::new(),
             opts,
         };
         cluster.start_daemons()?;
@@ -95,6 +108,9 @@
             self.list_daemon(&settings)?;
             planned.push(settings);
         }
+        if self.opts.links {
+            self.start_links(&mut planned)?;
+        }
         for settings in &planned {
             let daemon = DaemonProcess::start(&self.opts.command, &self.directory, settings)?;
             self.daemons.push(daemon);
@@ -111,6 +127,42 @@
         Ok(())
     }
 
+    /// Puts a relay between each ordered pair of daemons.
+    fn start_links(&mut self, planned: &mut [Value]) -> io::Result<()> {
+        let hosts: Vec<(Value, Value)> = planned
+            .iter()
+            .map(|s| (s["host"].clone(), s["peer_address"].clone()))
+            .collect();
+        for (from, settings) in planned.iter_mut().enumerate() {
+            let mut addresses = serde_json::Map::new();
+            for (to, (host, address)) in hosts.iter().enumerate() {
+                if from == to {
+                    continue;
+                }
+                let upstream = serde_json::from_value(address.clone())?;
+                let link = Link::start(free_address()?, upstream)?;
+                let name = host.as_str().unwrap_or("").to_owned();
+                addresses.insert(name, json!(link.address));
+                self.links.push(PeerLink { from, to, link });
+            }
+            settings["peer_addresses"] = Value::Object(addresses);
+        }
+        Ok(())
+    }
+
+    /// Changes the faults of the way on which daemon `from` calls daemon `to`.
+    pub fn set_link_faults(&self, from: usize, to: usize, change: impl Fn(&mut LinkFaults)) {
+        for l in self.links.iter().filter(|l| l.from == from && l.to == to) {
+            l.link.set_faults(&change);
+        }
+    }
+
+    /// Silences, or restores, all bytes from daemon `from` to daemon `to`, on connections of both.
+    pub fn set_one_way_silence(&self, from: usize, to: usize, silent: bool) {
+        self.set_link_faults(from, to, |f| f.silent_forward = silent);
+        self.set_link_faults(to, from, |f| f.silent_backward = silent);
+    }
+
     fn settings_of(&self, i: usize) -> io::Result<Value> {
         let data_centre = &self.opts.data_centres[i % self.opts.data_centres.len()];
         let mut settings = json!({
--- /dev/null
+++ b/tests/peer_link.rs
@@ -0,0 +1,91 @@
+//! The relay that stands between daemons in tests.
+
+mod env;
+
+use std::{
+    io::{Read, Write},
+    net::{TcpListener, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use standins::{free_address, ClusterOptions, Link, LinkFaults};
+
+/// Time in which a byte that is not held back arrives, and after which one counts as vanished.
+const ARRIVAL: Duration = Duration::from_millis(500);
+
+fn echo_server() -> std::net::SocketAddr {
+    let listener = TcpListener::bind(free_address().expect("an address")).expect("bound");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let (mut r, mut w) = (&stream, &stream);
+                let _ = std::io::copy(&mut r, &mut w);
+            });
+        }
+    });
+    address
+}
+
+fn echoes(link: &Link) -> bool {
+    let Ok(mut stream) = TcpStream::connect(link.address) else {
+        return false;
+    };
+    let _ = stream.set_read_timeout(Some(ARRIVAL));
+    let mut buf = [0];
+    stream.write_all(b"x").is_ok() && stream.read_exact(&mut buf).is_ok()
+}
+
+#[test]
+fn faults_of_a_link_take_effect_and_end() {
+    struct Case {
+        faults: LinkFaults,
+        echoes: bool,
+    }
+    let whole = LinkFaults::default();
+    let cases = [
+        Case {
+            faults: whole,
+            echoes: true,
+        },
+        Case {
+            faults: LinkFaults {
+                silent_forward: true,
+                ..whole
+            },
+            echoes: false,
+        },
+        Case {
+            faults: LinkFaults {
+                silent_backward: true,
+                ..whole
+            },
+            echoes: false,
+        },
+        Case {
+            faults: LinkFaults { cut: true, ..whole },
+            echoes: false,
+        },
+        Case {
+            faults: whole,
+            echoes: true,
+        },
+    ];
+    let address = free_address().expect("an address");
+    let link = Link::start(address, echo_server()).expect("a link");
+    for case in &cases {
+        link.set_faults(|f| *f = case.faults);
+        assert_eq!(echoes(&link), case.echoes, "{:?}", case.faults);
+    }
+}
+
+#[test]
+fn fleet_with_links_serves() {
+    let cluster = env::start(ClusterOptions {
+        daemons: 3,
+        links: true,
+        ..env::options()
+    });
+    env::workspace(&cluster, "parish", 1000.0, 1000);
+}
