Let messages to a peer travel beside each other

Cause: one batch at a time travelled on the one connection to a peer, and its messages were handled one after the other, so that a question waited behind any slow handler. Lanes of peers that are gone stayed in the map. Ruled out: pipelining on one connection, whose answers still come in order. Bytes of control, asks and the platform are counted apart. Seen failing first: messages_do_not_wait_for_a_slow_handler failed while messages of one lane shared a batch.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -73,12 +73,16 @@
     let operator_listener = bind(settings.operator_address)?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let metrics = Rc::new(Metrics::default());
-    let platform = Rc::new(HttpPlatform::new(settings.platform_address, &settings.host));
+    let platform = Rc::new(HttpPlatform::new(
+        settings.platform_address,
+        &settings.host,
+        metrics.clone(),
+    ));
     let shutdown = Shutdown::default();
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
     let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
-    let _peers = PeerClient::new(secrets.clone(), directory.clone());
+    let _peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
     let router = PeerRouter::default();
 
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -38,6 +38,8 @@
     pub status: StatusCode,
     /// Whole body.
     pub body: Bytes,
+    /// Bytes sent and received, heads included.
+    pub transferred: u64,
 }
 
 /// Sends one request on a new connection and reads the whole response.
@@ -63,6 +65,7 @@
     let mut buf = BytesMut::new();
     encode_request_head(&head, Framing::Length(req.body.len() as u64), &mut buf);
     buf.extend_from_slice(&req.body);
+    let sent = buf.len() as u64;
     writer.write(buf.freeze()).await?;
 
     let limits = HeadLimits {
@@ -77,6 +80,7 @@
     Ok(CallResponse {
         status: head.status,
         body,
+        transferred: sent + reader.received(),
     })
 }
 
--- a/src/http/reader.rs
+++ b/src/http/reader.rs
@@ -20,6 +20,7 @@
 pub struct HttpReader {
     io: OwnedReadHalf<TcpStream>,
     buf: BytesMut,
+    received: u64,
 }
 
 impl HttpReader {
@@ -28,6 +29,7 @@
         Self {
             io,
             buf: BytesMut::new(),
+            received: 0,
         }
     }
 
@@ -36,6 +38,11 @@
         !self.buf.is_empty()
     }
 
+    /// Returns how many bytes were read from the socket.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
     /// Returns how many bytes were read that belong to no message yet.
     pub fn buffered_len(&self) -> usize {
         self.buf.len()
@@ -52,6 +59,7 @@
         let scratch = BytesMut::with_capacity(READ_BYTES);
         let (res, slice) = self.io.read(scratch.slice_mut(0..READ_BYTES)).await;
         let n = res?;
+        self.received += n as u64;
         let mut part = slice.into_inner();
         part.truncate(n);
         if self.buf.is_empty() {
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -30,6 +30,12 @@
     PeerOversized,
     /// Messages on the peer port that could not be decoded.
     PeerUnreadable,
+    /// Bytes of control messages of daemons, heads included, as sent and received.
+    PeerControlBytes,
+    /// Bytes of messages that ask for tokens, heads included, as sent and received.
+    PeerAskBytes,
+    /// Bytes of calls to the platform, heads included, as sent and received.
+    PlatformBytes,
     /// Targets ejected.
     Ejections,
 }
--- a/src/metrics/registry.rs
+++ b/src/metrics/registry.rs
@@ -31,6 +31,12 @@
         increment(&self.counters[counter as usize]);
     }
 
+    /// Adds `n` to a counter.
+    pub fn add(&self, counter: Counter, n: u64) {
+        let cell = &self.counters[counter as usize];
+        cell.set(cell.get() + n);
+    }
+
     /// Counts one request that got the answer of `kind`.
     pub fn count_refusal(&self, kind: ErrorKind) {
         increment(&self.refusals[kind as usize]);
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -7,18 +7,22 @@
     time::{Duration, Instant},
 };
 
-use local_sync::{mpsc, oneshot};
+use local_sync::{mpsc, oneshot, semaphore::Semaphore};
 use monoio::time::timeout;
 use rustc_hash::FxHashMap;
 use serde::{de::DeserializeOwned, Serialize};
 
+use crate::metrics::Metrics;
+
 use super::{
-    connection::PeerConnection, decode, encode, Envelope, FleetSecrets, PeerDirectory, PeerError,
-    PeerKind,
+    connection::PeerConnection, decode, encode, lane::Lane, Envelope, FleetSecrets, PeerDirectory,
+    PeerError, PeerKind,
 };
 
 /// Most messages of one batch.
 const MAX_BATCH: usize = 256;
+/// Most batches of one lane under way at a time, each on a connection of its own.
+const MAX_IN_FLIGHT: usize = 4;
 /// Time for which a connection without messages is kept.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
@@ -28,7 +32,8 @@
     reply: oneshot::Sender<Result<Envelope, PeerError>>,
 }
 
-/// Calls other daemons, on one connection each; messages that wait together travel together.
+/// Calls other daemons, on a few kept connections each; messages that wait together travel
+/// together, and those of different lanes do not wait for each other.
 #[derive(Clone)]
 pub struct PeerClient {
     shared: Rc<Shared>,
@@ -37,16 +42,28 @@
 struct Shared {
     secrets: FleetSecrets,
     directory: PeerDirectory,
-    lanes: RefCell<FxHashMap<SocketAddr, mpsc::unbounded::Tx<Call>>>,
+    metrics: Rc<Metrics>,
+    lanes: RefCell<FxHashMap<LaneKey, mpsc::unbounded::Tx<Call>>>,
 }
 
+/// Names the messages that share connections.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+struct LaneKey {
+    address: SocketAddr,
+    lane: Lane,
+}
+
+/// The connections of one lane that wait for a batch.
+type IdleConnections = Rc<RefCell<Vec<PeerConnection>>>;
+
 impl PeerClient {
     /// Makes a client that finds peers in `directory`.
-    pub fn new(secrets: FleetSecrets, directory: PeerDirectory) -> Self {
+    pub fn new(secrets: FleetSecrets, directory: PeerDirectory, metrics: Rc<Metrics>) -> Self {
         Self {
             shared: Rc::new(Shared {
                 secrets,
                 directory,
+                metrics,
                 lanes: RefCell::default(),
             }),
         }
@@ -98,7 +115,8 @@
             give_up: Instant::now() + limit,
             reply,
         };
-        self.enqueue(address, call);
+        let lane = Lane::of(kind);
+        self.enqueue(LaneKey { address, lane }, call);
         let reply = match timeout(limit, rx).await {
             Ok(Ok(reply)) => reply?,
             _ => return Err(PeerError::NoAnswer),
@@ -107,52 +125,63 @@
         decode(&body).ok_or(PeerError::BadAnswer)
     }
 
-    fn enqueue(&self, address: SocketAddr, call: Call) {
+    fn enqueue(&self, key: LaneKey, call: Call) {
         let mut lanes = self.shared.lanes.borrow_mut();
-        let open = lanes.get(&address).filter(|tx| !tx.is_closed());
-        let tx = match open {
-            Some(tx) => tx,
-            None => {
-                let (tx, rx) = mpsc::unbounded::channel();
-                monoio::spawn(lane_task(self.shared.clone(), address, rx));
-                lanes.insert(address, tx);
-                &lanes[&address]
-            }
-        };
+        let tx = lanes.entry(key).or_insert_with(|| {
+            let (tx, rx) = mpsc::unbounded::channel();
+            monoio::spawn(lane_task(self.shared.clone(), key, rx));
+            tx
+        });
         let _ = tx.send(call);
     }
 }
 
-/// Owns the connection to one daemon, until no message came for a while.
-async fn lane_task(shared: Rc<Shared>, address: SocketAddr, mut rx: mpsc::unbounded::Rx<Call>) {
-    let mut conn: Option<PeerConnection> = None;
+/// Sends the messages of one lane to one daemon, until none came for a while.
+///
+/// A message travels alone, so that its reply waits for no other, until the last connection that
+/// may open has to carry all that follow.
+async fn lane_task(shared: Rc<Shared>, key: LaneKey, mut rx: mpsc::unbounded::Rx<Call>) {
+    let idle = IdleConnections::default();
+    let in_flight = Rc::new(Semaphore::new(MAX_IN_FLIGHT));
     while let Ok(Some(first)) = timeout(IDLE_LIMIT, rx.recv()).await {
-        let mut batch = vec![first];
-        while batch.len() < MAX_BATCH {
-            match rx.try_recv() {
-                Ok(call) => batch.push(call),
-                Err(_) => break,
-            }
-        }
-        let now = Instant::now();
-        batch.retain(|call| call.give_up > now);
+        let Ok(permit) = in_flight.clone().acquire_owned().await else {
+            break;
+        };
+        let more = in_flight.available_permits() > 0;
+        let most = if more { 1 } else { MAX_BATCH };
+        let batch = collect_batch(first, most, &mut rx);
         if batch.is_empty() {
             continue;
         }
-        send_batch(&shared, address, &mut conn, batch).await;
+        let shared = shared.clone();
+        let idle = idle.clone();
+        monoio::spawn(async move {
+            send_batch(&shared, key, &idle, batch).await;
+            drop(permit);
+        });
     }
+    shared.lanes.borrow_mut().remove(&key);
     rx.close();
     while let Ok(call) = rx.try_recv() {
         let _ = call.reply.send(Err(PeerError::NoAnswer));
     }
 }
 
-async fn send_batch(
-    shared: &Shared,
-    address: SocketAddr,
-    conn: &mut Option<PeerConnection>,
-    batch: Vec<Call>,
-) {
+/// Returns `first` and what waits behind it, up to `most` calls without those given up.
+fn collect_batch(first: Call, most: usize, rx: &mut mpsc::unbounded::Rx<Call>) -> Vec<Call> {
+    let mut batch = vec![first];
+    while batch.len() < most {
+        match rx.try_recv() {
+            Ok(call) => batch.push(call),
+            Err(_) => break,
+        }
+    }
+    let now = Instant::now();
+    batch.retain(|call| call.give_up > now);
+    batch
+}
+
+async fn send_batch(shared: &Shared, key: LaneKey, idle: &IdleConnections, batch: Vec<Call>) {
     let give_up = batch
         .iter()
         .map(|call| call.give_up)
@@ -160,7 +189,7 @@
         .unwrap_or_else(Instant::now);
     let limit = give_up.saturating_duration_since(Instant::now());
     let msgs: Vec<Envelope> = batch.iter().map(|call| call.msg.clone()).collect();
-    let sent = timeout(limit, send_on(shared, address, conn, &msgs)).await;
+    let sent = timeout(limit, send_on(shared, key, idle, &msgs)).await;
     match sent.unwrap_or(Err(PeerError::NoAnswer)) {
         Ok(replies) => {
             for (call, reply) in batch.into_iter().zip(replies) {
@@ -168,7 +197,7 @@
             }
         }
         Err(e) => {
-            *conn = None;
+            idle.borrow_mut().clear();
             for call in batch {
                 let _ = call.reply.send(Err(e));
             }
@@ -176,18 +205,23 @@
     }
 }
 
+/// Sends on a connection that waits, or on a new one, which then waits in its turn.
 async fn send_on(
     shared: &Shared,
-    address: SocketAddr,
-    conn: &mut Option<PeerConnection>,
+    key: LaneKey,
+    idle: &IdleConnections,
     msgs: &[Envelope],
 ) -> Result<Vec<Envelope>, PeerError> {
-    let mut open = match conn.take() {
+    let waiting = idle.borrow_mut().pop();
+    let mut open = match waiting {
         Some(open) => open,
-        None => PeerConnection::open(address).await?,
+        None => PeerConnection::open(key.address).await?,
     };
     let own_host = shared.directory.own_host();
-    let replies = open.send(&shared.secrets, own_host, msgs).await?;
-    *conn = Some(open);
+    let replies = open.send(&shared.secrets, own_host, msgs).await;
+    let transferred = open.take_transferred();
+    shared.metrics.add(key.lane.counter(), transferred);
+    let replies = replies?;
+    idle.borrow_mut().push(open);
     Ok(replies)
 }
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -31,6 +31,8 @@
     writer: HttpWriter,
     nonce: Nonce,
     sequence: u64,
+    sent: u64,
+    counted: u64,
 }
 
 struct Answer {
@@ -51,6 +53,8 @@
             writer: HttpWriter::new(w),
             nonce: Nonce([0; 16]),
             sequence: 0,
+            sent: 0,
+            counted: 0,
         };
         let answer = conn.exchange(HELLO_PATH, &[], Bytes::new()).await?;
         conn.nonce = rmp_serde::from_slice(&answer.body).map_err(|_| PeerError::BadAnswer)?;
@@ -104,6 +108,14 @@
         Ok(replies)
     }
 
+    /// Returns the bytes sent and received since the last call.
+    pub(super) fn take_transferred(&mut self) -> u64 {
+        let all = self.sent + self.reader.received();
+        let new = all - self.counted;
+        self.counted = all;
+        new
+    }
+
     async fn exchange(
         &mut self,
         path: &str,
@@ -120,6 +132,7 @@
         let mut buf = BytesMut::new();
         encode_request_head(&head, Framing::Length(body.len() as u64), &mut buf);
         buf.extend_from_slice(&body);
+        self.sent += buf.len() as u64;
         let sent = self.writer.write(buf.freeze()).await;
         sent.map_err(|_| PeerError::NoAnswer)?;
 
--- a/src/peer/handler.rs
+++ b/src/peer/handler.rs
@@ -28,13 +28,14 @@
 /// Knows the handler of each kind.
 #[derive(Default, Clone)]
 pub struct PeerRouter {
-    handlers: FxHashMap<PeerKind, Rc<dyn PeerHandler>>,
+    handlers: Rc<FxHashMap<PeerKind, Rc<dyn PeerHandler>>>,
 }
 
 impl PeerRouter {
     /// Sets the handler of a kind.
     pub fn set(&mut self, kind: PeerKind, handler: Rc<dyn PeerHandler>) {
-        self.handlers.insert(kind, handler);
+        let handlers = Rc::make_mut(&mut self.handlers);
+        handlers.insert(kind, handler);
     }
 
     /// Handles one message.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -10,6 +10,7 @@
 mod envelope;
 mod error;
 mod handler;
+mod lane;
 mod server;
 
 pub use auth::{FleetSecrets, Nonce};
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -19,6 +19,7 @@
 
 use super::{
     auth::{Direction, FleetSecrets, Nonce, Signed},
+    lane::Lane,
     Envelope, PeerRouter,
 };
 
@@ -54,6 +55,10 @@
 struct Session {
     nonce: Option<Nonce>,
     last_sequence: u64,
+    /// Counter of the last batch's bytes.
+    counter: Counter,
+    /// Bytes of the last answer.
+    sent: u64,
 }
 
 /// A message batch whose sender proved the secret.
@@ -87,9 +92,12 @@
         let (r, w) = stream.into_split();
         let mut reader = HttpReader::new(r);
         let mut writer = HttpWriter::new(w);
+        let mut counted = 0;
         let mut session = Session {
             nonce: None,
             last_sequence: 0,
+            counter: Counter::PeerControlBytes,
+            sent: 0,
         };
         while reader.wait_for_message().await? {
             let head = reader.read_request_head(&HEAD_LIMITS).await?;
@@ -104,6 +112,9 @@
             if !self.answer(&head, &body, &mut session, &mut writer).await? {
                 return Ok(());
             }
+            let transferred = reader.received() - counted + session.sent;
+            counted = reader.received();
+            self.metrics.add(session.counter, transferred);
         }
         Ok(())
     }
@@ -120,7 +131,7 @@
             session.nonce = Nonce::random();
             session.last_sequence = 0;
             let body = session.nonce.and_then(|n| rmp_serde::to_vec(&n).ok());
-            send(writer, StatusCode::OK, body.unwrap_or_default(), None).await?;
+            session.sent = send(writer, StatusCode::OK, body.unwrap_or_default(), None).await?;
             return Ok(true);
         }
         let Some(sender) = self.authenticate(&head.headers, body, session) else {
@@ -132,10 +143,10 @@
             self.metrics.count(Counter::PeerUnreadable);
             return Ok(false);
         };
-        let mut replies = Vec::with_capacity(batch.len());
-        for msg in &batch {
-            replies.push(self.router.handle(sender.from, msg).await);
+        if let Some(first) = batch.first() {
+            session.counter = Lane::of(first.kind).counter();
         }
+        let replies = self.handle_all(sender.from, batch).await;
         let body = rmp_serde::to_vec(&replies).unwrap_or_default();
         let mac = self.secrets.sign(&Signed {
             direction: Direction::Response,
@@ -144,10 +155,31 @@
             sequence: sender.sequence,
             body: &body,
         });
-        send(writer, StatusCode::OK, body, Some(&mac)).await?;
+        session.sent = send(writer, StatusCode::OK, body, Some(&mac)).await?;
         Ok(true)
     }
 
+    /// Handles messages side by side and returns the replies in the messages' order.
+    async fn handle_all(&self, from: &str, batch: Vec<Envelope>) -> Vec<Envelope> {
+        if let [msg] = batch.as_slice() {
+            return vec![self.router.handle(from, msg).await];
+        }
+        let from: Rc<str> = Rc::from(from);
+        let tasks: Vec<_> = batch
+            .into_iter()
+            .map(|msg| {
+                let router = self.router.clone();
+                let from = from.clone();
+                monoio::spawn(async move { router.handle(&from, &msg).await })
+            })
+            .collect();
+        let mut replies = Vec::with_capacity(tasks.len());
+        for task in tasks {
+            replies.push(task.await);
+        }
+        replies
+    }
+
     fn authenticate<'a>(
         &self,
         headers: &'a HeaderMap,
@@ -182,7 +214,7 @@
     status: StatusCode,
     body: Vec<u8>,
     mac: Option<&str>,
-) -> Result<(), HttpError> {
+) -> Result<u64, HttpError> {
     let (mut head, ()) = http::Response::new(()).into_parts();
     head.status = status;
     if let Some(mac) = mac.and_then(|m| HeaderValue::from_str(m).ok()) {
@@ -191,5 +223,7 @@
     let mut buf = BytesMut::new();
     encode_response_head(&head, Framing::Length(body.len() as u64), &mut buf);
     buf.extend_from_slice(&Bytes::from(body));
-    writer.write(buf.freeze()).await
+    let sent = buf.len() as u64;
+    writer.write(buf.freeze()).await?;
+    Ok(sent)
 }
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -1,12 +1,15 @@
 //! The platform's services over HTTP.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 
-use crate::http::{call, CallRequest};
+use crate::{
+    http::{call, CallRequest},
+    metrics::{Counter, Metrics},
+};
 
 use super::{
     BoxFuture, Committed, HostList, ListedHost, ObjectStore, PlatformError, Row, RowKey,
@@ -24,6 +27,7 @@
 pub struct HttpPlatform {
     address: SocketAddr,
     host: String,
+    metrics: Rc<Metrics>,
 }
 
 #[derive(Deserialize)]
@@ -55,10 +59,11 @@
 
 impl HttpPlatform {
     /// Makes a client of the platform at `address`, for this `host`.
-    pub fn new(address: SocketAddr, host: &str) -> Self {
+    pub fn new(address: SocketAddr, host: &str, metrics: Rc<Metrics>) -> Self {
         Self {
             address,
             host: host.to_owned(),
+            metrics,
         }
     }
 
@@ -78,7 +83,10 @@
             max_response_bytes: MAX_ANSWER_BYTES,
         };
         match call(self.address, &req).await {
-            Ok(res) => Ok((res.status, res.body)),
+            Ok(res) => {
+                self.metrics.add(Counter::PlatformBytes, res.transferred);
+                Ok((res.status, res.body))
+            }
             Err(_) => Err(PlatformError::NoAnswer),
         }
     }
--- /dev/null
+++ b/tests/peer_port.rs
@@ -0,0 +1,338 @@
+//! The port for other daemons: who is refused, and what waits for what.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use chervillug::{
+    metrics::{Counter, Metrics},
+    peer::{
+        decode, encode, peer_server_task, Envelope, FleetSecrets, Nonce, PeerClient, PeerDirectory,
+        PeerError, PeerHandler, PeerKind, PeerRouter, PeerServer,
+    },
+    platform::BoxFuture,
+};
+use hmac::{Hmac, Mac};
+use monoio::{
+    io::{AsyncReadRent, AsyncWriteRentExt},
+    net::{TcpListener, TcpStream},
+    time::timeout,
+    LegacyDriver, RuntimeBuilder,
+};
+use sha2::Sha256;
+
+const OLD_SECRET: &str = "old-fleet-secret-0123456789";
+const NEW_SECRET: &str = "new-fleet-secret-0123456789";
+const STRANGE_SECRET: &str = "secret-of-a-stranger-0123456789";
+/// Longest time for an answer that must come.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+/// Time that the slow handler takes.
+const SLOW: Duration = Duration::from_secs(2);
+
+/// Answers with the message; those of the kind `Poison` after a while.
+struct Echo {
+    delay: Duration,
+}
+
+impl PeerHandler for Echo {
+    fn handle<'a>(&'a self, _: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
+        Box::pin(async move {
+            monoio::time::sleep(self.delay).await;
+            Some(body.to_vec())
+        })
+    }
+}
+
+struct Port {
+    address: SocketAddr,
+    metrics: Rc<Metrics>,
+}
+
+impl Port {
+    fn count(&self, counter: Counter) -> u64 {
+        let mut found = 0;
+        self.metrics.for_each(|name, value| {
+            if name == counter.name() {
+                found = value;
+            }
+        });
+        found
+    }
+}
+
+fn run(test: impl std::future::Future<Output = ()>) {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(test);
+}
+
+fn secrets(list: &[&str]) -> FleetSecrets {
+    let list: Vec<String> = list.iter().map(|s| (*s).to_owned()).collect();
+    FleetSecrets::new(&list)
+}
+
+fn start_port(accepted: &[&str]) -> Port {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let address = listener.local_addr().expect("an address");
+    let metrics = Rc::new(Metrics::default());
+    let mut router = PeerRouter::default();
+    for (kind, delay) in [
+        (PeerKind::Ask, Duration::ZERO),
+        (PeerKind::Heartbeat, Duration::ZERO),
+        (PeerKind::Poison, SLOW),
+    ] {
+        router.set(kind, Rc::new(Echo { delay }));
+    }
+    let server = PeerServer {
+        secrets: secrets(accepted),
+        router,
+        metrics: metrics.clone(),
+    };
+    monoio::spawn(peer_server_task(Rc::new(server), listener));
+    Port { address, metrics }
+}
+
+fn client(list: &[&str]) -> PeerClient {
+    let directory = PeerDirectory::new("entry-0", &BTreeMap::new());
+    PeerClient::new(secrets(list), directory, Rc::default())
+}
+
+/// Returns the authentication code of a request, worked out apart from the product.
+fn code(secret: &str, nonce: &[u8], sequence: u64, from: &str, body: &[u8]) -> String {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any length");
+    mac.update(b"request");
+    mac.update(nonce);
+    mac.update(&sequence.to_be_bytes());
+    mac.update(&(from.len() as u64).to_be_bytes());
+    mac.update(from.as_bytes());
+    mac.update(body);
+    let mut text = String::new();
+    for b in mac.finalize().into_bytes() {
+        let _ = write!(text, "{b:02x}");
+    }
+    text
+}
+
+fn request(path: &str, headers: &str, body: &[u8]) -> Vec<u8> {
+    let len = body.len();
+    let head = format!("POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {len}\r\n{headers}\r\n");
+    [head.as_bytes(), body].concat()
+}
+
+/// Sends bytes and returns what comes back, empty when the other side closes.
+async fn exchange(stream: &mut TcpStream, bytes: Vec<u8>) -> Vec<u8> {
+    if stream.write_all(bytes).await.0.is_err() {
+        return Vec::new();
+    }
+    let read = timeout(ANSWER_LIMIT, stream.read(vec![0; 4096])).await;
+    let (res, mut buf) = read.expect("an answer or the end");
+    buf.truncate(res.unwrap_or(0));
+    buf
+}
+
+async fn connect(port: &Port) -> (TcpStream, Nonce) {
+    let mut stream = TcpStream::connect(port.address).await.expect("connected");
+    let hello = exchange(&mut stream, request("/peer/hello", "", b"")).await;
+    let at = hello.windows(4).position(|w| w == b"\r\n\r\n");
+    let body = &hello[at.expect("a head") + 4..];
+    (stream, decode(body).expect("a nonce"))
+}
+
+fn signed(secret: &str, nonce: Nonce, sequence: u64, body: &[u8]) -> Vec<u8> {
+    let mac = code(secret, &nonce.0, sequence, "entry-0", body);
+    let headers = format!("peer-host: entry-0\r\npeer-sequence: {sequence}\r\npeer-mac: {mac}\r\n");
+    request("/peer/messages", &headers, body)
+}
+
+fn batch() -> Vec<u8> {
+    let msg = Envelope {
+        kind: PeerKind::Ask,
+        body: Some(vec![1, 2, 3]),
+    };
+    encode(&vec![msg]).expect("encoded")
+}
+
+#[test]
+fn hostile_messages_are_refused_and_counted() {
+    struct Case {
+        name: &'static str,
+        messages: fn(Nonce) -> Vec<Vec<u8>>,
+        /// Start of the last answer, empty for a closed connection.
+        last_answer: &'static str,
+        counter: Option<Counter>,
+    }
+    let cases = [
+        Case {
+            name: "both secrets are accepted",
+            messages: |n| {
+                vec![
+                    signed(OLD_SECRET, n, 1, &batch()),
+                    signed(NEW_SECRET, n, 2, &batch()),
+                ]
+            },
+            last_answer: "HTTP/1.1 200",
+            counter: None,
+        },
+        Case {
+            name: "stranger",
+            messages: |n| vec![signed(STRANGE_SECRET, n, 1, &batch())],
+            last_answer: "HTTP/1.1 401",
+            counter: Some(Counter::PeerUnauthenticated),
+        },
+        Case {
+            name: "replayed on its connection",
+            messages: |n| vec![signed(NEW_SECRET, n, 1, &batch()); 2],
+            last_answer: "HTTP/1.1 401",
+            counter: Some(Counter::PeerUnauthenticated),
+        },
+        Case {
+            name: "replayed from another connection",
+            messages: |_| vec![signed(NEW_SECRET, Nonce([7; 16]), 1, &batch())],
+            last_answer: "HTTP/1.1 401",
+            counter: Some(Counter::PeerUnauthenticated),
+        },
+        Case {
+            name: "oversized",
+            messages: |_| {
+                let head =
+                    "POST /peer/messages HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n";
+                vec![format!("{head}\r\n").into_bytes()]
+            },
+            last_answer: "",
+            counter: Some(Counter::PeerOversized),
+        },
+        Case {
+            name: "unreadable",
+            messages: |n| vec![signed(NEW_SECRET, n, 1, b"\xc1\xc1")],
+            last_answer: "",
+            counter: Some(Counter::PeerUnreadable),
+        },
+    ];
+    run(async move {
+        for case in &cases {
+            let port = start_port(&[NEW_SECRET, OLD_SECRET]);
+            let (mut stream, nonce) = connect(&port).await;
+            let mut last = Vec::new();
+            for msg in (case.messages)(nonce) {
+                last = exchange(&mut stream, msg).await;
+            }
+            let answer = String::from_utf8_lossy(&last).into_owned();
+            assert!(
+                answer.starts_with(case.last_answer),
+                "{}: {answer}",
+                case.name
+            );
+            assert_eq!(
+                answer.is_empty(),
+                case.last_answer.is_empty(),
+                "{}",
+                case.name
+            );
+            for counter in [
+                Counter::PeerUnauthenticated,
+                Counter::PeerOversized,
+                Counter::PeerUnreadable,
+            ] {
+                let expected = u64::from(case.counter == Some(counter));
+                assert_eq!(port.count(counter), expected, "{}: {counter:?}", case.name);
+            }
+        }
+    });
+}
+
+#[test]
+fn secrets_rotate_without_a_gap() {
+    struct Case {
+        sender: &'static [&'static str],
+        receiver: &'static [&'static str],
+        answer: Result<u32, PeerError>,
+    }
+    let cases = [
+        Case {
+            sender: &[OLD_SECRET],
+            receiver: &[OLD_SECRET, NEW_SECRET],
+            answer: Ok(5),
+        },
+        Case {
+            sender: &[OLD_SECRET, NEW_SECRET],
+            receiver: &[NEW_SECRET, OLD_SECRET],
+            answer: Ok(5),
+        },
+        Case {
+            sender: &[NEW_SECRET],
+            receiver: &[NEW_SECRET, OLD_SECRET],
+            answer: Ok(5),
+        },
+        Case {
+            sender: &[OLD_SECRET],
+            receiver: &[NEW_SECRET],
+            answer: Err(PeerError::Refused),
+        },
+    ];
+    run(async move {
+        for case in &cases {
+            let port = start_port(case.receiver);
+            let peers = client(case.sender);
+            let answer = peers
+                .call_address(port.address, PeerKind::Ask, &5_u32, ANSWER_LIMIT)
+                .await;
+            assert_eq!(
+                answer, case.answer,
+                "{:?} to {:?}",
+                case.sender, case.receiver
+            );
+        }
+    });
+}
+
+#[test]
+fn messages_do_not_wait_for_a_slow_handler() {
+    struct Case {
+        name: &'static str,
+        slow: usize,
+        quick: PeerKind,
+    }
+    let cases = [
+        Case {
+            name: "same lane",
+            slow: 1,
+            quick: PeerKind::Heartbeat,
+        },
+        Case {
+            name: "lane full of slow ones",
+            slow: 300,
+            quick: PeerKind::Ask,
+        },
+    ];
+    run(async move {
+        for case in &cases {
+            let port = start_port(&[NEW_SECRET]);
+            let peers = client(&[NEW_SECRET]);
+            let mut slow = Vec::new();
+            for i in 0..case.slow {
+                let peers = peers.clone();
+                slow.push(monoio::spawn(async move {
+                    peers
+                        .call_address(port.address, PeerKind::Poison, &i, ANSWER_LIMIT)
+                        .await
+                }));
+            }
+            let begin = Instant::now();
+            let answer: Result<u32, _> = peers
+                .call_address(port.address, case.quick, &5_u32, ANSWER_LIMIT)
+                .await;
+            assert_eq!(answer, Ok(5), "{}", case.name);
+            assert!(begin.elapsed() < SLOW, "{}: waited", case.name);
+            for (i, task) in slow.into_iter().enumerate() {
+                assert_eq!(task.await, Ok(i), "{}", case.name);
+            }
+            assert!(begin.elapsed() < SLOW * 3, "{}: one by one", case.name);
+        }
+    });
+}
