--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -7,6 +7,7 @@
 mod gray;
 mod outcomes;
 mod path;
+mod peer;
 mod rate;
 
 use std::{io, process::ExitCode};
@@ -18,7 +19,7 @@
 /// Runs one case of measurements.
 #[derive(FromArgs)]
 struct Args {
-    /// case: path, rate, edit, outage, outcomes, silent, poison, gray, flap, noise, neighbour or
+    /// case: path, peer, rate, edit, outage, outcomes, silent, poison, gray, flap, noise, neighbour or
     /// overload
     #[argh(positional)]
     case: String,
@@ -40,8 +41,9 @@
 
 type Case = fn(&RunOptions, &mut Report) -> io::Result<()>;
 
-const CASES: [(&str, Case); 12] = [
+const CASES: [(&str, Case); 13] = [
     ("path", path::path),
+    ("peer", peer::peer),
     ("rate", rate::rate),
     ("edit", rate::edit),
     ("outage", rate::outage),
