--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -2,6 +2,8 @@
 //!
 //! `cargo run --release --example measure -- path --seed 1`
 
+mod capacity;
+mod counting_allocator;
 mod figure;
 mod fleet;
 mod gray;
@@ -14,13 +16,16 @@
 
 use argh::FromArgs;
 
-use crate::figure::Report;
+use crate::{counting_allocator::CountingAllocator, figure::Report};
+
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator::new();
 
 /// Runs one case of measurements.
 #[derive(FromArgs)]
 struct Args {
-    /// case: path, peer, rate, edit, outage, outcomes, silent, poison, gray, flap, noise, neighbour or
-    /// overload
+    /// case: path, peer, rate, edit, outage, outcomes, silent, poison, gray, flap, noise, neighbour,
+    /// overload or capacity
     #[argh(positional)]
     case: String,
     /// seed of all random choices
@@ -41,7 +46,7 @@
 
 type Case = fn(&RunOptions, &mut Report) -> io::Result<()>;
 
-const CASES: [(&str, Case); 13] = [
+const CASES: &[(&str, Case)] = &[
     ("path", path::path),
     ("peer", peer::peer),
     ("rate", rate::rate),
@@ -55,6 +60,7 @@
     ("noise", gray::noise),
     ("neighbour", gray::neighbour),
     ("overload", gray::overload),
+    ("capacity", capacity::capacity),
 ];
 
 /// Exit code of a case that could not run.
