--- a/src/http/reader.rs
+++ b/src/http/reader.rs
@@ -22,6 +22,7 @@
 pub struct HttpReader {
     io: OwnedReadHalf<TcpStream>,
     buf: BytesMut,
+    received: u64,
 }
 
 impl HttpReader {
@@ -30,6 +31,7 @@
         Self {
             io,
             buf: BytesMut::new(),
+            received: 0,
         }
     }
 
@@ -38,6 +40,11 @@
         !self.buf.is_empty()
     }
 
+    /// Returns how many bytes were read from the socket.
+    pub fn received(&self) -> u64 {
+        self.received
+    }
+
     /// Returns how many bytes were read that belong to no message yet.
     pub fn buffered_len(&self) -> usize {
         self.buf.len()
@@ -58,6 +65,7 @@
         let scratch = BytesMut::with_capacity(max);
         let (res, slice) = self.io.read(scratch.slice_mut(0..max)).await;
         let n = res?;
+        self.received += n as u64;
         let mut part = slice.into_inner();
         part.truncate(n);
         if self.buf.is_empty() {
