--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -4,6 +4,8 @@
 
 use serde::Deserialize;
 
+use crate::health::Profile;
+
 use super::LimitSettings;
 
 /// The settings of one daemon.
@@ -31,6 +33,9 @@
     /// Smallest share of a service's live capacity that stays in use, from 0 to 1.
     #[serde(default = "default_floor")]
     pub floor: f64,
+    /// What weighs most when targets are judged: `few_false_ejections` or `fast_detection`.
+    #[serde(default)]
+    pub profile: Profile,
     /// Bounds of this daemon.
     #[serde(default)]
     pub limits: LimitSettings,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,7 +17,7 @@
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
     config::Settings,
-    health::{balancer_task, Balancer, BalancerHandle, Consecutive},
+    health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
     hosts::host_list_task,
     lifecycle::{wait_for_stop_signal, Shutdown},
     limit::{static_split_task, TaskLimiter},
@@ -84,7 +84,7 @@
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
     let state = Balancer::new(
-        Box::<Consecutive>::default(),
+        Box::new(Sequential::new(settings.profile.options())),
         settings.floor,
         fastrand::u64(..),
     );
@@ -93,7 +93,9 @@
         balancer_rx,
         balancer.clone(),
         clock.clone(),
+        metrics.clone(),
     ));
+    monoio::spawn(probe_task(balancer.clone()));
 
     let (pool_tx, pool_rx) = mpsc::unbounded::channel();
     monoio::spawn(pool_task(pool_rx, clock.clone()));
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -1,13 +1,41 @@
 //! The task that owns the balancer.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use local_sync::{mpsc, oneshot};
+use rustc_hash::FxHashMap;
 use serde::Serialize;
 
-use crate::{clock::Clock, platform::ListedHost};
+use crate::{
+    clock::{BootTime, Clock},
+    metrics::{Counter, Metrics},
+    platform::ListedHost,
+    queue::{FairQueue, QueueFull, Waiting},
+};
 
-use super::{Balancer, Observation, PickError, TargetId, TargetState};
+use super::{Balancer, Choice, Observation, PickError, PickRequest, TargetId, TargetState, Ticket};
+
+/// Requests that may wait for a target of one service.
+const QUEUE_CAPACITY: usize = 256;
+/// Time between two looks at overdue requests and passed deadlines.
+const TICK: Duration = Duration::from_millis(20);
+
+/// The order of a target for one request.
+#[derive(Debug, Clone)]
+pub struct PickOrder {
+    /// The service.
+    pub service: Rc<str>,
+    /// Workspace of the request.
+    pub workspace: Rc<str>,
+    /// Rate of the workspace's plan, 1/s.
+    pub rate_per_s: f64,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
+    /// When the request is no longer worth running.
+    pub deadline: BootTime,
+    /// Targets that were tried already.
+    pub avoid: Vec<TargetId>,
+}
 
 /// A message to the task that owns the balancer.
 pub enum BalancerMessage {
@@ -15,19 +43,32 @@
     SetTargets(Rc<Vec<ListedHost>>),
     /// Asks for a target.
     Pick {
-        /// The service.
-        service: Rc<str>,
-        /// Targets that were tried already.
-        avoid: Vec<TargetId>,
+        /// What the choice depends on.
+        order: PickOrder,
         /// Takes the choice.
         reply: oneshot::Sender<Result<Picked, PickError>>,
     },
     /// Ends a request in flight.
-    Release(TargetId),
+    Release(TargetId, Ticket),
     /// Tells of one piece of work.
-    Observe(TargetId, Observation),
+    Observe(TargetId, Ticket, Observation),
     /// Tells what a target said of itself.
     ReportState(TargetId, TargetState, Option<f64>),
+    /// Tells that several daemons together suspect the target of this name.
+    Advise(String),
+    /// Asks for the targets to probe.
+    Probes(oneshot::Sender<Vec<(TargetId, SocketAddr)>>),
+    /// Tells how a probe ended.
+    Probed {
+        /// The target.
+        id: TargetId,
+        /// Whether it answered well.
+        healthy: bool,
+        /// What it said of itself.
+        state: Option<TargetState>,
+    },
+    /// Looks at what is overdue.
+    Tick,
     /// Asks for the status of all targets.
     Status(oneshot::Sender<Vec<TargetStatus>>),
 }
@@ -41,7 +82,7 @@
     pub leaving: bool,
     /// Requests of this daemon in flight.
     pub in_flight: u32,
-    /// Its suspicion.
+    /// Its suspicion; 1 and above is ejected, unless the floor keeps it.
     pub suspicion: f64,
 }
 
@@ -53,13 +94,15 @@
     pub address: SocketAddr,
     /// Its name.
     pub name: Rc<str>,
+    ticket: Ticket,
     handle: BalancerHandle,
 }
 
 impl Picked {
     /// Tells how the work ended.
     pub fn observe(&self, obs: Observation) {
-        self.handle.send(BalancerMessage::Observe(self.id, obs));
+        self.handle
+            .send(BalancerMessage::Observe(self.id, self.ticket, obs));
     }
 
     /// Tells what the target said of itself.
@@ -71,7 +114,8 @@
 
 impl Drop for Picked {
     fn drop(&mut self) {
-        self.handle.send(BalancerMessage::Release(self.id));
+        self.handle
+            .send(BalancerMessage::Release(self.id, self.ticket));
     }
 }
 
@@ -92,21 +136,24 @@
         let _ = self.tx.send(msg);
     }
 
-    /// Asks for a target of `service`.
+    /// Asks for a target, and waits in the service's queue while all are busy.
     ///
     /// # Errors
     ///
     /// Returns why there is none.
-    pub async fn pick(&self, service: &str, avoid: &[TargetId]) -> Result<Picked, PickError> {
+    pub async fn pick(&self, order: PickOrder) -> Result<Picked, PickError> {
         let (reply, rx) = oneshot::channel();
-        self.send(BalancerMessage::Pick {
-            service: Rc::from(service),
-            avoid: avoid.to_vec(),
-            reply,
-        });
+        self.send(BalancerMessage::Pick { order, reply });
         rx.await.unwrap_or(Err(PickError::NoTarget))
     }
 
+    /// Asks for the targets to probe.
+    pub async fn probes(&self) -> Vec<(TargetId, SocketAddr)> {
+        let (reply, rx) = oneshot::channel();
+        self.send(BalancerMessage::Probes(reply));
+        rx.await.unwrap_or_default()
+    }
+
     /// Asks for the status of all targets.
     pub async fn status(&self) -> Vec<TargetStatus> {
         let (reply, rx) = oneshot::channel();
@@ -115,44 +162,193 @@
     }
 }
 
-/// Owns the balancer and answers messages until all senders are gone.
+/// A request that waits for a target.
+struct WaitingPick {
+    order: PickOrder,
+    reply: oneshot::Sender<Result<Picked, PickError>>,
+}
+
+struct BalancerTask {
+    balancer: Balancer,
+    queues: FxHashMap<Rc<str>, FairQueue<WaitingPick>>,
+    handle: BalancerHandle,
+    metrics: Rc<Metrics>,
+    ejections: u64,
+}
+
+/// Owns the balancer and the queues, and answers messages until all senders are gone.
 pub async fn balancer_task(
-    mut balancer: Balancer,
+    balancer: Balancer,
     mut rx: mpsc::unbounded::Rx<BalancerMessage>,
     handle: BalancerHandle,
     clock: Rc<dyn Clock>,
+    metrics: Rc<Metrics>,
 ) {
+    monoio::spawn(tick_task(handle.clone()));
+    let mut task = BalancerTask {
+        balancer,
+        queues: FxHashMap::default(),
+        handle,
+        metrics,
+        ejections: 0,
+    };
     while let Some(msg) = rx.recv().await {
-        let now = clock.now();
+        task.handle(msg, clock.now());
+    }
+}
+
+async fn tick_task(handle: BalancerHandle) {
+    loop {
+        monoio::time::sleep(TICK).await;
+        handle.send(BalancerMessage::Tick);
+    }
+}
+
+impl BalancerTask {
+    fn handle(&mut self, msg: BalancerMessage, now: BootTime) {
         match msg {
-            BalancerMessage::SetTargets(hosts) => balancer.set_targets(&hosts),
-            BalancerMessage::Pick {
-                service,
-                avoid,
-                reply,
-            } => {
-                let picked = balancer.pick(&service, &avoid, now).map(|t| Picked {
-                    id: t.id,
-                    address: t.address,
-                    name: t.name.clone(),
-                    handle: handle.clone(),
-                });
-                let _ = reply.send(picked);
+            BalancerMessage::SetTargets(hosts) => {
+                self.balancer.set_targets(&hosts, now);
+                self.serve_queues(now);
+            }
+            BalancerMessage::Pick { order, reply } => {
+                self.pick(WaitingPick { order, reply }, now);
+            }
+            BalancerMessage::Release(id, ticket) => self.release(id, ticket, now),
+            BalancerMessage::Observe(id, ticket, obs) => {
+                self.balancer.observe(id, ticket, &obs, now);
             }
-            BalancerMessage::Release(id) => balancer.release(id),
-            BalancerMessage::Observe(id, obs) => balancer.observe(id, &obs, now),
             BalancerMessage::ReportState(id, state, load) => {
-                balancer.report_state(id, state, load);
+                self.balancer.report_state(id, state, load, now);
+            }
+            BalancerMessage::Advise(name) => self.balancer.advise(&name, now),
+            BalancerMessage::Probes(reply) => {
+                let _ = reply.send(self.balancer.probes(now));
             }
+            BalancerMessage::Probed { id, healthy, state } => {
+                self.balancer.probed(id, healthy, state, now);
+            }
+            BalancerMessage::Tick => self.tick(now),
             BalancerMessage::Status(reply) => {
-                let status = balancer.targets(now).map(|(t, suspicion)| TargetStatus {
-                    name: t.name.to_string(),
-                    leaving: t.state == TargetState::Leaving,
-                    in_flight: t.in_flight,
-                    suspicion,
-                });
-                let _ = reply.send(status.collect());
+                let _ = reply.send(self.status(now));
+            }
+        }
+        self.count_ejections();
+    }
+
+    fn pick(&mut self, waiting: WaitingPick, now: BootTime) {
+        let service = waiting.order.service.clone();
+        let queued = self.queues.get(&service).is_some_and(|q| !q.is_empty());
+        if !queued {
+            match self.try_pick(&waiting.order, now) {
+                Err(PickError::Busy) => {}
+                res => return self.answer(waiting, res),
             }
         }
+        self.enqueue(service, waiting);
+    }
+
+    fn try_pick(&mut self, order: &PickOrder, now: BootTime) -> Result<Choice, PickError> {
+        let req = PickRequest {
+            service: &order.service,
+            avoid: &order.avoid,
+            repeatable: order.repeatable,
+        };
+        self.balancer.pick(&req, now)
+    }
+
+    fn answer(&self, waiting: WaitingPick, res: Result<Choice, PickError>) {
+        let picked = res.map(|choice| Picked {
+            id: choice.id,
+            address: choice.address,
+            name: choice.name,
+            ticket: choice.ticket,
+            handle: self.handle.clone(),
+        });
+        let _ = waiting.reply.send(picked);
+    }
+
+    fn enqueue(&mut self, service: Rc<str>, waiting: WaitingPick) {
+        let order = &waiting.order;
+        let entry = Waiting {
+            workspace: order.workspace.clone(),
+            rate_per_s: order.rate_per_s,
+            deadline: order.deadline,
+            item: waiting,
+        };
+        self.metrics.count(Counter::Queued);
+        let queue = self
+            .queues
+            .entry(service)
+            .or_insert_with(|| FairQueue::new(QUEUE_CAPACITY));
+        if let Err(QueueFull(shed)) = queue.push(entry) {
+            self.answer(shed.item, Err(PickError::Overloaded));
+        }
+    }
+
+    fn release(&mut self, id: TargetId, ticket: Ticket, now: BootTime) {
+        self.balancer.release(id, ticket);
+        let service = self.balancer.target(id).map(|t| t.service);
+        let name = service.and_then(|s| self.balancer.service(s));
+        if let Some(name) = name.map(|s| s.name.clone()) {
+            self.serve_queue(&name, now);
+        }
+    }
+
+    fn serve_queues(&mut self, now: BootTime) {
+        let waiting = self.queues.iter().filter(|(_, q)| !q.is_empty());
+        let services: Vec<Rc<str>> = waiting.map(|(s, _)| s.clone()).collect();
+        for service in services {
+            self.serve_queue(&service, now);
+        }
+    }
+
+    /// Gives targets to waiting requests until all targets are busy.
+    fn serve_queue(&mut self, service: &str, now: BootTime) {
+        loop {
+            let queue = self.queues.get(service);
+            let Some(first) = queue.and_then(FairQueue::peek) else {
+                return;
+            };
+            let order = first.item.order.clone();
+            let res = self.try_pick(&order, now);
+            if matches!(res, Err(PickError::Busy)) {
+                return;
+            }
+            let first = self.queues.get_mut(service).and_then(FairQueue::pop);
+            if let Some(first) = first {
+                self.answer(first.item, res);
+            }
+        }
+    }
+
+    fn tick(&mut self, now: BootTime) {
+        self.balancer.tick(now);
+        let mut expired = Vec::new();
+        for queue in self.queues.values_mut() {
+            expired.extend(queue.take_expired(now));
+        }
+        for waiting in expired {
+            self.answer(waiting.item, Err(PickError::Overloaded));
+        }
+        self.serve_queues(now);
+    }
+
+    fn count_ejections(&mut self) {
+        while self.ejections < self.balancer.ejections() {
+            self.ejections += 1;
+            self.metrics.count(Counter::Ejections);
+        }
+    }
+
+    fn status(&self, now: BootTime) -> Vec<TargetStatus> {
+        let targets = self.balancer.targets(now);
+        let status = targets.map(|(t, suspicion)| TargetStatus {
+            name: t.name.to_string(),
+            leaving: t.is_leaving(),
+            in_flight: t.flights.len() as u32,
+            suspicion,
+        });
+        status.collect()
     }
 }
--- a/src/health/consecutive.rs
+++ b/src/health/consecutive.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::BootTime;
 
-use super::{Detector, Observation, TargetId, WorkResult};
+use super::{Detector, Observation, ServiceId, Standing, TargetId, WorkResult};
 
 /// Failures in a row that eject a target.
 const FAILURES: u32 = 5;
@@ -26,26 +26,55 @@
 }
 
 impl Detector for Consecutive {
-    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) {
+    fn join(&mut self, _: TargetId, _: ServiceId) {}
+
+    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> bool {
         let record = self.records.entry(target).or_default();
         match obs.result {
             WorkResult::Success | WorkResult::Shed => record.failures = 0,
+            WorkResult::Overdue => {}
             WorkResult::ServerError | WorkResult::Lost | WorkResult::Timeout => {
                 record.failures += 1;
             }
         }
-        if record.failures >= FAILURES {
-            record.failures = 0;
-            record.out_until = Some(now + EJECTION);
+        if record.failures < FAILURES {
+            return false;
         }
+        record.failures = 0;
+        record.out_until = Some(now + EJECTION);
+        true
     }
 
-    fn suspicion(&self, target: TargetId, now: BootTime) -> f64 {
+    fn standing(&self, target: TargetId, now: BootTime) -> Standing {
         let out_until = self.records.get(&target).and_then(|r| r.out_until);
-        out_until.map_or(0.0, |until| until.since(now).as_secs_f64().min(1.0).ceil())
+        let out = out_until.is_some_and(|until| until > now);
+        Standing {
+            suspicion: f64::from(u8::from(out)),
+            on_trial: false,
+        }
+    }
+
+    fn overdue_after(&self, _: TargetId, _: BootTime) -> Option<Duration> {
+        None
+    }
+
+    fn own_evidence(&self, _: TargetId, _: BootTime) -> f64 {
+        0.0
+    }
+
+    fn advise(&mut self, _: TargetId, _: BootTime) -> bool {
+        false
+    }
+
+    fn wants_probe(&self, _: TargetId, _: BootTime) -> bool {
+        false
+    }
+
+    fn probed(&mut self, _: TargetId, _: bool, _: BootTime) -> bool {
+        false
     }
 
-    fn forget(&mut self, target: TargetId) {
+    fn forget(&mut self, target: TargetId, _: BootTime) {
         self.records.remove(&target);
     }
 }
--- a/src/health/detector.rs
+++ b/src/health/detector.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::BootTime;
 
-use super::TargetId;
+use super::{ServiceId, TargetId};
 
 /// How a piece of real work ended at a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,6 +19,8 @@
     Lost,
     /// It gave no answer in time.
     Timeout,
+    /// It still has the work long after its siblings would have answered.
+    Overdue,
 }
 
 /// One piece of real work at a target.
@@ -30,14 +32,42 @@
     pub latency: Duration,
 }
 
-/// Judges targets by their work.
+/// How a target stands.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Standing {
+    /// Suspicion; 1 and above should be ejected, the higher the worse.
+    pub suspicion: f64,
+    /// Whether an ejected target should get a small share of idempotent work on trial.
+    pub on_trial: bool,
+}
+
+/// Judges targets by their work, in comparison with the other targets of their service.
 pub trait Detector {
-    /// Takes note of one piece of work.
-    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime);
+    /// Takes note of a target of a service, before anything else is told of it.
+    fn join(&mut self, target: TargetId, service: ServiceId);
+
+    /// Takes note of one piece of work; returns whether a verdict changed.
+    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> bool;
+
+    /// Returns how a target stands.
+    fn standing(&self, target: TargetId, now: BootTime) -> Standing;
+
+    /// Returns the age at which work at a target is overdue; none when that is not known.
+    fn overdue_after(&self, target: TargetId, now: BootTime) -> Option<Duration>;
+
+    /// Returns the evidence of this daemon's own work against a target, in nats.
+    fn own_evidence(&self, target: TargetId, now: BootTime) -> f64;
+
+    /// Takes note that the evidence of several daemons together speaks against a target; returns
+    /// whether a verdict changed.
+    fn advise(&mut self, target: TargetId, now: BootTime) -> bool;
+
+    /// Tells whether a target should be probed now.
+    fn wants_probe(&self, target: TargetId, now: BootTime) -> bool;
 
-    /// Returns how suspect a target is: 1 and above should be ejected, the higher the worse.
-    fn suspicion(&self, target: TargetId, now: BootTime) -> f64;
+    /// Takes note of a probe; returns whether a verdict changed.
+    fn probed(&mut self, target: TargetId, healthy: bool, now: BootTime) -> bool;
 
     /// Forgets a target that left.
-    fn forget(&mut self, target: TargetId);
+    fn forget(&mut self, target: TargetId, now: BootTime);
 }
--- /dev/null
+++ b/src/health/evidence.rs
@@ -0,0 +1,53 @@
+//! The sequential test of one target.
+
+use std::time::Duration;
+
+use crate::clock::BootTime;
+
+use super::Decayed;
+
+/// Half-life of evidence without new work.
+pub const EVIDENCE_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Shares of otherwise good work that the tested faults turn bad.
+pub const FAULT_SHARES: [f64; 2] = [0.2, 0.7];
+/// Multiple of the threshold beyond which evidence does not grow.
+pub(super) const EVIDENCE_CAP: f64 = 4.0;
+
+/// Returns the log-likelihood ratio of one piece of work, in nats: a fault that turns
+/// `fault_share` of good work bad, against a healthy target with `bad_share` of bad work.
+pub fn log_likelihood_ratio(bad: bool, bad_share: f64, fault_share: f64) -> f64 {
+    if bad {
+        return ((bad_share + (1.0 - bad_share) * fault_share) / bad_share).ln();
+    }
+    (1.0 - fault_share).ln()
+}
+
+/// Cumulative sums of log-likelihood ratios, one per tested fault, each never below zero.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Evidence {
+    sums: [Decayed; FAULT_SHARES.len()],
+}
+
+impl Evidence {
+    /// Takes in one piece of work; no sum exceeds `cap` nats.
+    pub fn observe(&mut self, bad: bool, bad_share: f64, cap: f64, now: BootTime) {
+        for (sum, fault_share) in self.sums.iter_mut().zip(FAULT_SHARES) {
+            let llr = log_likelihood_ratio(bad, bad_share, fault_share);
+            let value = sum.get(now, EVIDENCE_HALF_LIFE) + llr;
+            sum.set(value.clamp(0.0, cap), now);
+        }
+    }
+
+    /// Returns the evidence for the likeliest fault, in nats.
+    pub fn nats(&self, now: BootTime) -> f64 {
+        let sums = self.sums.iter().map(|s| s.get(now, EVIDENCE_HALF_LIFE));
+        sums.fold(0.0, f64::max)
+    }
+
+    /// Starts again from `nats`.
+    pub fn restart(&mut self, nats: f64, now: BootTime) {
+        for sum in &mut self.sums {
+            sum.set(nats, now);
+        }
+    }
+}
--- a/src/health/floor.rs
+++ b/src/health/floor.rs
@@ -13,10 +13,10 @@
     pub suspicion: f64,
 }
 
-/// Returns the targets to route to.
+/// Returns the targets to route to, the least suspect first.
 ///
 /// All unsuspected ones are in the set. While they hold less than `floor` of the capacity, the
-/// least suspect of the others are added.
+/// least suspect of the others are added; one target always stays.
 pub fn routing_set(candidates: &[Candidate], floor: f64) -> Vec<TargetId> {
     let total: f64 = candidates.iter().map(|c| f64::from(c.slots)).sum();
     let mut sorted: Vec<&Candidate> = candidates.iter().collect();
--- /dev/null
+++ b/src/health/sequential.rs
@@ -0,0 +1,271 @@
+//! The sequential detector: tests each target's work against that of its siblings.
+
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use crate::clock::BootTime;
+
+use super::{
+    evidence::EVIDENCE_CAP, Decayed, Detector, Evidence, Observation, SequentialOptions, ServiceId,
+    Standing, TargetId, WorkCounts, WorkResult, WorkTotals, EVIDENCE_HALF_LIFE,
+};
+
+/// Multiple of the siblings' mean evidence that is the service's, not the target's.
+const SIBLING_WEIGHT: f64 = 3.0;
+/// Half-life of the memory of ejections.
+const FLAP_HALF_LIFE: Duration = Duration::from_secs(300);
+/// Part of the threshold that a target starts from after a trial.
+const EVIDENCE_AFTER_TRIAL: f64 = 0.5;
+
+/// What the detector does with a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// It gets work.
+    Serving,
+    /// It gets none before `until`, and then only after a probe.
+    Ejected { until: BootTime },
+    /// It gets a small share of idempotent work.
+    Trial { good: u32 },
+}
+
+struct Record {
+    service: ServiceId,
+    phase: Phase,
+    counts: WorkCounts,
+    evidence: Evidence,
+    ejections: Decayed,
+}
+
+#[derive(Default)]
+struct ServiceRecord {
+    counts: WorkCounts,
+    evidence: Decayed,
+    serving: u32,
+}
+
+/// Ejects a target when its work is worse than its siblings' by more than chance explains.
+pub struct Sequential {
+    opts: SequentialOptions,
+    targets: FxHashMap<TargetId, Record>,
+    services: FxHashMap<ServiceId, ServiceRecord>,
+}
+
+impl Sequential {
+    /// Makes a detector without targets.
+    pub fn new(opts: SequentialOptions) -> Self {
+        Self {
+            opts,
+            targets: FxHashMap::default(),
+            services: FxHashMap::default(),
+        }
+    }
+
+    fn siblings(&self, record: &Record, now: BootTime) -> WorkTotals {
+        let own = record.counts.totals(now);
+        let all = self.services.get(&record.service);
+        all.map_or_else(WorkTotals::default, |s| s.counts.totals(now).without(&own))
+    }
+
+    /// Returns the evidence that is the target's own, not its service's, in nats.
+    fn excess_evidence(&self, record: &Record, now: BootTime) -> f64 {
+        let own = record.evidence.nats(now);
+        let Some(service) = self.services.get(&record.service) else {
+            return own;
+        };
+        let others = service.evidence.get(now, EVIDENCE_HALF_LIFE) - own;
+        let count = service.serving.saturating_sub(1).max(1);
+        own - SIBLING_WEIGHT * others.max(0.0) / f64::from(count)
+    }
+
+    fn take_in(&mut self, target: TargetId, bad: bool, latency: Option<Duration>, now: BootTime) {
+        let Some(record) = self.targets.get(&target) else {
+            return;
+        };
+        let siblings = self.siblings(record, now);
+        let cap = EVIDENCE_CAP * self.opts.own_threshold;
+        let Some(record) = self.targets.get_mut(&target) else {
+            return;
+        };
+        let service = self.services.entry(record.service).or_default();
+        let before = record.evidence.nats(now);
+        record.evidence.observe(bad, siblings.bad_share(), cap, now);
+        let change = record.evidence.nats(now) - before;
+        service.evidence.add(change, now, EVIDENCE_HALF_LIFE);
+        record.counts.count(bad, latency, now);
+        service.counts.count(bad, latency, now);
+    }
+
+    /// Takes a target out of the comparison and of work.
+    fn eject(&mut self, target: TargetId, now: BootTime) {
+        self.leave_comparison(target, now);
+        let Some(record) = self.targets.get_mut(&target) else {
+            return;
+        };
+        let earlier = record.ejections.get(now, FLAP_HALF_LIFE);
+        let hold = self.opts.first_hold.mul_f64(earlier.exp2());
+        record.ejections.add(1.0, now, FLAP_HALF_LIFE);
+        record.phase = Phase::Ejected {
+            until: now + hold.min(self.opts.longest_hold),
+        };
+    }
+
+    fn leave_comparison(&mut self, target: TargetId, now: BootTime) {
+        let Some(record) = self.targets.get_mut(&target) else {
+            return;
+        };
+        if record.phase != Phase::Serving {
+            return;
+        }
+        let service = self.services.entry(record.service).or_default();
+        service.counts.subtract(&record.counts, now);
+        let nats = record.evidence.nats(now);
+        service.evidence.add(-nats, now, EVIDENCE_HALF_LIFE);
+        service.serving = service.serving.saturating_sub(1);
+        record.counts = WorkCounts::default();
+    }
+
+    fn return_to_work(&mut self, target: TargetId, now: BootTime) {
+        let nats = EVIDENCE_AFTER_TRIAL * self.opts.own_threshold;
+        let Some(record) = self.targets.get_mut(&target) else {
+            return;
+        };
+        record.phase = Phase::Serving;
+        record.evidence.restart(nats, now);
+        let service = self.services.entry(record.service).or_default();
+        service.evidence.add(nats, now, EVIDENCE_HALF_LIFE);
+        service.serving += 1;
+    }
+
+    fn on_trial(&mut self, target: TargetId, bad: bool, good: u32, now: BootTime) -> bool {
+        if bad {
+            self.eject(target, now);
+            return true;
+        }
+        if good + 1 >= self.opts.trial_length {
+            self.return_to_work(target, now);
+            return true;
+        }
+        if let Some(record) = self.targets.get_mut(&target) {
+            record.phase = Phase::Trial { good: good + 1 };
+        }
+        false
+    }
+
+    /// Tells whether work was bad, with its latency when that says how fast the target is.
+    fn judge(&self, record: &Record, obs: &Observation, now: BootTime) -> Option<bool> {
+        match obs.result {
+            WorkResult::Shed => None,
+            WorkResult::Success => {
+                let limit = self.siblings(record, now).slow_limit();
+                Some(limit.is_some_and(|limit| obs.latency > limit))
+            }
+            _ => Some(true),
+        }
+    }
+}
+
+impl Detector for Sequential {
+    fn join(&mut self, target: TargetId, service: ServiceId) {
+        let record = Record {
+            service,
+            phase: Phase::Serving,
+            counts: WorkCounts::default(),
+            evidence: Evidence::default(),
+            ejections: Decayed::default(),
+        };
+        self.targets.insert(target, record);
+        self.services.entry(service).or_default().serving += 1;
+    }
+
+    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> bool {
+        let Some(record) = self.targets.get(&target) else {
+            return false;
+        };
+        let Some(bad) = self.judge(record, obs, now) else {
+            return false;
+        };
+        match record.phase {
+            Phase::Ejected { .. } => return false,
+            Phase::Trial { good } => return self.on_trial(target, bad, good, now),
+            Phase::Serving => {}
+        }
+        let timed = obs.result == WorkResult::Success;
+        self.take_in(target, bad, timed.then_some(obs.latency), now);
+        let record = &self.targets[&target];
+        if !bad || self.excess_evidence(record, now) < self.opts.own_threshold {
+            return false;
+        }
+        self.eject(target, now);
+        true
+    }
+
+    fn standing(&self, target: TargetId, now: BootTime) -> Standing {
+        let Some(record) = self.targets.get(&target) else {
+            return Standing {
+                suspicion: 0.0,
+                on_trial: false,
+            };
+        };
+        let suspicion = match record.phase {
+            Phase::Serving => {
+                let share = record.evidence.nats(now) / self.opts.own_threshold;
+                share.min(0.99)
+            }
+            Phase::Trial { .. } => 1.0,
+            Phase::Ejected { .. } => 1.0 + record.ejections.get(now, FLAP_HALF_LIFE),
+        };
+        Standing {
+            suspicion,
+            on_trial: matches!(record.phase, Phase::Trial { .. }),
+        }
+    }
+
+    fn overdue_after(&self, target: TargetId, now: BootTime) -> Option<Duration> {
+        let record = self.targets.get(&target)?;
+        self.siblings(record, now).slow_limit()
+    }
+
+    fn own_evidence(&self, target: TargetId, now: BootTime) -> f64 {
+        let record = self.targets.get(&target);
+        record.map_or(0.0, |r| r.evidence.nats(now))
+    }
+
+    fn advise(&mut self, target: TargetId, now: BootTime) -> bool {
+        let serving = |r: &Record| r.phase == Phase::Serving;
+        if !self.targets.get(&target).is_some_and(serving) {
+            return false;
+        }
+        self.leave_comparison(target, now);
+        if let Some(record) = self.targets.get_mut(&target) {
+            record.phase = Phase::Trial { good: 0 };
+        }
+        true
+    }
+
+    fn wants_probe(&self, target: TargetId, now: BootTime) -> bool {
+        let record = self.targets.get(&target);
+        record.is_some_and(|r| matches!(r.phase, Phase::Ejected { until } if until <= now))
+    }
+
+    fn probed(&mut self, target: TargetId, healthy: bool, now: BootTime) -> bool {
+        if !healthy || !self.wants_probe(target, now) {
+            return false;
+        }
+        if let Some(record) = self.targets.get_mut(&target) {
+            record.phase = Phase::Trial { good: 0 };
+        }
+        true
+    }
+
+    fn forget(&mut self, target: TargetId, now: BootTime) {
+        self.leave_comparison(target, now);
+        if let Some(record) = self.targets.remove(&target) {
+            let empty = |s: &ServiceRecord| s.serving == 0;
+            let unused = !self.targets.values().any(|r| r.service == record.service);
+            if unused && self.services.get(&record.service).is_some_and(empty) {
+                self.services.remove(&record.service);
+            }
+        }
+    }
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use monoio::{io::Splitable, net::TcpStream, time::timeout};
 
 use super::{
@@ -36,6 +36,8 @@
 pub struct CallResponse {
     /// Status of the response.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
 }
@@ -76,6 +78,7 @@
         .await?;
     Ok(CallResponse {
         status: head.status,
+        headers: head.headers,
         body,
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod platform;
 pub mod pool;
 pub mod proxy;
+pub mod queue;
 pub mod retry;
 pub mod sync;
 
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -30,8 +30,10 @@
     PeerOversized,
     /// Messages on the peer port that could not be decoded.
     PeerUnreadable,
-    /// Targets ejected.
+    /// Targets ejected or put on trial.
     Ejections,
+    /// Requests that waited for a target.
+    Queued,
 }
 
 impl Counter {
--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -41,6 +41,8 @@
     TooManyInFlight,
     /// The service has no target that may take the request now.
     NoTarget,
+    /// All targets were busy for too long, or too many requests waited for them.
+    Overloaded,
     /// No connection to a target could be opened.
     ConnectFailed,
     /// The targets shed the request.
@@ -99,6 +101,7 @@
             Self::TooManyConnections => (503, NotRun, Some(1), "too many connections"),
             Self::TooManyInFlight => (503, NotRun, Some(1), "too many requests in flight"),
             Self::NoTarget => (503, NotRun, Some(1), "no target can take the request now"),
+            Self::Overloaded => (503, NotRun, Some(1), "all targets are busy"),
             Self::ConnectFailed => (503, NotRun, Some(1), "no target could be connected"),
             Self::TargetShed => (503, NotRun, Some(1), "the targets shed the request"),
             Self::DeadlineBeforeRun => (504, NotRun, Some(0), "the deadline passed before the run"),
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -129,6 +129,8 @@
         let dispatch = Dispatch {
             cx: &cx,
             service: &allowed.service,
+            workspace: &allowed.workspace,
+            rate_per_s: allowed.plan.rate_per_s,
             repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
             deadline: Deadline::of_request(&head.headers, cx.limits.deadline, now),
         };
--- a/src/proxy/deadline.rs
+++ b/src/proxy/deadline.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// Returns the point of time.
+    pub(super) fn at(&self) -> BootTime {
+        self.at
+    }
+
     /// Returns the time that is left.
     pub(super) fn left(&self, now: BootTime) -> Duration {
         self.at.since(now)
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -1,11 +1,11 @@
 //! Sending an admitted request to targets until one answers.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use http::{request, response, HeaderValue};
 
 use crate::{
-    health::{Observation, Picked, TargetId, WorkResult},
+    health::{Observation, PickError, PickOrder, Picked, TargetId, WorkResult},
     http::HttpReader,
     metrics::Counter,
     outcome::ErrorKind,
@@ -29,7 +29,11 @@
     /// What all connections share.
     pub(super) cx: &'a ProxyContext,
     /// Service that serves the request.
-    pub(super) service: &'a str,
+    pub(super) service: &'a Rc<str>,
+    /// Workspace of the request.
+    pub(super) workspace: &'a Rc<str>,
+    /// Rate of the workspace's plan, 1/s.
+    pub(super) rate_per_s: f64,
     /// Whether the request may run more than once.
     pub(super) repeatable: bool,
     /// When the answer must be there.
@@ -65,9 +69,9 @@
         let mut tried: Vec<TargetId> = Vec::new();
         let mut may_have_run = false;
         loop {
-            let picked = match self.cx.balancer.pick(self.service, &tried).await {
+            let picked = match self.cx.balancer.pick(self.order(&tried)).await {
                 Ok(picked) => picked,
-                Err(_) => return Err(DispatchError::Failed(no_target(may_have_run))),
+                Err(e) => return Err(DispatchError::Failed(no_target(e, may_have_run))),
             };
             tried.push(picked.id);
             let end = match self.attempt(&picked, head, body, caller).await {
@@ -91,6 +95,17 @@
         }
     }
 
+    fn order(&self, tried: &[TargetId]) -> PickOrder {
+        PickOrder {
+            service: self.service.clone(),
+            workspace: self.workspace.clone(),
+            rate_per_s: self.rate_per_s,
+            repeatable: self.repeatable,
+            deadline: self.deadline.at(),
+            avoid: tried.to_vec(),
+        }
+    }
+
     async fn attempt(
         &self,
         picked: &Picked,
@@ -152,7 +167,7 @@
         conn: TargetConnection,
         started: crate::clock::BootTime,
     ) -> Result<(response::Parts, TargetConnection), AttemptError> {
-        if let Some(state) = target_state(&answer) {
+        if let Some(state) = target_state(&answer.headers) {
             picked.report_state(state, target_load(&answer));
         }
         if is_shed(&answer) {
@@ -193,9 +208,12 @@
     }
 }
 
-fn no_target(may_have_run: bool) -> ErrorKind {
+fn no_target(e: PickError, may_have_run: bool) -> ErrorKind {
     if may_have_run {
         return ErrorKind::TargetLost;
     }
-    ErrorKind::NoTarget
+    match e {
+        PickError::NoTarget => ErrorKind::NoTarget,
+        PickError::Busy | PickError::Overloaded => ErrorKind::Overloaded,
+    }
 }
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -132,9 +132,9 @@
 }
 
 /// Returns what a target says of its state.
-pub(super) fn target_state(head: &response::Parts) -> Option<crate::health::TargetState> {
+pub(crate) fn target_state(headers: &HeaderMap) -> Option<crate::health::TargetState> {
     use crate::health::TargetState;
-    match head.headers.get(TARGET_STATE)?.as_bytes() {
+    match headers.get(TARGET_STATE)?.as_bytes() {
         b"serving" => Some(TargetState::Serving),
         b"cold" => Some(TargetState::Cold),
         b"draining" => Some(TargetState::Leaving),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -13,4 +13,5 @@
 mod request_id;
 
 pub use context::{ProxyContext, ProxyParts};
+pub(crate) use headers::target_state;
 pub use listener::listen_task;
--- /dev/null
+++ b/src/queue/mod.rs
@@ -0,0 +1,5 @@
+//! Requests that wait for a target, fairly among workspaces.
+
+mod fair;
+
+pub use fair::{FairQueue, QueueFull, Waiting};
