--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::BootTime;
 
-use super::Decayed;
+use super::{Decayed, Verdict, WorkTotals};
 
 /// Half-life of evidence without new work.
 pub const EVIDENCE_HALF_LIFE: Duration = Duration::from_secs(10);
@@ -22,32 +22,45 @@
     (1.0 - fault_share).ln()
 }
 
-/// Cumulative sums of log-likelihood ratios, one per tested fault, each never below zero.
+/// Cumulative sums of log-likelihood ratios, each never below zero: one per tested share of
+/// failures, and one per tested share of slow work among what does not fail.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Evidence {
-    sums: [Decayed; FAULT_SHARES.len()],
+    failed: [Decayed; FAULT_SHARES.len()],
+    slow: [Decayed; FAULT_SHARES.len()],
 }
 
 impl Evidence {
-    /// Takes in one piece of work; no sum exceeds `cap` nats.
-    pub fn observe(&mut self, bad: bool, bad_share: f64, cap: f64, now: BootTime) {
-        for (sum, fault_share) in self.sums.iter_mut().zip(FAULT_SHARES) {
-            let llr = log_likelihood_ratio(bad, bad_share, fault_share);
-            let value = sum.get(now, EVIDENCE_HALF_LIFE) + llr;
-            sum.set(value.clamp(0.0, cap), now);
+    /// Takes in one piece of work at a service that does like `siblings`; no sum exceeds `cap`
+    /// nats.
+    pub fn observe(&mut self, verdict: Verdict, siblings: &WorkTotals, cap: f64, now: BootTime) {
+        let failed = verdict == Verdict::Failed;
+        add_to(&mut self.failed, failed, siblings.failed_share(), cap, now);
+        if !failed {
+            let slow = verdict == Verdict::Slow;
+            add_to(&mut self.slow, slow, siblings.slow_share(), cap, now);
         }
     }
 
     /// Returns the evidence for the likeliest fault, in nats.
     pub fn nats(&self, now: BootTime) -> f64 {
-        let sums = self.sums.iter().map(|s| s.get(now, EVIDENCE_HALF_LIFE));
+        let all = self.failed.iter().chain(&self.slow);
+        let sums = all.map(|s| s.get(now, EVIDENCE_HALF_LIFE));
         sums.fold(0.0, f64::max)
     }
 
     /// Starts again from `nats`.
     pub fn restart(&mut self, nats: f64, now: BootTime) {
-        for sum in &mut self.sums {
+        for sum in self.failed.iter_mut().chain(&mut self.slow) {
             sum.set(nats, now);
         }
     }
 }
+
+fn add_to(sums: &mut [Decayed], bad: bool, bad_share: f64, cap: f64, now: BootTime) {
+    for (sum, fault_share) in sums.iter_mut().zip(FAULT_SHARES) {
+        let llr = log_likelihood_ratio(bad, bad_share, fault_share);
+        let value = sum.get(now, EVIDENCE_HALF_LIFE) + llr;
+        sum.set(value.clamp(0.0, cap), now);
+    }
+}
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -15,6 +15,7 @@
 mod sequential;
 mod service;
 mod target;
+mod verdict;
 mod work_counts;
 
 pub use balancer::{Balancer, Choice, PickError, PickRequest};
@@ -32,4 +33,5 @@
 pub use sequential::Sequential;
 pub use service::{Service, ServiceId};
 pub use target::{Target, TargetId, TargetState, RAMP};
+pub use verdict::Verdict;
 pub use work_counts::{WorkCounts, WorkTotals, BASELINE_HALF_LIFE};
--- a/src/health/profile.rs
+++ b/src/health/profile.rs
@@ -35,15 +35,15 @@
     pub fn options(self) -> SequentialOptions {
         match self {
             Self::FewFalseEjections => SequentialOptions {
-                own_threshold: 18.0,
+                own_threshold: 24.0,
                 fleet_threshold: 24.0,
                 first_hold: Duration::from_secs(2),
                 longest_hold: Duration::from_secs(60),
                 trial_length: 8,
             },
             Self::FastDetection => SequentialOptions {
-                own_threshold: 14.0,
-                fleet_threshold: 16.0,
+                own_threshold: 20.0,
+                fleet_threshold: 20.0,
                 first_hold: Duration::from_secs(2),
                 longest_hold: Duration::from_secs(120),
                 trial_length: 8,
--- a/src/health/sequential.rs
+++ b/src/health/sequential.rs
@@ -8,10 +8,12 @@
 
 use super::{
     evidence::EVIDENCE_CAP, Decayed, Detector, Evidence, Observation, SequentialOptions, ServiceId,
-    Standing, TargetId, WorkCounts, WorkResult, WorkTotals, EVIDENCE_HALF_LIFE,
+    Standing, TargetId, Verdict, WorkCounts, WorkResult, WorkTotals, EVIDENCE_HALF_LIFE,
 };
 
-/// Multiple of the siblings' mean evidence that is the service's, not the target's.
+/// Mean evidence against siblings that chance explains, nats.
+const SIBLING_NOISE: f64 = 2.0;
+/// Multiple of the siblings' further mean evidence that is the service's, not the target's.
 const SIBLING_WEIGHT: f64 = 3.0;
 /// Half-life of the memory of ejections.
 const FLAP_HALF_LIFE: Duration = Duration::from_secs(300);
@@ -75,10 +77,17 @@
         };
         let others = service.evidence.get(now, EVIDENCE_HALF_LIFE) - own;
         let count = service.serving.saturating_sub(1).max(1);
-        own - SIBLING_WEIGHT * others.max(0.0) / f64::from(count)
+        let mean = others / f64::from(count);
+        own - SIBLING_WEIGHT * (mean - SIBLING_NOISE).max(0.0)
     }
 
-    fn take_in(&mut self, target: TargetId, bad: bool, latency: Option<Duration>, now: BootTime) {
+    fn take_in(
+        &mut self,
+        target: TargetId,
+        verdict: Verdict,
+        latency: Option<Duration>,
+        now: BootTime,
+    ) {
         let Some(record) = self.targets.get(&target) else {
             return;
         };
@@ -89,11 +98,11 @@
         };
         let service = self.services.entry(record.service).or_default();
         let before = record.evidence.nats(now);
-        record.evidence.observe(bad, siblings.bad_share(), cap, now);
+        record.evidence.observe(verdict, &siblings, cap, now);
         let change = record.evidence.nats(now) - before;
         service.evidence.add(change, now, EVIDENCE_HALF_LIFE);
-        record.counts.count(bad, latency, now);
-        service.counts.count(bad, latency, now);
+        record.counts.count(verdict, latency, now);
+        service.counts.count(verdict, latency, now);
     }
 
     /// Takes a target out of the comparison and of work.
@@ -152,15 +161,19 @@
         false
     }
 
-    /// Tells whether work was bad, with its latency when that says how fast the target is.
-    fn judge(&self, record: &Record, obs: &Observation, now: BootTime) -> Option<bool> {
+    /// Judges one piece of work; none when it says nothing of the target.
+    fn judge(&self, record: &Record, obs: &Observation, now: BootTime) -> Option<Verdict> {
         match obs.result {
             WorkResult::Shed => None,
+            WorkResult::Overdue => Some(Verdict::Slow),
             WorkResult::Success => {
                 let limit = self.siblings(record, now).slow_limit();
-                Some(limit.is_some_and(|limit| obs.latency > limit))
+                let slow = limit.is_some_and(|limit| obs.latency > limit);
+                Some(if slow { Verdict::Slow } else { Verdict::Good })
+            }
+            WorkResult::ServerError | WorkResult::Lost | WorkResult::Timeout => {
+                Some(Verdict::Failed)
             }
-            _ => Some(true),
         }
     }
 }
@@ -182,16 +195,17 @@
         let Some(record) = self.targets.get(&target) else {
             return false;
         };
-        let Some(bad) = self.judge(record, obs, now) else {
+        let Some(verdict) = self.judge(record, obs, now) else {
             return false;
         };
+        let bad = verdict != Verdict::Good;
         match record.phase {
             Phase::Ejected { .. } => return false,
             Phase::Trial { good } => return self.on_trial(target, bad, good, now),
             Phase::Serving => {}
         }
         let timed = obs.result == WorkResult::Success;
-        self.take_in(target, bad, timed.then_some(obs.latency), now);
+        self.take_in(target, verdict, timed.then_some(obs.latency), now);
         let record = &self.targets[&target];
         if !bad || self.excess_evidence(record, now) < self.opts.own_threshold {
             return false;
--- a/src/health/work_counts.rs
+++ b/src/health/work_counts.rs
@@ -4,15 +4,23 @@
 
 use crate::clock::BootTime;
 
-use super::Decayed;
+use super::{Decayed, Verdict};
 
 /// Half-life of the counts that siblings are compared by.
 pub const BASELINE_HALF_LIFE: Duration = Duration::from_secs(10);
 
+/// Share of failures to expect without any counts.
+const PRIOR_FAILED: f64 = 0.01;
+/// Share of slow work to expect without any counts.
+const PRIOR_SLOW: f64 = 0.05;
+/// Work by which the prior shares weigh.
+const PRIOR_WORK: f64 = 20.0;
+
 /// Decayed counts of work, kept per target and per service.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct WorkCounts {
-    bad: Decayed,
+    failed: Decayed,
+    slow: Decayed,
     all: Decayed,
     ln_latency: Decayed,
     timed: Decayed,
@@ -21,8 +29,10 @@
 /// The counts as of one point of time.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct WorkTotals {
-    /// Work that failed or was slow.
-    pub bad: f64,
+    /// Work that failed.
+    pub failed: f64,
+    /// Work that was slow.
+    pub slow: f64,
     /// All work.
     pub all: f64,
     /// Sum of the natural logarithms of latencies in seconds.
@@ -33,10 +43,12 @@
 
 impl WorkCounts {
     /// Counts one piece of work; a latency is given only for work that ended well.
-    pub fn count(&mut self, bad: bool, latency: Option<Duration>, now: BootTime) {
+    pub fn count(&mut self, verdict: Verdict, latency: Option<Duration>, now: BootTime) {
         self.all.add(1.0, now, BASELINE_HALF_LIFE);
-        if bad {
-            self.bad.add(1.0, now, BASELINE_HALF_LIFE);
+        match verdict {
+            Verdict::Good => {}
+            Verdict::Slow => self.slow.add(1.0, now, BASELINE_HALF_LIFE),
+            Verdict::Failed => self.failed.add(1.0, now, BASELINE_HALF_LIFE),
         }
         if let Some(latency) = latency {
             let ln = latency.as_secs_f64().max(1e-6).ln();
@@ -48,7 +60,8 @@
     /// Takes other counts out of these.
     pub fn subtract(&mut self, other: &Self, now: BootTime) {
         let other = other.totals(now);
-        self.bad.add(-other.bad, now, BASELINE_HALF_LIFE);
+        self.failed.add(-other.failed, now, BASELINE_HALF_LIFE);
+        self.slow.add(-other.slow, now, BASELINE_HALF_LIFE);
         self.all.add(-other.all, now, BASELINE_HALF_LIFE);
         self.ln_latency
             .add(-other.ln_latency, now, BASELINE_HALF_LIFE);
@@ -58,7 +71,8 @@
     /// Returns the counts as of `now`.
     pub fn totals(&self, now: BootTime) -> WorkTotals {
         WorkTotals {
-            bad: self.bad.get(now, BASELINE_HALF_LIFE),
+            failed: self.failed.get(now, BASELINE_HALF_LIFE),
+            slow: self.slow.get(now, BASELINE_HALF_LIFE),
             all: self.all.get(now, BASELINE_HALF_LIFE),
             ln_latency: self.ln_latency.get(now, BASELINE_HALF_LIFE),
             timed: self.timed.get(now, BASELINE_HALF_LIFE),
@@ -70,33 +84,30 @@
     /// Returns what is left without `own`.
     pub fn without(&self, own: &Self) -> Self {
         Self {
-            bad: (self.bad - own.bad).max(0.0),
+            failed: (self.failed - own.failed).max(0.0),
+            slow: (self.slow - own.slow).max(0.0),
             all: (self.all - own.all).max(0.0),
             ln_latency: self.ln_latency - own.ln_latency,
             timed: (self.timed - own.timed).max(0.0),
         }
     }
 
-    /// Returns the share of bad work to expect, from 0 to 1, with a prior of 1% for few counts.
-    pub fn bad_share(&self) -> f64 {
-        /// Bad work of the prior.
-        const PRIOR_BAD: f64 = 0.2;
-        /// All work of the prior.
-        const PRIOR_ALL: f64 = 20.0;
-        /// Least share, so that one failure never proves anything.
-        const LEAST: f64 = 0.005;
-        /// Greatest share.
-        const GREATEST: f64 = 0.9;
-        let share = (self.bad + PRIOR_BAD) / (self.all + PRIOR_ALL);
-        share.clamp(LEAST, GREATEST)
+    /// Returns the share of work to expect to fail, from 0 to 1.
+    pub fn failed_share(&self) -> f64 {
+        expected_share(self.failed, self.all, PRIOR_FAILED)
+    }
+
+    /// Returns the share of work that does not fail to expect to be slow, from 0 to 1.
+    pub fn slow_share(&self) -> f64 {
+        expected_share(self.slow, self.all - self.failed, PRIOR_SLOW)
     }
 
     /// Returns the latency beyond which work is slow; none without enough counts.
     pub fn slow_limit(&self) -> Option<Duration> {
         /// Work that is needed for a comparison.
-        const LEAST_TIMED: f64 = 8.0;
+        const LEAST_TIMED: f64 = 20.0;
         /// Multiple of the geometric mean.
-        const SLOW_FACTOR: f64 = 6.0;
+        const SLOW_FACTOR: f64 = 8.0;
         /// Latency that is never slow, s.
         const NEVER_SLOW_S: f64 = 0.02;
         if self.timed < LEAST_TIMED {
@@ -107,3 +118,13 @@
         Some(Duration::from_secs_f64(limit))
     }
 }
+
+/// Returns the share to expect, with a prior share for few counts.
+fn expected_share(bad: f64, all: f64, prior: f64) -> f64 {
+    /// Least share, so that one failure never proves anything.
+    const LEAST: f64 = 0.005;
+    /// Greatest share.
+    const GREATEST: f64 = 0.9;
+    let share = (bad + prior * PRIOR_WORK) / (all + PRIOR_WORK);
+    share.clamp(LEAST, GREATEST)
+}
