--- a/examples/measure/capacity.rs
+++ b/examples/measure/capacity.rs
@@ -9,7 +9,7 @@
 use chervillug::{
     catalog::{Catalog, Change, Edit, EditId, KeyHasher, Plan, Route, RouteLookup},
     clock::BootTime,
-    health::{Balancer, Consecutive},
+    health::{Balancer, PickRequest, Profile, Sequential},
     platform::ListedHost,
 };
 use serde_json::json;
@@ -148,27 +148,33 @@
 fn measure_targets(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
     let hosts: Vec<ListedHost> = (0..TARGETS).map(listed_target).collect();
     let before = live_bytes();
-    let mut balancer = Balancer::new(Box::<Consecutive>::default(), FLOOR, opts.seed);
+    let detector = Sequential::new(Profile::default().options());
+    let mut balancer = Balancer::new(Box::new(detector), FLOOR, opts.seed);
+    let now = BootTime::from_duration(Duration::from_secs(1));
     let begin = Instant::now();
-    balancer.set_targets(&hosts);
+    balancer.set_targets(&hosts, now);
     let field = json!({"of": "target", "count": TARGETS});
     report.figure("load_s", begin.elapsed().as_secs_f64(), "s", &field);
     let bytes = (live_bytes() - before) / TARGETS as f64;
     report.figure("state_bytes_each", bytes, "bytes", &field);
     let begin = Instant::now();
-    balancer.set_targets(&hosts);
+    balancer.set_targets(&hosts, now);
     report.figure("list_refresh_s", begin.elapsed().as_secs_f64(), "s", &field);
 
-    let now = BootTime::from_duration(Duration::from_secs(1));
     let mut random = fastrand::Rng::with_seed(opts.seed);
     let names: Vec<String> = (0..REPEATS)
         .map(|_| format!("service-{}", random.usize(0..SERVICES)))
         .collect();
     let begin = Instant::now();
     for name in &names {
-        let picked = balancer.pick(name, &[], now).map(|t| t.id);
-        let id = picked.map_err(|_| io::Error::other("no target"))?;
-        balancer.release(hint::black_box(id));
+        let req = PickRequest {
+            service: name,
+            avoid: &[],
+            repeatable: true,
+        };
+        let choice = hint::black_box(balancer.pick(&req, now));
+        let choice = choice.map_err(|_| io::Error::other("no target"))?;
+        balancer.release(choice.id, choice.ticket);
     }
     report_each(report, "pick_us", begin.elapsed(), names.len());
     Ok(())
--- a/src/health/sequential.rs
+++ b/src/health/sequential.rs
@@ -44,6 +44,7 @@
     counts: WorkCounts,
     evidence: Decayed,
     serving: u32,
+    members: u32,
 }
 
 /// Ejects a target when its work is worse than its siblings' by more than chance explains.
@@ -188,7 +189,9 @@
             ejections: Decayed::default(),
         };
         self.targets.insert(target, record);
-        self.services.entry(service).or_default().serving += 1;
+        let service = self.services.entry(service).or_default();
+        service.serving += 1;
+        service.members += 1;
     }
 
     fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> bool {
@@ -274,12 +277,13 @@
 
     fn forget(&mut self, target: TargetId, now: BootTime) {
         self.leave_comparison(target, now);
-        if let Some(record) = self.targets.remove(&target) {
-            let empty = |s: &ServiceRecord| s.serving == 0;
-            let unused = !self.targets.values().any(|r| r.service == record.service);
-            if unused && self.services.get(&record.service).is_some_and(empty) {
-                self.services.remove(&record.service);
-            }
+        let Some(record) = self.targets.remove(&target) else {
+            return;
+        };
+        let service = self.services.entry(record.service).or_default();
+        service.members = service.members.saturating_sub(1);
+        if service.members == 0 {
+            self.services.remove(&record.service);
         }
     }
 }
