--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -36,8 +36,10 @@
     PeerAskBytes,
     /// Bytes of calls to the platform, heads included, as sent and received.
     PlatformBytes,
-    /// Targets ejected.
+    /// Targets ejected or put on trial.
     Ejections,
+    /// Requests that waited for a target.
+    Queued,
 }
 
 impl Counter {
