--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,7 +17,7 @@
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
     config::Settings,
-    health::{balancer_task, Balancer, BalancerHandle, Consecutive},
+    health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
     hosts::host_list_task,
     lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
     limit::{static_split_task, TaskLimiter},
@@ -73,19 +73,23 @@
     let operator_listener = bind(settings.operator_address)?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let metrics = Rc::new(Metrics::default());
-    let platform = Rc::new(HttpPlatform::new(settings.platform_address, &settings.host));
+    let platform = Rc::new(HttpPlatform::new(
+        settings.platform_address,
+        &settings.host,
+        metrics.clone(),
+    ));
     let shutdown = Shutdown::default();
     let steps = ShutdownSteps::default();
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
-    let directory = PeerDirectory::new(&settings.host);
-    let _peers = PeerClient::new(secrets.clone(), directory.clone());
+    let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
+    let _peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
     let router = PeerRouter::default();
 
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
     let state = Balancer::new(
-        Box::<Consecutive>::default(),
+        Box::new(Sequential::new(settings.profile.options())),
         settings.floor,
         fastrand::u64(..),
     );
@@ -94,7 +98,9 @@
         balancer_rx,
         balancer.clone(),
         clock.clone(),
+        metrics.clone(),
     ));
+    monoio::spawn(probe_task(balancer.clone()));
 
     let (pool_tx, pool_rx) = mpsc::unbounded::channel();
     monoio::spawn(pool_task(pool_rx, clock.clone()));
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use monoio::{io::Splitable, net::TcpStream, time::timeout};
 
 use super::{
@@ -36,8 +36,12 @@
 pub struct CallResponse {
     /// Status of the response.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Bytes sent and received, heads included.
+    pub transferred: u64,
 }
 
 /// Sends one request on a new connection and reads the whole response.
@@ -63,6 +67,7 @@
     let mut buf = BytesMut::new();
     encode_request_head(&head, Framing::Length(req.body.len() as u64), &mut buf);
     buf.extend_from_slice(&req.body);
+    let sent = buf.len() as u64;
     writer.write(buf.freeze()).await?;
 
     let limits = HeadLimits {
@@ -76,7 +81,9 @@
         .await?;
     Ok(CallResponse {
         status: head.status,
+        headers: head.headers,
         body,
+        transferred: sent + reader.received(),
     })
 }
 
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -15,4 +15,5 @@
 mod serve;
 
 pub use context::{ProxyContext, ProxyParts};
+pub(crate) use headers::target_state;
 pub use listener::listen_task;
