--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -3,13 +3,16 @@
 use std::{
     fs,
     io::Read,
+    ops::RangeInclusive,
     path::{Path, PathBuf},
 };
 
 use json_comments::StripComments;
 
-use super::{Settings, SettingsError};
+use super::{LimitSettings, Settings, SettingsError};
 
+/// Bounds of `head_bytes`; the head decoder panics on a header name of 64 KiB.
+const HEAD_BYTES: RangeInclusive<usize> = 1024..=60 * 1024;
 /// Fewest characters of a secret.
 const MIN_SECRET_LEN: usize = 16;
 
@@ -101,20 +104,33 @@
     if !(0.0..=1.0).contains(&settings.floor) {
         return fault("floor", "expected a share from 0 to 1");
     }
-    let limits = &settings.limits;
+    check_limits(&settings.limits)
+}
+
+fn check_limits(limits: &LimitSettings) -> Option<Fault> {
+    let fault = |key, expected| Some(Fault { key, expected });
     if limits.connections == 0 {
         return fault("connections", "expected at least 1");
     }
     if limits.in_flight == 0 {
         return fault("in_flight", "expected at least 1");
     }
-    if limits.head_bytes < 1024 {
-        return fault("head_bytes", "expected at least 1024");
+    if !HEAD_BYTES.contains(&limits.head_bytes) {
+        return fault("head_bytes", "expected 1024 to 61440");
     }
-    if limits.deadline.is_zero() {
-        return fault("deadline_ms", "expected more than 0");
+    if limits.buffered_bytes < limits.buffered_body_bytes {
+        return fault("buffered_bytes", "expected at least buffered_body_bytes");
     }
-    None
+    let durations = [
+        ("head_ms", limits.head_timeout),
+        ("idle_ms", limits.idle_timeout),
+        ("deadline_ms", limits.deadline),
+        ("connect_ms", limits.connect_timeout),
+        ("body_part_ms", limits.body_part_timeout),
+        ("shutdown_ms", limits.shutdown_timeout),
+    ];
+    let zero = durations.iter().find(|(_, time)| time.is_zero());
+    zero.and_then(|(key, _)| fault(key, "expected more than 0"))
 }
 
 fn is_name(text: &str) -> bool {
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -301,6 +301,20 @@
     }
 }
 
+#[test]
+fn head_without_end_is_refused_before_its_time_is_over() {
+    let mut opts = env::options();
+    opts.settings = json!({"limits": {"head_ms": 60_000}});
+    let cluster = env::start(opts);
+    let mut client = connect(&cluster);
+    client
+        .write(b"GET /catalogue HTTP/1.1\r\nx: ")
+        .expect("a head");
+    client.write(&[b'y'; 40_000]).expect("a head");
+    let reply = client.read_reply("GET").expect("an answer");
+    assert_eq!(reply.json()["reason"], "head_too_large");
+}
+
 #[test]
 fn slow_head_is_bounded_from_its_first_byte() {
     let cluster = fleet();
