Claim requests with an idempotency key before they run

Cause: a caller that sends an order again through another host could have it run twice.

Ruled out: removing the row at a release (a late removal must never take a later claim, and a row that stays keeps its versions rising); checking the version at a finish (only the owner changes a running row, and the check costs a read per request).

Change: a put-if-absent row in the table before dispatch, keyed by a hash over workspace, service and key; a lost answer is resolved by reading back the claim's own id; held, finished and mismatched claims have kinds of their own and name the first request and its status; a refusal without a run releases the claim.

--- /dev/null
+++ b/src/claim/sweep.rs
@@ -0,0 +1,70 @@
+//! The task that removes old claims.
+
+use std::{rc::Rc, time::Duration};
+
+use crate::{
+    peer::PeerDirectory,
+    platform::{PlatformError, RowCheck, RowWrite, ScannedRow, Table, Transaction},
+};
+
+use super::{
+    store::{unix_now_s, CLAIMS},
+    ClaimRow,
+};
+
+/// Time for which a claim is kept, s.
+const RETENTION_S: u64 = 24 * 3600;
+/// Time between two sweeps of the whole fleet.
+const FLEET_INTERVAL: Duration = Duration::from_secs(4);
+/// Shortest time between two sweeps of one host.
+const MIN_INTERVAL: Duration = Duration::from_secs(60);
+/// Most claims that one sweep removes, in one transaction.
+const MAX_REMOVED: usize = 200;
+
+/// Removes claims past their retention time, one page from a random place on at a time.
+pub async fn claim_sweep_task(table: Rc<dyn Table>, directory: PeerDirectory) {
+    loop {
+        let hosts = directory.peers().len() as u32 + 1;
+        let interval = (FLEET_INTERVAL * hosts).max(MIN_INTERVAL);
+        monoio::time::sleep(interval.mul_f64(0.5 + fastrand::f64())).await;
+        if let Err(e) = sweep(table.as_ref()).await {
+            log::warn!("claims: {e}");
+        }
+    }
+}
+
+async fn sweep(table: &dyn Table) -> Result<(), PlatformError> {
+    let after = format!("{:08x}", fastrand::u32(..));
+    let rows = table.scan(CLAIMS, &after, MAX_REMOVED).await?;
+    let now_s = unix_now_s();
+    let old: Vec<&ScannedRow> = rows.iter().filter(|row| is_old(row, now_s)).collect();
+    if old.is_empty() {
+        return Ok(());
+    }
+    let tx = Transaction {
+        checks: old.iter().map(|row| check(row)).collect(),
+        writes: old.iter().map(|row| removal(row)).collect(),
+    };
+    table.transact(&tx).await.map(|_| ())
+}
+
+fn is_old(row: &ScannedRow, now_s: u64) -> bool {
+    let claim: Result<ClaimRow, _> = serde_json::from_value(row.value.clone());
+    claim.is_ok_and(|claim| now_s.saturating_sub(claim.created_s) > RETENTION_S)
+}
+
+fn check(row: &ScannedRow) -> RowCheck {
+    RowCheck {
+        table: CLAIMS,
+        key: row.key.clone(),
+        version: row.version,
+    }
+}
+
+fn removal(row: &ScannedRow) -> RowWrite {
+    RowWrite {
+        table: CLAIMS,
+        key: row.key.clone(),
+        value: None,
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     catalog::KeyHasher,
+    claim::{claim_sweep_task, ClaimStore},
     clock::{Clock, SystemClock},
     config::Settings,
     health::{balancer_task, Balancer, BalancerHandle, Consecutive},
@@ -109,6 +110,8 @@
         metrics: metrics.clone(),
     };
     monoio::spawn(sync_task(sync, sync_rx));
+    let claims = ClaimStore::new(platform.clone());
+    monoio::spawn(claim_sweep_task(platform.clone(), directory.clone()));
     monoio::spawn(host_list_task(
         platform,
         balancer.clone(),
@@ -135,6 +138,7 @@
         limiter: Box::new(TaskLimiter::new(limiter_tx)),
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
+        claims,
         metrics,
         clock,
         shutdown: shutdown.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! program `chervillug`.
 
 pub mod catalog;
+pub mod claim;
 pub mod cli;
 pub mod clock;
 pub mod command;
--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -47,6 +47,14 @@
     TargetShed,
     /// The deadline passed before the request was sent to a target.
     DeadlineBeforeRun,
+    /// The claim of the request could not be written.
+    ClaimUnavailable,
+    /// An earlier request under the same idempotency key runs or may have run.
+    ClaimHeld,
+    /// An earlier request under the same idempotency key was answered.
+    ClaimFinished,
+    /// The idempotency key was used with another request.
+    ClaimMismatch,
     /// The target closed or failed while it had the request.
     TargetLost,
     /// The target gave no answer before the deadline.
@@ -102,6 +110,25 @@
             Self::ConnectFailed => (503, NotRun, Some(1), "no target could be connected"),
             Self::TargetShed => (503, NotRun, Some(1), "the targets shed the request"),
             Self::DeadlineBeforeRun => (504, NotRun, Some(0), "the deadline passed before the run"),
+            Self::ClaimUnavailable => (503, NotRun, Some(1), "the request cannot be claimed now"),
+            Self::ClaimHeld => (
+                409,
+                NotRun,
+                Some(1),
+                "an earlier request with this idempotency key runs or may have run",
+            ),
+            Self::ClaimFinished => (
+                409,
+                NotRun,
+                None,
+                "an earlier request with this idempotency key was answered",
+            ),
+            Self::ClaimMismatch => (
+                422,
+                NotRun,
+                None,
+                "the idempotency key was used with another request",
+            ),
             Self::TargetLost => (502, Unknown, None, "the target failed during the request"),
             Self::TargetTimeout => (504, Unknown, None, "the target did not answer in time"),
             Self::TargetMalformed => (502, Unknown, None, "the target's answer is malformed"),
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -7,6 +7,7 @@
 use monoio::{io::Splitable, net::TcpStream, time::timeout};
 
 use crate::{
+    claim::FirstRun,
     http::{
         encode_response_head, request_body_kind, BodyKind, Framing, HttpError, HttpReader,
         HttpWriter,
@@ -20,7 +21,7 @@
     admit::{admit, authorize, Refusal},
     deadline::Deadline,
     dispatch::{Dispatch, DispatchError},
-    headers::{add_outcome, prepare_for_target, repeatable_mark},
+    headers::{add_first_run, add_outcome, prepare_for_target, repeatable_mark},
     relay::{relay_answer, AnswerForm, Relayed},
     request_body::RequestBody,
     ProxyContext,
@@ -129,11 +130,13 @@
         let dispatch = Dispatch {
             cx: &cx,
             service: &allowed.service,
+            workspace: &allowed.workspace,
+            request_id: id,
             repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
             deadline: Deadline::of_request(&head.headers, cx.limits.deadline, now),
         };
         prepare_for_target(&mut head, &allowed.workspace, id);
-        let outcome = dispatch.run(&mut head, &mut body, &mut self.reader).await;
+        let outcome = dispatch.serve(&mut head, &mut body, &mut self.reader).await;
         let keep_alive = keep_alive && body.is_received() && !cx.leaving.has_begun();
         match outcome {
             Err(DispatchError::CallerGone) => {
@@ -144,6 +147,10 @@
                 self.tell(kind.into(), id, keep_alive).await;
                 after(keep_alive)
             }
+            Err(DispatchError::Held(kind, first)) => {
+                self.tell_held(kind, &first, id, keep_alive).await;
+                after(keep_alive)
+            }
             Ok(answer) => {
                 let form = AnswerForm {
                     method: &head.method,
@@ -199,6 +206,20 @@
         after(keep_alive)
     }
 
+    /// Tells of the earlier request under the same idempotency key.
+    async fn tell_held(&mut self, kind: ErrorKind, first: &FirstRun, id: &str, keep_alive: bool) {
+        self.cx.metrics.count_refusal(kind);
+        log::info!("request {id}: {}", kind.name());
+        let (mut head, body) = problem_response(kind, id, None);
+        add_outcome(&mut head, kind.answer().outcome, id);
+        add_first_run(&mut head, first);
+        if !keep_alive {
+            head.headers
+                .insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        let _ = self.send(&head, &body).await;
+    }
+
     async fn tell(&mut self, refusal: Refusal, id: &str, keep_alive: bool) {
         self.cx.metrics.count_refusal(refusal.kind);
         log::info!("request {id}: {}", refusal.kind.name());
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     catalog::KeyHasher,
+    claim::ClaimStore,
     clock::Clock,
     config::LimitSettings,
     health::BalancerHandle,
@@ -31,6 +32,8 @@
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
+    /// Claims of requests that must not run twice.
+    pub claims: ClaimStore,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -61,6 +64,8 @@
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
+    /// Claims of requests that must not run twice.
+    pub claims: ClaimStore,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -81,6 +86,7 @@
             limiter: parts.limiter,
             balancer: parts.balancer,
             pool: parts.pool,
+            claims: parts.claims,
             metrics: parts.metrics,
             clock: parts.clock,
             leaving: Shutdown::default(),
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -3,6 +3,7 @@
 use http::{request, response, HeaderValue};
 
 use crate::{
+    claim::FirstRun,
     clock::BootTime,
     health::{Observation, Picked, TargetId, WorkResult},
     http::HttpReader,
@@ -29,6 +30,10 @@
     pub(super) cx: &'a ProxyContext,
     /// Service that serves the request.
     pub(super) service: &'a str,
+    /// Workspace of the caller.
+    pub(super) workspace: &'a str,
+    /// Identity of the request.
+    pub(super) request_id: &'a str,
     /// Whether the request may run more than once.
     pub(super) repeatable: bool,
     /// When the answer must be there.
@@ -46,26 +51,32 @@
 }
 
 /// Why no target answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum DispatchError {
     /// The caller is told of this kind.
     Failed(ErrorKind),
+    /// An earlier request holds the claim.
+    Held(ErrorKind, FirstRun),
     /// The caller went away.
     CallerGone,
 }
 
+/// The end of a request at the targets.
+pub(super) struct RunEnd {
+    /// The answer, or why there is none.
+    pub(super) result: Result<TargetAnswer, DispatchError>,
+    /// Whether a target may have run the request.
+    pub(super) may_have_run: bool,
+}
+
 impl Dispatch<'_> {
     /// Sends the request to targets until one answers.
-    ///
-    /// # Errors
-    ///
-    /// Returns why none did.
     pub(super) async fn run(
         &self,
         head: &mut request::Parts,
         body: &mut RequestBody,
         caller: &mut HttpReader,
-    ) -> Result<TargetAnswer, DispatchError> {
+    ) -> RunEnd {
         let facts = RequestFacts {
             repeatable: self.repeatable,
             replayable: body.is_replayable(),
@@ -82,7 +93,10 @@
             exchange: None,
             answer: None,
         };
-        run.drive().await
+        RunEnd {
+            result: run.drive().await,
+            may_have_run: run.machine.may_have_run(),
+        }
     }
 }
 
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -2,7 +2,7 @@
 
 use http::{header, request, response, HeaderMap, HeaderName, HeaderValue};
 
-use crate::outcome::Outcome;
+use crate::{claim::FirstRun, outcome::Outcome};
 
 /// Prefix of all headers that only the fleet may set.
 const OWN_PREFIX: &str = "chervillug-";
@@ -16,6 +16,12 @@
 pub(super) const DEADLINE_MS: HeaderName = HeaderName::from_static("chervillug-deadline-ms");
 /// Mark of a caller on whether a request may run more than once: `yes` or `no`.
 pub(super) const REPEATABLE: HeaderName = HeaderName::from_static("chervillug-repeatable");
+/// Names a request of which the caller wants one run only.
+pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Names the earlier request under the same idempotency key.
+const FIRST_REQUEST_ID: HeaderName = HeaderName::from_static("chervillug-first-request-id");
+/// Status of the answer to that request.
+const FIRST_STATUS: HeaderName = HeaderName::from_static("chervillug-first-status");
 /// A target's word that it shed the request: `not-run`.
 const TARGET_SHED: HeaderName = HeaderName::from_static("target-shed");
 /// A target's word on its state: `serving`, `cold` or `draining`.
@@ -116,6 +122,15 @@
     head.headers.insert(REQUEST_ID, valid_value(request_id));
 }
 
+/// Adds what is known of the earlier request under the same idempotency key.
+pub(super) fn add_first_run(head: &mut response::Parts, first: &FirstRun) {
+    let id = valid_value(&first.request_id);
+    head.headers.insert(FIRST_REQUEST_ID, id);
+    if let Some(status) = first.status {
+        head.headers.insert(FIRST_STATUS, HeaderValue::from(status));
+    }
+}
+
 /// Returns the caller's mark on whether the request may run more than once.
 pub(super) fn repeatable_mark(headers: &HeaderMap) -> Option<bool> {
     match headers.get(REPEATABLE)?.as_bytes() {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod attempt;
 mod caller;
+mod claimed;
 mod context;
 mod deadline;
 mod dispatch;
--- a/src/proxy/request_body.rs
+++ b/src/proxy/request_body.rs
@@ -43,6 +43,14 @@
         }
     }
 
+    /// Returns the whole body; none when it is streamed.
+    pub(super) fn whole(&self) -> Option<&[u8]> {
+        match self {
+            Self::Whole(body) => Some(body),
+            Self::Streamed(..) => None,
+        }
+    }
+
     /// Returns how the body is framed towards the target.
     pub(super) fn framing(&self) -> Framing {
         match self {
