Prove at most one run per claim by model and by processes

Cause: claims and the request machine had no proof over lost answers, kills and resends.

Ruled out: a model of its own rules; it drives RequestMachine and ClaimMachine, and adds only the table (writes lost before, after and long before their effect), targets that run what was sent at any later time, and hosts killed at every step.

--- /dev/null
+++ b/tests/model/arrival.rs
@@ -0,0 +1,183 @@
+//! One arrival of the request at a host of the fleet.
+
+use chervillug::{
+    claim::{ClaimAction, ClaimEvent, ClaimId, ClaimMachine, ClaimRow, ClaimState, RequestDigest},
+    outcome::{ErrorKind, Outcome},
+    retry::{Action, Event, RequestFacts, RequestMachine},
+};
+
+use super::{told, Broken, Scenario};
+
+/// What a caller was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Told {
+    AnswerOf(u8),
+    NotRun,
+    Unknown,
+}
+
+/// Where an arrival stands.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum Phase {
+    Waiting,
+    Claiming(ClaimMachine, ClaimAction),
+    Running {
+        machine: RequestMachine,
+        action: Action,
+        connection: u8,
+    },
+    Finishing,
+    ReadingToRelease,
+    Releasing(Option<u64>),
+    Over,
+}
+
+/// One arrival of the request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct Arrival {
+    pub(crate) phase: Phase,
+    pub(crate) runs: u8,
+    pub(crate) told: Option<Told>,
+}
+
+pub(crate) fn id(i: u8) -> ClaimId {
+    ClaimId([i; 16])
+}
+
+fn digest() -> RequestDigest {
+    RequestDigest::new("POST", "/orders", Some(b"one"))
+}
+
+pub(crate) fn row(i: u8, state: ClaimState) -> ClaimRow {
+    ClaimRow {
+        id: id(i),
+        digest: digest(),
+        request_id: i.to_string(),
+        created_s: 0,
+        state,
+    }
+}
+
+impl Arrival {
+    pub(crate) fn new() -> Self {
+        Self {
+            phase: Phase::Waiting,
+            runs: 0,
+            told: None,
+        }
+    }
+
+    pub(crate) fn begin(&mut self, i: u8, scenario: &Scenario) {
+        if scenario.claimed {
+            let machine = ClaimMachine::new(id(i), digest());
+            self.phase = Phase::Claiming(machine, ClaimAction::Write(0));
+        } else {
+            self.run(scenario);
+        }
+    }
+
+    fn run(&mut self, scenario: &Scenario) {
+        let lies = scenario.broken == Broken::RetriesWhatMayHaveRun;
+        let machine = RequestMachine::new(RequestFacts {
+            repeatable: scenario.repeatable || lies,
+            replayable: scenario.replayable,
+            max_attempts: 3,
+        });
+        self.phase = Phase::Running {
+            machine,
+            action: Action::Pick,
+            connection: 0,
+        };
+    }
+
+    pub(crate) fn claim_event(&mut self, event: ClaimEvent<'_>, scenario: &Scenario) {
+        let Phase::Claiming(machine, action) = &mut self.phase else {
+            return;
+        };
+        *action = machine.step(event);
+        let may_be_stored = machine.may_be_stored();
+        match action {
+            ClaimAction::Run => self.run(scenario),
+            ClaimAction::Refuse(_) if scenario.broken == Broken::RunsUnclaimed => {
+                self.run(scenario);
+            }
+            ClaimAction::Refuse(refusal) => {
+                self.told = Some(told(refusal.kind().answer().outcome));
+                self.phase = if may_be_stored {
+                    Phase::ReadingToRelease
+                } else {
+                    Phase::Over
+                };
+            }
+            ClaimAction::Write(_) | ClaimAction::Read => {}
+        }
+    }
+
+    pub(crate) fn would_retry_silence(&self) -> bool {
+        matches!(&self.phase, Phase::Running { machine, .. } if machine.would_retry_silence())
+    }
+
+    pub(crate) fn connection(&self) -> u8 {
+        match self.phase {
+            Phase::Running { connection, .. } => connection,
+            _ => 0,
+        }
+    }
+
+    pub(crate) fn set_connection(&mut self, to: u8) {
+        if let Phase::Running { connection, .. } = &mut self.phase {
+            *connection = to;
+        }
+    }
+
+    /// Tells the machine of `event`; returns the connection of an attempt abandoned as silent.
+    pub(crate) fn run_event(&mut self, event: Event, scenario: &Scenario) -> Option<u8> {
+        let Phase::Running {
+            machine,
+            action,
+            connection,
+        } = &mut self.phase
+        else {
+            return None;
+        };
+        let was_silent = machine.would_retry_silence() || matches!(action, Action::AskBudget(_));
+        let next = machine.step(event)?;
+        let abandoned = was_silent && next == Action::Pick;
+        let connection = abandoned.then_some(*connection);
+        *action = next;
+        let may_have_run = machine.may_have_run();
+        match next {
+            Action::Tell(kind) => self.tell(kind, may_have_run, scenario),
+            Action::Cancel => self.end(may_have_run, scenario),
+            Action::Relay => {
+                self.phase = if scenario.claimed {
+                    Phase::Finishing
+                } else {
+                    Phase::Over
+                };
+            }
+            _ => {}
+        }
+        connection
+    }
+
+    fn tell(&mut self, kind: ErrorKind, may_have_run: bool, scenario: &Scenario) {
+        let lies = scenario.broken == Broken::TellsTimeoutAsNotRun;
+        let outcome = if lies && kind == ErrorKind::TargetTimeout {
+            Outcome::NotRun
+        } else {
+            kind.answer().outcome
+        };
+        self.told = Some(told(outcome));
+        self.end(may_have_run, scenario);
+    }
+
+    fn end(&mut self, may_have_run: bool, scenario: &Scenario) {
+        let keeps = may_have_run && scenario.broken != Broken::ReleasesWhatMayHaveRun;
+        self.phase = if scenario.claimed && !keeps {
+            Phase::ReadingToRelease
+        } else {
+            Phase::Over
+        };
+    }
+}
