--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -89,12 +89,13 @@
             service: &allowed.service,
             workspace: &allowed.workspace,
             rate_per_s: allowed.plan.rate_per_s,
+            request_id: req.id,
             repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
             deadline: Deadline::of_request(&head.headers, cx.limits.deadline, started),
         };
         prepare_for_target(&mut head, &allowed.workspace, req.id);
         let outcome = dispatch
-            .run(&mut head, &mut body, &mut self.conn.reader)
+            .serve(&mut head, &mut body, &mut self.conn.reader)
             .await;
         let keep_alive = req.keep_alive && body.is_received() && !cx.leaving.has_begun();
         let refusal = RefusalForm {
@@ -109,6 +110,9 @@
                 log_caller_gone(req.id);
                 return After::Reset;
             }
+            Err(DispatchError::Held(kind, first)) => {
+                return self.conn.tell_held(kind, &first, &refusal).await;
+            }
             Err(DispatchError::Failed(kind)) => {
                 return self.conn.tell(kind.into(), &refusal).await;
             }
