--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     catalog::KeyHasher,
+    claim::{claim_sweep_task, ClaimStore},
     clock::{Clock, SystemClock},
     config::Settings,
     health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
@@ -116,6 +117,8 @@
         metrics: metrics.clone(),
     };
     monoio::spawn(sync_task(sync, sync_rx));
+    let claims = ClaimStore::new(platform.clone());
+    monoio::spawn(claim_sweep_task(platform.clone(), directory.clone()));
     monoio::spawn(host_list_task(
         platform,
         balancer.clone(),
@@ -142,6 +145,7 @@
         limiter: Box::new(TaskLimiter::new(limiter_tx)),
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
+        claims,
         metrics,
         clock,
         shutdown: shutdown.clone(),
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    claim::FirstRun,
     http::{
         encode_response_head, request_body_kind, BodyKind, Framing, HttpError, HttpReader,
         HttpWriter,
@@ -22,7 +23,7 @@
 use super::{
     access_log::log_refusal,
     admit::Refusal,
-    headers::add_outcome,
+    headers::{add_first_run, add_outcome},
     serve::{ServedRequest, Serving},
     ProxyContext,
 };
@@ -183,10 +184,32 @@
 
     /// Tells the caller why its request got no target's answer.
     pub(super) async fn tell(&mut self, refusal: Refusal, form: &RefusalForm<'_>) -> After {
+        self.tell_with(refusal, form, None).await
+    }
+
+    /// Tells the caller of the earlier request under the same idempotency key.
+    pub(super) async fn tell_held(
+        &mut self,
+        kind: ErrorKind,
+        first: &FirstRun,
+        form: &RefusalForm<'_>,
+    ) -> After {
+        self.tell_with(kind.into(), form, Some(first)).await
+    }
+
+    async fn tell_with(
+        &mut self,
+        refusal: Refusal,
+        form: &RefusalForm<'_>,
+        first: Option<&FirstRun>,
+    ) -> After {
         self.cx.metrics.count_refusal(refusal.kind);
         log_refusal(form.request_id, refusal.kind);
         let (mut head, body) = problem_response(refusal.kind, form.request_id, refusal.retry_after);
         add_outcome(&mut head, refusal.kind.answer().outcome, form.request_id);
+        if let Some(first) = first {
+            add_first_run(&mut head, first);
+        }
         if !form.keep_alive {
             let close = HeaderValue::from_static("close");
             head.headers.insert(header::CONNECTION, close);
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     catalog::KeyHasher,
+    claim::ClaimStore,
     clock::Clock,
     config::LimitSettings,
     health::BalancerHandle,
@@ -15,7 +16,7 @@
     sync::CatalogView,
 };
 
-use super::request_id::RequestIds;
+use super::{request_id::RequestIds, service_states::ServiceStates};
 
 /// Most connections that are open only to be told that there is no room.
 const MAX_REFUSED_CONNECTIONS: usize = 256;
@@ -34,6 +35,8 @@
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
+    /// Claims of requests that must not run twice.
+    pub claims: ClaimStore,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -50,6 +53,7 @@
     pub refused_connections: InFlight,
     /// Bytes of request bodies that are buffered.
     pub buffered: InFlight,
+    pub(super) services: ServiceStates,
     request_ids: RefCell<RequestIds>,
 }
 
@@ -67,6 +71,8 @@
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
+    /// Claims of requests that must not run twice.
+    pub claims: ClaimStore,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -89,10 +95,12 @@
             limiter: parts.limiter,
             balancer: parts.balancer,
             pool: parts.pool,
+            claims: parts.claims,
             metrics: parts.metrics,
             clock: parts.clock,
             leaving: Shutdown::default(),
             shutdown: parts.shutdown,
+            services: ServiceStates::default(),
             request_ids: RefCell::new(RequestIds::default()),
         }
     }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod attempt;
 mod caller;
+mod claimed;
 mod context;
 mod deadline;
 mod dispatch;
@@ -13,6 +14,7 @@
 mod request_body;
 mod request_id;
 mod serve;
+mod service_states;
 
 pub use context::{ProxyContext, ProxyParts};
 pub(crate) use headers::target_state;
