Refuse requests that crash targets in the whole fleet

Cause: a request that crashes the target that runs it was retried on the next one, and again at each arrival.

Ruled out: counting every lost connection as a death (a target that drops one connection in five would get well-behaved requests refused); letting receivers of notices count up to a refusal (a popular request that met two restarts would be refused); holding the deaths against the targets.

Change: a lost connection counts as a death only when the target refuses or drops a new connection, or closed all idle ones. Two deaths without an answer in between refuse the request for 5 minutes. An answer clears a suspicion. The stand-in's crash now closes its listener and all its connections, as the end of a process does.

That the deaths do not count against a target's health is not seen by this test: the baseline detector would not eject on one.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -24,8 +24,11 @@
     limit::{static_split_task, TaskLimiter},
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
-    peer::{peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerRouter, PeerServer},
+    peer::{
+        peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
+    },
     platform::HttpPlatform,
+    poison::{PoisonHandler, PoisonWatch},
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, ProxyContext, ProxyParts},
     sync::{sync_task, CatalogView, SyncTask},
@@ -79,8 +82,13 @@
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
     let directory = PeerDirectory::new(&settings.host);
-    let _peers = PeerClient::new(secrets.clone(), directory.clone());
-    let router = PeerRouter::default();
+    let peers = PeerClient::new(secrets.clone(), directory.clone());
+    let mut router = PeerRouter::default();
+    let poison = PoisonWatch::new(peers, &settings.data_centre, clock.clone());
+    router.set(
+        PeerKind::Poison,
+        Rc::new(PoisonHandler::new(poison.clone())),
+    );
 
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
@@ -139,6 +147,7 @@
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
         claims,
+        poison,
         metrics,
         clock,
         shutdown: shutdown.clone(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod poison;
 pub mod pool;
 pub mod proxy;
 pub mod retry;
--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -55,6 +55,8 @@
     ClaimFinished,
     /// The idempotency key was used with another request.
     ClaimMismatch,
+    /// Targets died while they had the request.
+    CrashesTargets,
     /// The target closed or failed while it had the request.
     TargetLost,
     /// The target gave no answer before the deadline.
@@ -129,6 +131,12 @@
                 None,
                 "the idempotency key was used with another request",
             ),
+            Self::CrashesTargets => (
+                422,
+                NotRun,
+                Some(300),
+                "targets died while they had this request",
+            ),
             Self::TargetLost => (502, Unknown, None, "the target failed during the request"),
             Self::TargetTimeout => (504, Unknown, None, "the target did not answer in time"),
             Self::TargetMalformed => (502, Unknown, None, "the target's answer is malformed"),
--- a/src/pool/idle.rs
+++ b/src/pool/idle.rs
@@ -60,6 +60,13 @@
         }
     }
 
+    /// Tells whether the other side closed all idle connections to `address`, of which there
+    /// must be some, while none of them was in use.
+    pub fn all_closed(&self, address: SocketAddr) -> bool {
+        let queue = self.by_address.get(&address);
+        queue.is_some_and(|q| !q.is_empty() && q.iter().all(|idle| !idle.conn.is_quiet()))
+    }
+
     /// Closes connections that were idle for too long.
     pub fn sweep(&mut self, now: BootTime) {
         self.by_address.retain(|_, queue| {
--- a/src/pool/task.rs
+++ b/src/pool/task.rs
@@ -17,6 +17,8 @@
     Take(SocketAddr, oneshot::Sender<Option<TargetConnection>>),
     /// Gives a connection back.
     Put(TargetConnection),
+    /// Asks whether the other side closed all idle connections.
+    AllClosed(SocketAddr, oneshot::Sender<bool>),
     /// Closes idle connections to a target that were opened up to a time.
     DropOlder(SocketAddr, BootTime),
 }
@@ -40,6 +42,14 @@
         rx.await.ok().flatten()
     }
 
+    /// Tells whether the other side closed all idle connections to `address`, of which there
+    /// must be some.
+    pub async fn all_closed(&self, address: SocketAddr) -> bool {
+        let (reply, rx) = oneshot::channel();
+        let _ = self.tx.send(PoolMessage::AllClosed(address, reply));
+        rx.await.unwrap_or(false)
+    }
+
     /// Gives a connection back.
     pub fn put(&self, conn: TargetConnection) {
         let _ = self.tx.send(PoolMessage::Put(conn));
@@ -62,6 +72,9 @@
                     let _ = reply.send(idle.take(address, clock.now()));
                 }
                 Some(PoolMessage::Put(conn)) => idle.put(conn, clock.now()),
+                Some(PoolMessage::AllClosed(address, reply)) => {
+                    let _ = reply.send(idle.all_closed(address));
+                }
                 Some(PoolMessage::DropOlder(address, opened)) => {
                     idle.drop_older(address, opened);
                 }
--- a/src/proxy/claimed.rs
+++ b/src/proxy/claimed.rs
@@ -22,8 +22,8 @@
 const RELEASE_WAIT: Duration = Duration::from_secs(1);
 
 impl Dispatch<'_> {
-    /// Claims the request where it must not run twice and carries an idempotency key, and sends
-    /// it to targets.
+    /// Refuses the request if it crashes targets, claims it where it must not run twice and
+    /// carries an idempotency key, and sends it to targets.
     ///
     /// # Errors
     ///
@@ -34,11 +34,15 @@
         body: &mut RequestBody,
         caller: &mut HttpReader,
     ) -> Result<TargetAnswer, DispatchError> {
+        self.check_poison(head, body)?;
         let claim = match self.claim_key(head)? {
             Some(key) => Some(self.claim(key, digest_of(head, body)).await?),
             None => None,
         };
         let end = self.run(head, body, caller).await;
+        if end.result.is_ok() {
+            self.clear_suspicion(head, body);
+        }
         if let Some(claim) = claim {
             self.end_claim(claim, &end.result, end.may_have_run).await;
         }
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -12,6 +12,7 @@
     lifecycle::{InFlight, Shutdown},
     limit::Limiter,
     metrics::Metrics,
+    poison::PoisonWatch,
     pool::PoolHandle,
     sync::CatalogView,
 };
@@ -34,6 +35,8 @@
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice.
     pub claims: ClaimStore,
+    /// Watches for requests that crash targets.
+    pub poison: PoisonWatch,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -66,6 +69,8 @@
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice.
     pub claims: ClaimStore,
+    /// Watches for requests that crash targets.
+    pub poison: PoisonWatch,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -87,6 +92,7 @@
             balancer: parts.balancer,
             pool: parts.pool,
             claims: parts.claims,
+            poison: parts.poison,
             metrics: parts.metrics,
             clock: parts.clock,
             leaving: Shutdown::default(),
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -9,12 +9,14 @@
     http::HttpReader,
     metrics::Counter,
     outcome::ErrorKind,
+    poison::Verdict,
     pool::TargetConnection,
     retry::{Action, ConnectionKind, Event, Failure, RequestFacts, RequestMachine, RetryReason},
 };
 
 use super::{
     attempt::Attempt,
+    crash::target_died,
     deadline::Deadline,
     headers::{is_shed, target_load, target_state, DEADLINE_MS},
     request_body::RequestBody,
@@ -185,7 +187,7 @@
                 exchange.conn = Some(conn);
                 self.step(Event::Connected { reused: false })
             }
-            Err(_) => self.failed(Event::Failed(Failure::Connect)),
+            Err(_) => self.failed(Event::Failed(Failure::Connect)).await,
         }
     }
 
@@ -201,7 +203,7 @@
         match attempt.send().await {
             Ok(None) => next,
             Ok(Some(head)) => self.arrived(head),
-            Err(event) => self.failed(event),
+            Err(event) => self.failed(event).await,
         }
     }
 
@@ -218,7 +220,7 @@
                 }
                 self.step(Event::Silent)
             }
-            Err(event) => self.failed(event),
+            Err(event) => self.failed(event).await,
         }
     }
 
@@ -247,7 +249,8 @@
 
     fn ask_budget(&mut self, reason: RetryReason) -> Action {
         let now = self.cx.clock.now();
-        if !self.cx.services.withdraw(self.dispatch.service, now) {
+        let poisoned = self.dispatch.check_poison(self.head, self.body).is_err();
+        if poisoned || !self.cx.services.withdraw(self.dispatch.service, now) {
             self.cx.metrics.count_refused_retry(reason);
             return self.step(Event::BudgetRefused);
         }
@@ -284,8 +287,9 @@
     }
 
     /// Judges an attempt that brought no answer.
-    fn failed(&mut self, event: Event) -> Action {
+    async fn failed(&mut self, event: Event) -> Action {
         match event {
+            Event::Failed(Failure::Lost) => return self.lost().await,
             Event::Failed(_) => {
                 self.drop_older();
                 self.observe(WorkResult::Lost);
@@ -296,6 +300,26 @@
         self.step(event)
     }
 
+    /// Judges a lost connection; a death of the target is the request's fault first.
+    async fn lost(&mut self) -> Action {
+        let Some(exchange) = &self.exchange else {
+            return self.step(Event::CallerGone);
+        };
+        let picked = &exchange.picked;
+        if !target_died(self.cx, picked.address).await {
+            self.drop_older();
+            self.observe(WorkResult::Lost);
+            return self.step(Event::Failed(Failure::Lost));
+        }
+        let fingerprint = self.dispatch.fingerprint(self.head, self.body);
+        let verdict = self.cx.poison.record_death(fingerprint, &picked.name).await;
+        self.drop_older();
+        self.step(Event::Failed(match verdict {
+            Verdict::Suspect => Failure::Lost,
+            Verdict::Refused => Failure::Crashed,
+        }))
+    }
+
     /// Holds silence of a kept connection against the connection, and silence of a new one
     /// against the target.
     fn judge_silence(&self) {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod claimed;
 mod context;
+mod crash;
 mod deadline;
 mod dispatch;
 mod headers;
--- a/src/retry/failure.rs
+++ b/src/retry/failure.rs
@@ -9,6 +9,8 @@
     Shed,
     /// The connection closed or failed.
     Lost,
+    /// The target died, and the request must not reach another one.
+    Crashed,
     /// The answer was malformed.
     Malformed,
 }
--- a/src/retry/machine.rs
+++ b/src/retry/machine.rs
@@ -164,7 +164,7 @@
         if !self.may_have_run {
             self.last_refusal = Some(kind);
         }
-        if !self.may_retry() {
+        if failure == Failure::Crashed || !self.may_retry() {
             return self.tell(kind);
         }
         self.phase = Phase::Asking(kind);
@@ -236,7 +236,7 @@
         Failure::Connect => RetryReason::ConnectFailed,
         Failure::Shed => RetryReason::TargetShed,
         Failure::Lost if reused => RetryReason::StaleConnection,
-        Failure::Lost => RetryReason::TargetLost,
+        Failure::Lost | Failure::Crashed => RetryReason::TargetLost,
         Failure::Malformed => RetryReason::TargetMalformed,
     }
 }
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -7,7 +7,7 @@
         atomic::{AtomicBool, Ordering},
         Arc, Mutex,
     },
-    thread,
+    thread::{self, JoinHandle},
 };
 
 const MAX_HEADERS: usize = 96;
@@ -65,6 +65,7 @@
     pub(crate) address: SocketAddr,
     stop: Arc<AtomicBool>,
     open: Arc<Mutex<Vec<TcpStream>>>,
+    accepting: Mutex<Option<JoinHandle<()>>>,
 }
 
 impl Server {
@@ -73,19 +74,25 @@
         let address = listener.local_addr()?;
         let stop = Arc::new(AtomicBool::new(false));
         let open = Arc::new(Mutex::new(Vec::new()));
-        let server = Self {
-            address,
-            stop: stop.clone(),
-            open: open.clone(),
+        let accepting = {
+            let (stop, open) = (stop.clone(), open.clone());
+            thread::spawn(move || accept_loop(&listener, &stop, &open, &handler))
         };
-        thread::spawn(move || accept_loop(&listener, &stop, &open, &handler));
-        Ok(server)
+        Ok(Self {
+            address,
+            stop,
+            open,
+            accepting: Mutex::new(Some(accepting)),
+        })
     }
 
     /// Stops listening and resets every open connection.
     pub(crate) fn kill(&self) {
         self.stop.store(true, Ordering::SeqCst);
         let _ = TcpStream::connect(self.address);
+        if let Some(accepting) = self.accepting.lock().unwrap().take() {
+            let _ = accepting.join();
+        }
         for stream in self.open.lock().unwrap().drain(..) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -86,6 +86,7 @@
     opts: TargetOptions,
     started: Instant,
     state: Mutex<State>,
+    server: Mutex<Option<Server>>,
     slot_free: Condvar,
 }
 
@@ -94,7 +95,6 @@
     /// Address under which it serves.
     pub address: SocketAddr,
     service: Arc<Service>,
-    server: Mutex<Option<Server>>,
 }
 
 impl Target {
@@ -117,14 +117,13 @@
                 dead: false,
                 random: 0x9e37_79b9_7f4a_7c15,
             }),
+            server: Mutex::new(None),
             slot_free: Condvar::new(),
         });
         let server = Server::start(address, service.clone())?;
-        Ok(Self {
-            address: server.address,
-            service,
-            server: Mutex::new(Some(server)),
-        })
+        let address = server.address;
+        *service.server.lock().unwrap() = Some(server);
+        Ok(Self { address, service })
     }
 
     /// Returns the settings.
@@ -170,9 +169,7 @@
 
     /// Stops the target and resets its connections.
     pub fn kill(&self) {
-        self.service.lock().dead = true;
-        self.service.slot_free.notify_all();
-        *self.server.lock().unwrap() = None;
+        self.service.die();
     }
 
     /// Starts a stopped or crashed target again on its address.
@@ -181,7 +178,7 @@
     ///
     /// Returns an error when the address cannot be bound again.
     pub fn restart(&self) -> io::Result<()> {
-        let mut server = self.server.lock().unwrap();
+        let mut server = self.service.server.lock().unwrap();
         *server = None;
         self.service.lock().dead = false;
         *server = Some(Server::start(self.address, self.service.clone())?);
@@ -189,7 +186,20 @@
     }
 }
 
+impl Drop for Target {
+    fn drop(&mut self) {
+        *self.service.server.lock().unwrap() = None;
+    }
+}
+
 impl Service {
+    /// Stops serving and closes all connections, as a crash of the process would.
+    fn die(&self) {
+        self.lock().dead = true;
+        self.slot_free.notify_all();
+        *self.server.lock().unwrap() = None;
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(|e| e.into_inner())
     }
@@ -303,7 +313,7 @@
             .as_ref()
             .is_some_and(|text| req.path.contains(text))
         {
-            self.lock().dead = true;
+            self.die();
             return Ok(After::Close);
         }
         let factor = if faults.cold { 4 } else { 1 };
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -293,3 +293,22 @@
         assert_eq!(m, unchanged, "{:?}", case.event);
     }
 }
+
+#[test]
+fn request_that_crashes_targets_is_not_sent_again() {
+    let mut m = RequestMachine::new(RequestFacts {
+        repeatable: true,
+        replayable: true,
+        max_attempts: 3,
+    });
+    let before = [
+        Event::Picked,
+        Event::Connected { reused: false },
+        Event::Written,
+    ];
+    for event in before {
+        assert!(m.step(event).is_some());
+    }
+    let action = m.step(Event::Failed(Failure::Crashed));
+    assert_eq!(action, Some(Action::Tell(ErrorKind::TargetLost)));
+}
