--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -9,6 +9,7 @@
 mod gray;
 mod outcomes;
 mod path;
+mod peer;
 mod rate;
 
 use std::{io, process::ExitCode};
@@ -23,7 +24,7 @@
 /// Runs one case of measurements.
 #[derive(FromArgs)]
 struct Args {
-    /// case: path, rate, edit, outage, outcomes, silent, poison, gray, flap, noise, neighbour,
+    /// case: path, peer, rate, edit, outage, outcomes, silent, poison, gray, flap, noise, neighbour,
     /// overload or capacity
     #[argh(positional)]
     case: String,
@@ -47,6 +48,7 @@
 
 const CASES: &[(&str, Case)] = &[
     ("path", path::path),
+    ("peer", peer::peer),
     ("rate", rate::rate),
     ("edit", rate::edit),
     ("outage", rate::outage),
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -18,9 +18,9 @@
     claim::{claim_sweep_task, ClaimStore},
     clock::{Clock, SystemClock},
     config::Settings,
-    health::{balancer_task, Balancer, BalancerHandle, Consecutive},
+    health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
     hosts::host_list_task,
-    lifecycle::{wait_for_stop_signal, Shutdown},
+    lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
     limit::{static_split_task, TaskLimiter},
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
@@ -34,8 +34,8 @@
     sync::{sync_task, CatalogView, SyncTask},
 };
 
-/// Time for the balancer to see the failing check before the listener closes.
-const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Longest time for one step behind the last request of a shutdown.
+const STEP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two looks at the requests in flight.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -77,12 +77,17 @@
     let operator_listener = bind(settings.operator_address)?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let metrics = Rc::new(Metrics::default());
-    let platform = Rc::new(HttpPlatform::new(settings.platform_address, &settings.host));
+    let platform = Rc::new(HttpPlatform::new(
+        settings.platform_address,
+        &settings.host,
+        metrics.clone(),
+    ));
     let shutdown = Shutdown::default();
+    let steps = ShutdownSteps::default();
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
-    let directory = PeerDirectory::new(&settings.host);
-    let peers = PeerClient::new(secrets.clone(), directory.clone());
+    let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
+    let peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
     let mut router = PeerRouter::default();
     let poison = PoisonWatch::new(peers, &settings.data_centre, clock.clone());
     router.set(
@@ -93,7 +98,7 @@
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
     let state = Balancer::new(
-        Box::<Consecutive>::default(),
+        Box::new(Sequential::new(settings.profile.options())),
         settings.floor,
         fastrand::u64(..),
     );
@@ -102,7 +107,9 @@
         balancer_rx,
         balancer.clone(),
         clock.clone(),
+        metrics.clone(),
     ));
+    monoio::spawn(probe_task(balancer.clone()));
 
     let (pool_tx, pool_rx) = mpsc::unbounded::channel();
     monoio::spawn(pool_task(pool_rx, clock.clone()));
@@ -167,9 +174,10 @@
     wait_for_stop_signal().await?;
     log::info!("shutting down");
     proxy.leaving.begin();
-    monoio::time::sleep(BALANCER_NOTICE).await;
+    monoio::time::sleep(settings.limits.notice).await;
     shutdown.begin();
     drain(&proxy, settings.limits.shutdown_timeout).await;
+    steps.run(STEP_TIMEOUT).await;
     Ok(())
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod poison;
 pub mod pool;
 pub mod proxy;
+pub mod queue;
 pub mod retry;
 pub mod sync;
 
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -1,11 +1,13 @@
 //! Sending an admitted request to targets until one answers.
 
+use std::{rc::Rc, time::Duration};
+
 use http::{request, response, HeaderValue};
 
 use crate::{
     claim::FirstRun,
     clock::BootTime,
-    health::{Observation, Picked, TargetId, WorkResult},
+    health::{Observation, PickError, PickOrder, Picked, TargetId, WorkResult},
     http::HttpReader,
     metrics::Counter,
     outcome::ErrorKind,
@@ -31,9 +33,11 @@
     /// What all connections share.
     pub(super) cx: &'a ProxyContext,
     /// Service that serves the request.
-    pub(super) service: &'a str,
-    /// Workspace of the caller.
-    pub(super) workspace: &'a str,
+    pub(super) service: &'a Rc<str>,
+    /// Workspace of the request.
+    pub(super) workspace: &'a Rc<str>,
+    /// Rate of the workspace's plan, 1/s.
+    pub(super) rate_per_s: f64,
     /// Identity of the request.
     pub(super) request_id: &'a str,
     /// Whether the request may run more than once.
@@ -152,9 +156,10 @@
         if self.dispatch.deadline.has_passed(self.cx.clock.now()) {
             return self.step(Event::DeadlinePassed);
         }
-        let picked = self.cx.balancer.pick(self.dispatch.service, &self.tried);
-        let Ok(picked) = picked.await else {
-            return self.step(Event::NoTarget);
+        let picked = match self.cx.balancer.pick(self.order()).await {
+            Ok(picked) => picked,
+            Err(PickError::NoTarget) => return self.step(Event::NoTarget),
+            Err(PickError::Busy | PickError::Overloaded) => return self.step(Event::Overloaded),
         };
         self.tried.push(picked.id);
         self.exchange = Some(Exchange {
@@ -166,6 +171,17 @@
         self.step(Event::Picked)
     }
 
+    fn order(&self) -> PickOrder {
+        PickOrder {
+            service: self.dispatch.service.clone(),
+            workspace: self.dispatch.workspace.clone(),
+            rate_per_s: self.dispatch.rate_per_s,
+            repeatable: self.dispatch.repeatable,
+            deadline: self.dispatch.deadline.at(),
+            avoid: self.tried.clone(),
+        }
+    }
+
     async fn connect(&mut self, kind: ConnectionKind) -> Action {
         let Some(exchange) = &mut self.exchange else {
             return self.step(Event::Failed(Failure::Connect));
@@ -237,7 +253,7 @@
     }
 
     /// Returns the time until the connection counts as silent, none when nothing follows from it.
-    fn silence_left(&self) -> Option<std::time::Duration> {
+    fn silence_left(&self) -> Option<Duration> {
         let exchange = self.exchange.as_ref()?;
         if exchange.silence_asked || !self.machine.would_retry_silence() {
             return None;
@@ -266,7 +282,7 @@
         let Some(exchange) = &self.exchange else {
             return self.step(Event::CallerGone);
         };
-        if let Some(state) = target_state(&head) {
+        if let Some(state) = target_state(&head.headers) {
             exchange.picked.report_state(state, target_load(&head));
         }
         if is_shed(&head) {
--- a/src/retry/event.rs
+++ b/src/retry/event.rs
@@ -9,6 +9,8 @@
     Picked,
     /// No target takes work.
     NoTarget,
+    /// All targets are busy.
+    Overloaded,
     /// The connection is there.
     Connected {
         /// Whether it carried a request before.
--- a/src/retry/machine.rs
+++ b/src/retry/machine.rs
@@ -79,7 +79,10 @@
         }
         match (self.phase, event) {
             (Phase::Picking, Event::Picked) => self.connect(),
-            (Phase::Picking, Event::NoTarget) => self.tell(self.no_target()),
+            (Phase::Picking, Event::NoTarget) => self.tell(self.not_picked(ErrorKind::NoTarget)),
+            (Phase::Picking, Event::Overloaded) => {
+                self.tell(self.not_picked(ErrorKind::Overloaded))
+            }
             (Phase::Connecting, Event::Connected { reused }) => self.exchange(reused),
             (Phase::Connecting, Event::Failed(Failure::Connect)) => {
                 self.fail(Failure::Connect, false, false)
@@ -214,11 +217,11 @@
         Some(action)
     }
 
-    fn no_target(&self) -> ErrorKind {
+    fn not_picked(&self, kind: ErrorKind) -> ErrorKind {
         if self.may_have_run {
             return ErrorKind::TargetLost;
         }
-        self.last_refusal.unwrap_or(ErrorKind::NoTarget)
+        self.last_refusal.unwrap_or(kind)
     }
 
     fn kind_of(&self, failure: Failure) -> ErrorKind {
