--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{header, request, HeaderValue, Method, Version};
+use http::{header, request, response, HeaderValue, Method, Version};
 use monoio::{
     io::Splitable,
     net::TcpStream,
@@ -184,7 +184,8 @@
 
     /// Tells the caller why its request got no target's answer.
     pub(super) async fn tell(&mut self, refusal: Refusal, form: &RefusalForm<'_>) -> After {
-        self.tell_with(refusal, form, None).await
+        let (head, body) = problem_response(refusal.kind, form.request_id, refusal.retry_after);
+        self.send_problem(refusal.kind, head, &body, form).await
     }
 
     /// Tells the caller of the earlier request under the same idempotency key.
@@ -194,22 +195,21 @@
         first: &FirstRun,
         form: &RefusalForm<'_>,
     ) -> After {
-        self.tell_with(kind.into(), form, Some(first)).await
+        let (mut head, body) = problem_response(kind, form.request_id, None);
+        add_first_run(&mut head, first);
+        self.send_problem(kind, head, &body, form).await
     }
 
-    async fn tell_with(
+    async fn send_problem(
         &mut self,
-        refusal: Refusal,
+        kind: ErrorKind,
+        mut head: response::Parts,
+        body: &Bytes,
         form: &RefusalForm<'_>,
-        first: Option<&FirstRun>,
     ) -> After {
-        self.cx.metrics.count_refusal(refusal.kind);
-        log_refusal(form.request_id, refusal.kind);
-        let (mut head, body) = problem_response(refusal.kind, form.request_id, refusal.retry_after);
-        add_outcome(&mut head, refusal.kind.answer().outcome, form.request_id);
-        if let Some(first) = first {
-            add_first_run(&mut head, first);
-        }
+        self.cx.metrics.count_refusal(kind);
+        log_refusal(form.request_id, kind);
+        add_outcome(&mut head, kind.answer().outcome, form.request_id);
         if !form.keep_alive {
             let close = HeaderValue::from_static("close");
             head.headers.insert(header::CONNECTION, close);
@@ -217,7 +217,7 @@
         let mut buf = BytesMut::new();
         encode_response_head(&head, Framing::Length(body.len() as u64), &mut buf);
         if *form.method != Method::HEAD {
-            buf.extend_from_slice(&body);
+            buf.extend_from_slice(body);
         }
         match self.write(buf.freeze()).await {
             Ok(()) => After::whole_answer(form.keep_alive),
