--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,7 +1,6 @@
 //! One daemon: its tasks, from start to shutdown.
 
 use std::{
-    cell::{Cell, RefCell},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -16,31 +15,27 @@
 
 use crate::{
     catalog::KeyHasher,
+    claim::{claim_sweep_task, ClaimStore},
     clock::{Clock, SystemClock},
-    config::{LimiterKind, Settings},
-    health::{balancer_task, Balancer, BalancerHandle, Consecutive},
+    config::Settings,
+    health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
     hosts::host_list_task,
-    lease::{SessionId, SliceId},
-    lifecycle::{wait_for_stop_signal, Shutdown},
-    limit::{
-        ownership_task, static_split_task, AskHandler, AskMemory, HandoverHandler, Limiter,
-        OwnedLimiter, Owner, OwnerView, Ownership, TaskLimiter,
-    },
+    lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
+    limit::{LimitParts, LimitService},
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
     peer::{
         peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
     },
     platform::HttpPlatform,
+    poison::{PoisonHandler, PoisonWatch},
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, ProxyContext, ProxyParts},
     sync::{sync_task, CatalogView, SyncTask},
 };
 
-/// Time for the balancer to see the failing check before the listener closes.
-const BALANCER_NOTICE: Duration = Duration::from_millis(500);
-/// Longest time to hand over what this daemon owns.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest time for one step behind the last request of a shutdown.
+const STEP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two looks at the requests in flight.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -82,18 +77,28 @@
     let operator_listener = bind(settings.operator_address)?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let metrics = Rc::new(Metrics::default());
-    let platform = Rc::new(HttpPlatform::new(settings.platform_address, &settings.host));
+    let platform = Rc::new(HttpPlatform::new(
+        settings.platform_address,
+        &settings.host,
+        metrics.clone(),
+    ));
     let shutdown = Shutdown::default();
+    let mut steps = ShutdownSteps::default();
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
-    let directory = PeerDirectory::new(&settings.host);
-    let peers = PeerClient::new(secrets.clone(), directory.clone());
+    let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
+    let peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
     let mut router = PeerRouter::default();
+    let poison = PoisonWatch::new(peers.clone(), &settings.data_centre, clock.clone());
+    router.set(
+        PeerKind::Poison,
+        Rc::new(PoisonHandler::new(poison.clone())),
+    );
 
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
     let state = Balancer::new(
-        Box::<Consecutive>::default(),
+        Box::new(Sequential::new(settings.profile.options())),
         settings.floor,
         fastrand::u64(..),
     );
@@ -102,14 +107,13 @@
         balancer_rx,
         balancer.clone(),
         clock.clone(),
+        metrics.clone(),
     ));
+    monoio::spawn(probe_task(balancer.clone()));
 
     let (pool_tx, pool_rx) = mpsc::unbounded::channel();
     monoio::spawn(pool_task(pool_rx, clock.clone()));
 
-    let (limiter_tx, limiter_rx) = mpsc::unbounded::channel();
-    monoio::spawn(static_split_task(limiter_rx, clock.clone()));
-
     let (sync_tx, sync_rx) = mpsc::unbounded::channel();
     let catalog = CatalogView::default();
     let sync = SyncTask {
@@ -118,51 +122,25 @@
         metrics: metrics.clone(),
     };
     monoio::spawn(sync_task(sync, sync_rx));
-    let (refresh_tx, refresh_rx) = mpsc::unbounded::channel();
-    let session = SessionId::new(&settings.host, random_u64()?);
-    let owner = OwnerView::new(Owner::new(session, &settings.data_centre), refresh_tx);
-    let ownership = Rc::new(Ownership {
-        owner: owner.clone(),
+    let parts = LimitParts {
         table: platform.clone(),
         list: platform.clone(),
-        peers: peers.clone(),
-        host: settings.host.clone(),
-        data_centre: settings.data_centre.clone(),
+        peers,
+        catalog: catalog.clone(),
         clock: clock.clone(),
         metrics: metrics.clone(),
-        slices: SliceId::all().collect(),
-        released: Cell::new(false),
-    });
-    let limiter: Box<dyn Limiter> = match settings.limiter {
-        LimiterKind::StaticSplit => Box::new(TaskLimiter::new(limiter_tx.clone())),
-        LimiterKind::Owned => {
-            let ask = AskHandler {
-                owner: owner.clone(),
-                catalog: catalog.clone(),
-                clock: clock.clone(),
-                metrics: metrics.clone(),
-            };
-            router.set(PeerKind::Ask, Rc::new(ask));
-            let handover = HandoverHandler {
-                owner: owner.clone(),
-            };
-            router.set(PeerKind::Handover, Rc::new(handover));
-            monoio::spawn(ownership_task(ownership.clone(), refresh_rx));
-            Box::new(OwnedLimiter {
-                owner,
-                peers,
-                data_centre: settings.data_centre.clone(),
-                memory: RefCell::new(AskMemory::default()),
-                clock: clock.clone(),
-                metrics: metrics.clone(),
-            })
-        }
     };
+    let limit = LimitService::start(&settings, parts, &mut router)?;
+    if let Some(ownership) = limit.ownership {
+        steps.add("hand over slices", async move { ownership.release().await });
+    }
+    let claims = ClaimStore::new(platform.clone());
+    monoio::spawn(claim_sweep_task(platform.clone(), directory.clone()));
     monoio::spawn(host_list_task(
         platform,
         balancer.clone(),
         directory,
-        limiter_tx,
+        limit.tx,
         metrics.clone(),
     ));
     monoio::spawn(peer_server_task(
@@ -181,9 +159,11 @@
         limits: settings.limits.clone(),
         catalog,
         hasher: KeyHasher::new(&settings.key_secret),
-        limiter,
+        limiter: limit.limiter,
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
+        claims,
+        poison,
         metrics,
         clock,
         shutdown: shutdown.clone(),
@@ -203,19 +183,13 @@
     wait_for_stop_signal().await?;
     log::info!("shutting down");
     proxy.leaving.begin();
-    monoio::time::sleep(BALANCER_NOTICE).await;
+    monoio::time::sleep(settings.limits.notice).await;
     shutdown.begin();
-    if settings.limiter == LimiterKind::Owned {
-        let _ = monoio::time::timeout(RELEASE_TIMEOUT, ownership.release()).await;
-    }
     drain(&proxy, settings.limits.shutdown_timeout).await;
+    steps.run(STEP_TIMEOUT).await;
     Ok(())
 }
 
-fn random_u64() -> io::Result<u64> {
-    getrandom::u64().map_err(|_| io::Error::other("no random bytes"))
-}
-
 /// Waits until nothing is in flight, or the limit has passed.
 async fn drain(proxy: &ProxyContext, limit: Duration) {
     let end = Instant::now() + limit;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! program `chervillug`.
 
 pub mod catalog;
+pub mod claim;
 pub mod cli;
 pub mod clock;
 pub mod command;
@@ -22,8 +23,10 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod poison;
 pub mod pool;
 pub mod proxy;
+pub mod queue;
 pub mod retry;
 pub mod sync;
 
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -14,6 +14,7 @@
 mod owner;
 mod owner_view;
 mod ownership_task;
+mod service;
 mod split;
 mod static_split;
 
@@ -31,5 +32,6 @@
 pub use owner::{Owner, Versioned};
 pub use owner_view::OwnerView;
 pub use ownership_task::{ownership_task, Ownership};
+pub use service::{LimitParts, LimitService};
 pub use split::{BucketShape, PlanSplit};
 pub use static_split::{static_split_task, StaticSplit};
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -30,6 +30,12 @@
     PeerOversized,
     /// Messages on the peer port that could not be decoded.
     PeerUnreadable,
+    /// Bytes of control messages of daemons, heads included, as sent and received.
+    PeerControlBytes,
+    /// Bytes of messages that ask for tokens, heads included, as sent and received.
+    PeerAskBytes,
+    /// Bytes of calls to the platform, heads included, as sent and received.
+    PlatformBytes,
     /// Tokens asked for at other daemons.
     Asks,
     /// Asks of other daemons that were answered.
@@ -40,8 +46,10 @@
     GrantsLate,
     /// Sessions of this daemon that another one fenced.
     SessionsFenced,
-    /// Targets ejected.
+    /// Targets ejected or put on trial.
     Ejections,
+    /// Requests that waited for a target.
+    Queued,
 }
 
 impl Counter {
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -1,8 +1,12 @@
 //! Headers that the fleet reads, strips and sets.
 
+use std::borrow::Cow;
+
 use http::{header, request, response, HeaderMap, HeaderName, HeaderValue};
+use memchr::memmem;
+use percent_encoding::percent_decode;
 
-use crate::outcome::Outcome;
+use crate::{claim::FirstRun, outcome::Outcome};
 
 /// Prefix of all headers that only the fleet may set.
 const OWN_PREFIX: &str = "chervillug-";
@@ -16,6 +20,12 @@
 pub(super) const DEADLINE_MS: HeaderName = HeaderName::from_static("chervillug-deadline-ms");
 /// Mark of a caller on whether a request may run more than once: `yes` or `no`.
 pub(super) const REPEATABLE: HeaderName = HeaderName::from_static("chervillug-repeatable");
+/// Names a request of which the caller wants one run only.
+pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Names the earlier request under the same idempotency key.
+const FIRST_REQUEST_ID: HeaderName = HeaderName::from_static("chervillug-first-request-id");
+/// Status of the answer to that request.
+const FIRST_STATUS: HeaderName = HeaderName::from_static("chervillug-first-status");
 /// A target's word that it shed the request: `not-run`.
 const TARGET_SHED: HeaderName = HeaderName::from_static("target-shed");
 /// A target's word on its state: `serving`, `cold` or `draining`.
@@ -76,9 +86,16 @@
 
 /// Tells whether `key` stands anywhere in the head but in its own header.
 pub(super) fn exposes_key(head: &request::Parts, key: &[u8]) -> bool {
-    let holds = |bytes: &[u8]| bytes.windows(key.len()).any(|w| w == key);
-    if key.is_empty() || holds(head.uri.to_string().as_bytes()) {
-        return !key.is_empty();
+    let holds = |bytes: &[u8]| {
+        let decoded: Cow<'_, [u8]> = percent_decode(bytes).into();
+        memmem::find(&decoded, key).is_some() || memmem::find(bytes, key).is_some()
+    };
+    if key.is_empty() {
+        return false;
+    }
+    let target = head.uri.path_and_query();
+    if target.is_some_and(|p| holds(p.as_str().as_bytes())) {
+        return true;
     }
     head.headers
         .iter()
@@ -116,6 +133,15 @@
     head.headers.insert(REQUEST_ID, valid_value(request_id));
 }
 
+/// Adds what is known of the earlier request under the same idempotency key.
+pub(super) fn add_first_run(head: &mut response::Parts, first: &FirstRun) {
+    let id = valid_value(&first.request_id);
+    head.headers.insert(FIRST_REQUEST_ID, id);
+    if let Some(status) = first.status {
+        head.headers.insert(FIRST_STATUS, HeaderValue::from(status));
+    }
+}
+
 /// Returns the caller's mark on whether the request may run more than once.
 pub(super) fn repeatable_mark(headers: &HeaderMap) -> Option<bool> {
     match headers.get(REPEATABLE)?.as_bytes() {
@@ -132,9 +158,9 @@
 }
 
 /// Returns what a target says of its state.
-pub(super) fn target_state(head: &response::Parts) -> Option<crate::health::TargetState> {
+pub(crate) fn target_state(headers: &HeaderMap) -> Option<crate::health::TargetState> {
     use crate::health::TargetState;
-    match head.headers.get(TARGET_STATE)?.as_bytes() {
+    match headers.get(TARGET_STATE)?.as_bytes() {
         b"serving" => Some(TargetState::Serving),
         b"cold" => Some(TargetState::Cold),
         b"draining" => Some(TargetState::Leaving),
