--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use http::{header, request, Version};
 
-use crate::{http::BodyKind, metrics::Counter, limit::Grant, outcome::ErrorKind, retry::is_repeatable};
+use crate::{
+    http::BodyKind, limit::Grant, metrics::Counter, outcome::ErrorKind, retry::is_repeatable,
+};
 
 use super::{
     access_log::{log_answer, log_caller_gone, AnswerLine},
@@ -104,7 +106,6 @@
             workspace: &allowed.workspace,
             request_id: req.id,
             rate_per_s: allowed.plan.rate_per_s,
-            request_id: req.id,
             repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
             deadline: Deadline::of_request(&head.headers, cx.limits.deadline, started),
         };
@@ -131,9 +132,6 @@
             Err(DispatchError::Failed(kind)) => {
                 return self.conn.tell(kind.into(), &refusal).await;
             }
-            Err(DispatchError::Held(kind, first)) => {
-                return self.conn.tell_held(kind, &first, &refusal).await;
-            }
         };
         let status = answer.head.status;
         let form = AnswerForm {
