--- a/src/catalog/change.rs
+++ b/src/catalog/change.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::membership::{Incarnation, Member};
+
 use super::{KeyHash, Plan, Route};
 
 /// One change of the lists or keys.
@@ -45,9 +47,30 @@
         /// Hash of the key.
         hash: KeyHash,
     },
+    /// Begins a daemon's entry into the members.
+    AddMember(Member),
+    /// Begins a daemon's exit from the members.
+    RemoveMember(Member),
+    /// Ends the change of members that began with an edit.
+    SettleMembers {
+        /// Revision of that edit.
+        began: u64,
+        /// Those who entered.
+        joined: Vec<Member>,
+        /// Those who left.
+        left: Vec<Incarnation>,
+    },
 }
 
 impl Change {
+    /// Tells whether the change is one of the members, which daemons make themselves.
+    pub fn is_of_members(&self) -> bool {
+        matches!(
+            self,
+            Self::AddMember(_) | Self::RemoveMember(_) | Self::SettleMembers { .. }
+        )
+    }
+
     /// Checks the values of the change.
     ///
     /// # Errors
@@ -73,9 +96,12 @@
                 routes.iter().try_for_each(check_route)
             }
             Self::GiveKey { workspace, .. } => check_name(workspace),
-            Self::RemovePlan { .. } | Self::RemoveAccess { .. } | Self::WithdrawKey { .. } => {
-                Ok(())
-            }
+            Self::RemovePlan { .. }
+            | Self::RemoveAccess { .. }
+            | Self::WithdrawKey { .. }
+            | Self::AddMember(_)
+            | Self::RemoveMember(_)
+            | Self::SettleMembers { .. } => Ok(()),
         }
     }
 }
--- a/src/catalog/edit.rs
+++ b/src/catalog/edit.rs
@@ -7,7 +7,7 @@
 
 /// Random identity of an edit, by which a lost answer is resolved.
 #[serde_as]
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct EditId(#[serde_as(as = "Hex")] pub [u8; 16]);
 
@@ -21,3 +21,10 @@
     /// What changes.
     pub changes: Vec<Change>,
 }
+
+impl Edit {
+    /// Tells whether the edit changes lists or keys.
+    pub fn changes_lists(&self) -> bool {
+        self.changes.iter().any(|c| !c.is_of_members())
+    }
+}
--- a/src/catalog/state.rs
+++ b/src/catalog/state.rs
@@ -4,6 +4,8 @@
 
 use rustc_hash::FxHashMap;
 
+use crate::membership::{Member, Members, Phase};
+
 use super::{Change, Edit, KeyHash, Plan, Route, RouteSet};
 
 /// Name under which routes are open to all plans.
@@ -22,7 +24,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Catalog {
     revision: u64,
+    lists_revision: u64,
     loaded: bool,
+    members: Members,
     plans: FxHashMap<Rc<str>, Plan>,
     access: FxHashMap<String, RouteSet>,
     keys: FxHashMap<KeyHash, Rc<str>>,
@@ -34,6 +38,21 @@
         self.revision
     }
 
+    /// Returns the revision of the last edit that changed lists or keys.
+    pub fn lists_revision(&self) -> u64 {
+        self.lists_revision
+    }
+
+    /// Returns the members.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Restores a member from a snapshot.
+    pub fn restore_member(&mut self, member: &Member, phase: Phase, changed_at: u64) {
+        self.members.restore(member, phase, changed_at);
+    }
+
     /// Tells whether a revision was loaded, be it the one before the first edit.
     pub fn is_loaded(&self) -> bool {
         self.loaded
@@ -86,10 +105,13 @@
         if edit.revision != self.revision + 1 {
             return false;
         }
+        self.revision = edit.revision;
         for change in &edit.changes {
             self.apply_change(change);
         }
-        self.revision = edit.revision;
+        if edit.changes_lists() {
+            self.lists_revision = edit.revision;
+        }
         true
     }
 
@@ -117,9 +139,17 @@
             Change::WithdrawKey { hash } => {
                 self.keys.remove(hash);
             }
+            Change::AddMember(member) => self.members.add(member, self.revision),
+            Change::RemoveMember(member) => self.members.remove(member.incarnation, self.revision),
+            Change::SettleMembers { began, .. } => self.members.settle(*began),
         }
     }
 
+    /// Notes the revision of the last edit of lists or keys in a snapshot.
+    pub fn note_lists_revision(&mut self, revision: u64) {
+        self.lists_revision = self.lists_revision.max(revision);
+    }
+
     /// Moves to `revision` after a snapshot was loaded; a lower one changes nothing.
     pub fn advance_to(&mut self, revision: u64) {
         self.loaded = true;
--- a/src/command/edit.rs
+++ b/src/command/edit.rs
@@ -41,6 +41,7 @@
         }
         match answer.status {
             StatusCode::OK => ExitCode::Success,
+            StatusCode::ACCEPTED => ExitCode::Pending,
             StatusCode::GATEWAY_TIMEOUT => ExitCode::Unknown,
             _ => ExitCode::Refused,
         }
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -35,6 +35,10 @@
     /// Addresses of other hosts that are asked for the lists while the platform cannot be reached.
     #[serde(default)]
     pub seed_peers: Vec<SocketAddr>,
+    /// Whether the host goes on serving while it can prove to hold the newest lists neither by the
+    /// platform nor by other hosts; withdrawn keys then work there for as long as that lasts.
+    #[serde(default)]
+    pub serve_withdrawn_keys_while_cut_off: bool,
     /// Smallest share of a service's live capacity that stays in use, from 0 to 1.
     #[serde(default = "default_floor")]
     pub floor: f64,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -21,13 +21,16 @@
     hosts::host_list_task,
     lifecycle::{wait_for_stop_signal, Shutdown},
     limit::{static_split_task, TaskLimiter},
+    membership::Incarnation,
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
-    peer::{peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerRouter, PeerServer},
+    peer::{
+        peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
+    },
     platform::HttpPlatform,
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, ProxyContext, ProxyParts},
-    sync::{sync_task, CatalogView, SyncTask},
+    sync::{sync_task, CatalogView, ContactHandler, Replica, ReplicaParts, RevisionHandler},
 };
 
 /// Time for the balancer to see the failing check before the listener closes.
@@ -82,8 +85,8 @@
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
     let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
-    let _peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
-    let router = PeerRouter::default();
+    let peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
+    let mut router = PeerRouter::default();
 
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
@@ -107,12 +110,24 @@
 
     let (sync_tx, sync_rx) = mpsc::unbounded::channel();
     let catalog = CatalogView::default();
-    let sync = SyncTask {
+    let replica = Rc::new(Replica::new(ReplicaParts {
+        host: settings.host.clone(),
+        address: settings.peer_address,
+        incarnation: Incarnation::random().ok_or(DaemonError::Io(io::ErrorKind::Other))?,
+        seed_peers: settings.seed_peers.clone(),
+        serve_while_cut_off: settings.serve_withdrawn_keys_while_cut_off,
         table: platform.clone(),
+        objects: platform.clone(),
+        peers,
         view: catalog.clone(),
+        clock: clock.clone(),
         metrics: metrics.clone(),
-    };
-    monoio::spawn(sync_task(sync, sync_rx));
+    }));
+    let handler = RevisionHandler::new(replica.clone());
+    router.set(PeerKind::Revision, Rc::new(handler));
+    let handler = ContactHandler::new(replica.clone());
+    router.set(PeerKind::Heartbeat, Rc::new(handler));
+    monoio::spawn(sync_task(replica, sync_rx));
     monoio::spawn(host_list_task(
         platform,
         balancer.clone(),
--- a/src/exit_code.rs
+++ b/src/exit_code.rs
@@ -19,6 +19,8 @@
     Refused,
     /// A daemon could not be reached, or the outcome of an edit is not known.
     Unknown,
+    /// An edit was committed but is not confirmed by enough daemons yet.
+    Pending,
 }
 
 impl From<ExitCode> for process::ExitCode {
@@ -31,6 +33,7 @@
             ExitCode::Bind => 4,
             ExitCode::Refused => 5,
             ExitCode::Unknown => 6,
+            ExitCode::Pending => 7,
         };
         Self::from(n)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lifecycle;
 pub mod limit;
 pub mod logging;
+pub mod membership;
 pub mod metrics;
 pub mod operator;
 pub mod outcome;
@@ -24,6 +25,7 @@
 pub mod pool;
 pub mod proxy;
 pub mod retry;
+pub mod revision;
 pub mod sync;
 
 pub use command::run;
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -30,6 +30,14 @@
     PeerOversized,
     /// Messages on the peer port that could not be decoded.
     PeerUnreadable,
+    /// Messages by which edits were passed on to peers.
+    EditsSpread,
+    /// Questions to peers for their revision while the table could not be read.
+    ContactQuestions,
+    /// Changes of the members that this daemon committed.
+    MemberChanges,
+    /// Snapshots written to the object store.
+    SnapshotsWritten,
     /// Bytes of control messages of daemons, heads included, as sent and received.
     PeerControlBytes,
     /// Bytes of messages that ask for tokens, heads included, as sent and received.
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -5,4 +5,4 @@
 mod status;
 
 pub use server::{operator_task, OperatorContext};
-pub use status::{KeyGiven, Status};
+pub use status::{KeyGiven, MemberStatus, Status};
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -21,7 +21,7 @@
     sync::{EditAnswer, EditRequest, SyncMessage},
 };
 
-use super::{key_material::new_key, KeyGiven, Status};
+use super::{key_material::new_key, KeyGiven, MemberStatus, Status};
 
 /// Bounds of a request head.
 const HEAD_LIMITS: HeadLimits = HeadLimits {
@@ -146,7 +146,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.proxy.catalog.is_ready() && !self.proxy.leaving.has_begun()
+        let now = self.proxy.clock.now();
+        self.proxy.catalog.is_ready(now) && !self.proxy.leaving.has_begun()
     }
 
     fn ready(&self) -> Reply {
@@ -176,6 +177,7 @@
             data_centre: self.settings.data_centre.clone(),
             ready: self.is_ready(),
             revision: self.proxy.catalog.get().revision(),
+            members: self.members(),
             in_flight: self.proxy.in_flight.count(),
             connections: self.proxy.connections.count(),
             counters,
@@ -183,6 +185,16 @@
         }
     }
 
+    fn members(&self) -> Vec<MemberStatus> {
+        let catalog = self.proxy.catalog.get();
+        let members = catalog.members().iter();
+        let entries = members.map(|(member, phase)| MemberStatus {
+            host: member.host.clone(),
+            phase: *phase,
+        });
+        entries.collect()
+    }
+
     fn plans(&self) -> Reply {
         let catalog = self.proxy.catalog.get();
         let mut entries: Vec<PlanEntry<'_>> = catalog
@@ -244,7 +256,10 @@
                 changes: vec![change],
             })
             .await;
-        let accepted = matches!(edit, EditAnswer::Accepted { .. } | EditAnswer::Unknown);
+        let accepted = matches!(
+            edit,
+            EditAnswer::Accepted { .. } | EditAnswer::Pending { .. } | EditAnswer::Unknown
+        );
         let given = KeyGiven {
             key: accepted.then_some(key),
             hash,
@@ -257,6 +272,7 @@
 fn status_of(answer: &EditAnswer) -> StatusCode {
     match answer {
         EditAnswer::Accepted { .. } => StatusCode::OK,
+        EditAnswer::Pending { .. } => StatusCode::ACCEPTED,
         EditAnswer::Stale { .. } => StatusCode::CONFLICT,
         EditAnswer::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
         EditAnswer::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog::KeyHash, sync::EditAnswer};
+use crate::{catalog::KeyHash, membership::Phase, sync::EditAnswer};
 
 /// The status page.
 #[derive(Debug, Clone, Serialize)]
@@ -17,6 +17,8 @@
     pub ready: bool,
     /// Revision in force.
     pub revision: u64,
+    /// Daemons whose confirmation counts.
+    pub members: Vec<MemberStatus>,
     /// Requests in flight.
     pub in_flight: usize,
     /// Open connections of callers.
@@ -27,6 +29,15 @@
     pub targets: serde_json::Value,
 }
 
+/// One daemon whose confirmation counts.
+#[derive(Debug, Clone, Serialize)]
+pub struct MemberStatus {
+    /// Name of its host.
+    pub host: String,
+    /// Stage of its entry or exit.
+    pub phase: Phase,
+}
+
 /// The answer to a request for a new key.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct KeyGiven {
--- a/src/peer/directory.rs
+++ b/src/peer/directory.rs
@@ -2,13 +2,19 @@
 
 use std::{
     cell::{Ref, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
+    time::{Duration, Instant},
 };
 
 use crate::platform::ListedHost;
 
+/// Time for which the list counts as read lately.
+const LIST_FRESH: Duration = Duration::from_secs(5);
+/// Time for which it is remembered that a host was dropped.
+const KEEP_DROPPED: Duration = Duration::from_secs(3600);
+
 /// Another daemon of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
@@ -16,8 +22,10 @@
     pub host: Rc<str>,
     /// Its data centre.
     pub data_centre: Rc<str>,
-    /// Its address for other daemons.
+    /// Address by which this daemon reaches it.
     pub address: SocketAddr,
+    /// Address that the platform lists.
+    pub listed: SocketAddr,
     /// Whether the platform says that it is leaving.
     pub leaving: bool,
 }
@@ -28,6 +36,15 @@
     own_host: Rc<str>,
     addresses: Rc<BTreeMap<String, SocketAddr>>,
     peers: Rc<RefCell<Vec<Peer>>>,
+    listing: Rc<RefCell<Listing>>,
+}
+
+/// What the platform's list said of daemons over time.
+#[derive(Default)]
+struct Listing {
+    read_at: Option<Instant>,
+    /// Daemons that were listed once, and when those that are no longer listed were missed first.
+    seen: BTreeMap<String, Option<Instant>>,
 }
 
 impl PeerDirectory {
@@ -38,6 +55,7 @@
             own_host: Rc::from(own_host),
             addresses: Rc::new(addresses.clone()),
             peers: Rc::default(),
+            listing: Rc::default(),
         }
     }
 
@@ -46,8 +64,38 @@
         &self.own_host
     }
 
+    /// Tells for how long a host of the fleet has been dropped from the list; none while it is
+    /// listed, was never listed, or the list was not read lately.
+    pub fn dropped_for(&self, host: &str) -> Option<Duration> {
+        let listing = self.listing.borrow();
+        let is_fresh = listing.read_at.is_some_and(|t| t.elapsed() < LIST_FRESH);
+        let missed = listing.seen.get(host).copied().flatten();
+        missed.filter(|_| is_fresh).map(|t| t.elapsed())
+    }
+
+    fn note_listing(&self, hosts: &[ListedHost]) {
+        let now = Instant::now();
+        let daemons = hosts.iter().filter(|h| h.service.is_none());
+        let listed: BTreeSet<&str> = daemons.map(|h| h.name.as_str()).collect();
+        let mut listing = self.listing.borrow_mut();
+        listing.read_at = Some(now);
+        for (host, missed) in &mut listing.seen {
+            if listed.contains(host.as_str()) {
+                *missed = None;
+            } else {
+                missed.get_or_insert(now);
+            }
+        }
+        for host in listed {
+            listing.seen.entry(host.to_owned()).or_default();
+        }
+        let is_kept = |missed: Option<Instant>| missed.is_none_or(|t| t.elapsed() < KEEP_DROPPED);
+        listing.seen.retain(|_, missed| is_kept(*missed));
+    }
+
     /// Takes over the platform's list; targets and this daemon itself are skipped.
     pub fn set_hosts(&self, hosts: &[ListedHost]) {
+        self.note_listing(hosts);
         let daemons = hosts
             .iter()
             .filter(|h| h.service.is_none() && h.name != *self.own_host);
@@ -56,6 +104,7 @@
                 host: Rc::from(h.name.as_str()),
                 data_centre: Rc::from(h.data_centre.as_str()),
                 address: self.address_of(&h.name, h.address),
+                listed: h.address,
                 leaving: h.leaving,
             })
             .collect();
--- a/src/proxy/admit.rs
+++ b/src/proxy/admit.rs
@@ -50,7 +50,7 @@
     check_form(head)?;
     let key = bearer_key(&head.headers).ok_or(ErrorKind::KeyMissing)?;
     let catalog = cx.catalog.get();
-    if !catalog.is_loaded() {
+    if !cx.catalog.is_ready(cx.clock.now()) {
         return Err(ErrorKind::NotReady.into());
     }
     let hash = cx.hasher.hash(key);
--- /dev/null
+++ b/src/revision/commit.rs
@@ -0,0 +1,208 @@
+//! The steps of committing one edit to the table service.
+
+use crate::catalog::EditId;
+
+/// Writes of one edit, against racing edits.
+const MAX_WRITES: u32 = 20;
+/// Reads and guard writes to find out what became of a write whose answer was lost.
+const MAX_RESOLVES: u32 = 8;
+
+/// The head row as read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct HeadSeen {
+    /// Newest revision.
+    pub revision: u64,
+    /// Revision of the last edit that changed lists or keys.
+    pub lists_revision: u64,
+    /// Version of the row, 0 when it is absent.
+    pub version: u64,
+}
+
+/// A write of the head row with its old value, which makes an earlier write of the same version
+/// fail for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Guard {
+    /// Version that the head row must still have.
+    pub version: u64,
+}
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CommitStep {
+    /// Adopts the newest revision and reads the head row.
+    ReadHead,
+    /// Writes the edit as `revision`, on the condition that the head row has `version`.
+    Write {
+        /// Revision of the edit.
+        revision: u64,
+        /// Version that the head row must have.
+        version: u64,
+    },
+    /// Writes the guard.
+    WriteGuard(Guard),
+    /// Reads the head row and the edit of `revision` together.
+    ReadBack {
+        /// Revision of the edit.
+        revision: u64,
+    },
+    /// Ends.
+    End(CommitEnd),
+}
+
+/// What came of a step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CommitEvent {
+    /// The head row, whose revision this daemon holds.
+    Head(HeadSeen),
+    /// A read failed.
+    ReadFailed,
+    /// A write took effect.
+    Written,
+    /// The condition of a write did not hold; it took no effect.
+    ConditionFailed,
+    /// The service refused a write; it took no effect.
+    WriteRefused,
+    /// The answer to a write was lost; it may have taken effect or still do so.
+    AnswerLost,
+    /// The version of the head row, and the edit found under the revision.
+    ReadBack {
+        /// Version of the head row.
+        version: u64,
+        /// Identity of the edit under the revision.
+        found: Option<EditId>,
+    },
+}
+
+/// What became of an edit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CommitEnd {
+    /// It led to this revision.
+    Committed(u64),
+    /// It was made from older lists than the current ones, and can no longer take effect.
+    Stale {
+        /// The current revision.
+        current: u64,
+    },
+    /// The service cannot be reached, and the edit can not take effect.
+    Unavailable,
+    /// It may have taken effect or still do so.
+    Unknown,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Write {
+    revision: u64,
+    version: u64,
+}
+
+/// The steps of committing one edit.
+///
+/// A lost answer proves nothing, and neither does an absent row, since the write may still be
+/// under way. The guard settles it: it takes effect only if the write did not, and then the
+/// write's condition can never hold again.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Commit {
+    id: EditId,
+    from_lists: Option<u64>,
+    write: Option<Write>,
+    writes: u32,
+    resolves: u32,
+    current: u64,
+}
+
+impl Commit {
+    /// Makes the commit of the edit `id`, made from the lists of revision `from_lists` if given.
+    pub fn new(id: EditId, from_lists: Option<u64>) -> Self {
+        Self {
+            id,
+            from_lists,
+            write: None,
+            writes: 0,
+            resolves: 0,
+            current: 0,
+        }
+    }
+
+    /// Returns the identity of the edit.
+    pub fn id(&self) -> EditId {
+        self.id
+    }
+
+    /// Returns the first step.
+    pub fn begin(&self) -> CommitStep {
+        CommitStep::ReadHead
+    }
+
+    /// Takes in what came of the last step and returns the next one.
+    pub fn next(&mut self, event: CommitEvent) -> CommitStep {
+        match (event, self.write) {
+            (CommitEvent::Head(head), None) => self.start_write(head),
+            (_, None) => CommitStep::End(CommitEnd::Unavailable),
+            (CommitEvent::Written, Some(write)) if self.resolves == 0 => {
+                CommitStep::End(CommitEnd::Committed(write.revision))
+            }
+            (CommitEvent::Written, Some(_)) => self.start_again(),
+            (CommitEvent::ConditionFailed, Some(_)) if self.resolves == 0 => self.start_again(),
+            (CommitEvent::WriteRefused, Some(_)) if self.resolves == 0 => {
+                CommitStep::End(CommitEnd::Unavailable)
+            }
+            (CommitEvent::ReadBack { version, found }, Some(write)) => {
+                self.read_back(write, version, found)
+            }
+            (CommitEvent::AnswerLost, Some(write)) if self.resolves == 0 => self.guard(write),
+            (_, Some(write)) => self.resolve(CommitStep::ReadBack {
+                revision: write.revision,
+            }),
+        }
+    }
+
+    fn start_write(&mut self, head: HeadSeen) -> CommitStep {
+        self.current = head.revision;
+        let is_stale = self
+            .from_lists
+            .is_some_and(|from| from < head.lists_revision || from > head.revision);
+        if is_stale || self.writes == MAX_WRITES {
+            let current = self.current;
+            return CommitStep::End(CommitEnd::Stale { current });
+        }
+        let write = Write {
+            revision: head.revision + 1,
+            version: head.version,
+        };
+        self.writes += 1;
+        self.write = Some(write);
+        CommitStep::Write {
+            revision: write.revision,
+            version: write.version,
+        }
+    }
+
+    /// Begins anew; the last write can no longer take effect.
+    fn start_again(&mut self) -> CommitStep {
+        self.write = None;
+        self.resolves = 0;
+        CommitStep::ReadHead
+    }
+
+    fn guard(&mut self, write: Write) -> CommitStep {
+        let version = write.version;
+        self.resolve(CommitStep::WriteGuard(Guard { version }))
+    }
+
+    fn read_back(&mut self, write: Write, version: u64, found: Option<EditId>) -> CommitStep {
+        match found {
+            Some(id) if id == self.id => CommitStep::End(CommitEnd::Committed(write.revision)),
+            Some(_) => self.start_again(),
+            None if version != write.version => self.start_again(),
+            None => self.guard(write),
+        }
+    }
+
+    fn resolve(&mut self, step: CommitStep) -> CommitStep {
+        self.resolves += 1;
+        if self.resolves > MAX_RESOLVES {
+            return CommitStep::End(CommitEnd::Unknown);
+        }
+        step
+    }
+}
--- a/src/sync/catalog_view.rs
+++ b/src/sync/catalog_view.rs
@@ -1,16 +1,17 @@
 //! Read access to the catalog for all tasks of a daemon.
 
 use std::{
-    cell::{Ref, RefCell},
+    cell::{Cell, Ref, RefCell},
     rc::Rc,
 };
 
-use crate::catalog::Catalog;
+use crate::{catalog::Catalog, clock::BootTime};
 
 /// Read access to the catalog; only the sync task changes it.
 #[derive(Clone, Default)]
 pub struct CatalogView {
     shared: Rc<RefCell<Catalog>>,
+    serve_until: Rc<Cell<BootTime>>,
 }
 
 impl CatalogView {
@@ -23,9 +24,14 @@
         self.shared.borrow()
     }
 
-    /// Tells whether a revision is held.
-    pub fn is_ready(&self) -> bool {
-        self.get().is_loaded()
+    /// Tells whether a revision is held that may be served at `now`.
+    pub fn is_ready(&self, now: BootTime) -> bool {
+        self.get().is_loaded() && now < self.serve_until.get()
+    }
+
+    /// Sets the time until which the catalog may be served.
+    pub(super) fn set_serve_until(&self, at: BootTime) {
+        self.serve_until.set(at);
     }
 
     /// Changes the catalog.
--- a/src/sync/commit.rs
+++ b/src/sync/commit.rs
@@ -3,115 +3,193 @@
 use std::time::Duration;
 
 use crate::{
-    catalog::{Change, Edit, EditId},
-    platform::{Committed, PlatformError, Row, RowCheck, Table, Transaction},
+    catalog::{Catalog, Change, Edit, EditId},
+    platform::{Committed, PlatformError, RowCheck, Table, Transaction},
+    revision::{Commit, CommitEnd, CommitEvent, CommitStep, Guard, HeadSeen},
 };
 
 use super::{
-    rows::{edit_key, edit_writes, head_key, Head},
-    EditAnswer, EditRequest,
+    load::{read_head_row, HeadRow},
+    replica::Replica,
+    rows::{edit_key, edit_writes, head_key, head_write},
 };
 
-/// Tries of an edit without a revision of its own against racing edits.
-const RACE_TRIES: u32 = 8;
-/// Tries to find out what became of a write whose answer was lost.
-const RESOLVE_TRIES: u32 = 5;
-/// Time between two such tries.
-const RESOLVE_INTERVAL: Duration = Duration::from_millis(300);
-
-enum Attempt {
-    Committed(u64),
-    Raced { current: u64 },
-    Failed,
-    Unknown,
+/// Longest time between two writes of one edit against racing ones.
+const MAX_BACKOFF: Duration = Duration::from_millis(150);
+/// Time between two tries to find out what became of a write.
+const RESOLVE_INTERVAL: Duration = Duration::from_millis(200);
+/// Reads of the head row until the daemon holds the revision that it shows.
+const HEAD_READS: u32 = 10;
+
+/// Commits changes on top of the newest revision, and adopts them here.
+///
+/// Changes of members are given up as stale when another one is under way.
+pub(super) async fn commit(
+    replica: &Replica,
+    changes: &[Change],
+    from_lists: Option<u64>,
+) -> CommitEnd {
+    let Ok(_turn) = replica.commits.acquire().await else {
+        return CommitEnd::Unavailable;
+    };
+    let mut driver = Driver {
+        replica,
+        changes,
+        machine: Commit::new(new_edit_id(), from_lists),
+        head: None,
+        edit: None,
+        writes: 0,
+    };
+    let end = driver.run().await;
+    if let (CommitEnd::Committed(_), Some(edit)) = (end, &driver.edit) {
+        replica.adopt(std::slice::from_ref(edit));
+    }
+    end
+}
+
+struct Driver<'a> {
+    replica: &'a Replica,
+    changes: &'a [Change],
+    machine: Commit,
+    head: Option<HeadRow>,
+    edit: Option<Edit>,
+    writes: u32,
 }
 
-/// Commits an edit and tells truthfully what became of it.
-pub(super) async fn commit_edit(table: &dyn Table, req: &EditRequest) -> EditAnswer {
-    if let Err(expected) = check(&req.changes) {
-        let expected = expected.to_owned();
-        return EditAnswer::Invalid { expected };
+impl Driver<'_> {
+    async fn run(&mut self) -> CommitEnd {
+        let mut step = self.machine.begin();
+        loop {
+            let event = match step {
+                CommitStep::End(end) => return end,
+                CommitStep::ReadHead => match self.read_head().await {
+                    Ok(event) => event,
+                    Err(end) => return end,
+                },
+                CommitStep::Write { revision, version } => self.write(revision, version).await,
+                CommitStep::WriteGuard(guard) => self.write_guard(guard).await,
+                CommitStep::ReadBack { revision } => self.read_back(revision).await,
+            };
+            step = self.machine.next(event);
+        }
+    }
+
+    fn table(&self) -> &dyn Table {
+        self.replica.parts.table.as_ref()
     }
-    let mut current = 0;
-    for _ in 0..RACE_TRIES {
-        match try_commit(table, req).await {
-            Attempt::Committed(revision) => return EditAnswer::Accepted { revision },
-            Attempt::Failed => return EditAnswer::Unavailable,
-            Attempt::Unknown => return EditAnswer::Unknown,
-            Attempt::Raced { current: now } => current = now,
+
+    async fn read_head(&mut self) -> Result<CommitEvent, CommitEnd> {
+        if self.writes > 0 {
+            let most = MAX_BACKOFF.as_millis() as u64;
+            monoio::time::sleep(Duration::from_millis(fastrand::u64(..most))).await;
         }
-        if req.from_revision.is_some() {
-            break;
+        for _ in 0..HEAD_READS {
+            if self.replica.catch_up().await.is_err() {
+                return Ok(CommitEvent::ReadFailed);
+            }
+            let Ok(row) = read_head_row(self.table()).await else {
+                return Ok(CommitEvent::ReadFailed);
+            };
+            let catalog = self.replica.parts.view.get();
+            if catalog.revision() != row.head.revision {
+                continue;
+            }
+            if !members_allow(&catalog, self.changes) {
+                let current = row.head.revision;
+                return Err(CommitEnd::Stale { current });
+            }
+            self.head = Some(row);
+            return Ok(CommitEvent::Head(HeadSeen {
+                revision: row.head.revision,
+                lists_revision: row.head.lists_revision,
+                version: row.version,
+            }));
         }
+        Ok(CommitEvent::ReadFailed)
     }
-    EditAnswer::Stale { current }
-}
 
-fn check(changes: &[Change]) -> Result<(), &'static str> {
-    if changes.is_empty() {
-        return Err("changes: expected at least one");
+    async fn write(&mut self, revision: u64, version: u64) -> CommitEvent {
+        self.writes += 1;
+        let edit = Edit {
+            revision,
+            id: self.machine.id(),
+            changes: self.changes.to_vec(),
+        };
+        let lists_revision = self.head.map_or(0, |row| row.head.lists_revision);
+        let tx = Transaction {
+            checks: vec![head_check(version)],
+            writes: edit_writes(&edit, lists_revision),
+        };
+        self.edit = Some(edit);
+        event_of_write(self.table().transact(&tx).await)
     }
-    changes.iter().try_for_each(Change::check)
-}
 
-async fn try_commit(table: &dyn Table, req: &EditRequest) -> Attempt {
-    let Ok(head) = read_row(table).await else {
-        return Attempt::Failed;
-    };
-    let version = head.as_ref().map_or(0, |row| row.version);
-    let current = match head.map(|row| serde_json::from_value::<Head>(row.value)) {
-        None => 0,
-        Some(Ok(head)) => head.revision,
-        Some(Err(_)) => return Attempt::Failed,
-    };
-    if req.from_revision.is_some_and(|from| from != current) {
-        return Attempt::Raced { current };
+    async fn write_guard(&self, guard: Guard) -> CommitEvent {
+        monoio::time::sleep(RESOLVE_INTERVAL).await;
+        let Some(row) = &self.head else {
+            return CommitEvent::ReadFailed;
+        };
+        let tx = Transaction {
+            checks: vec![head_check(guard.version)],
+            writes: vec![head_write(&row.head)],
+        };
+        event_of_write(self.table().transact(&tx).await)
     }
-    let edit = Edit {
-        revision: current + 1,
-        id: new_edit_id(),
-        changes: req.changes.clone(),
-    };
-    let tx = Transaction {
-        checks: vec![RowCheck {
-            table: head_key().table,
-            key: head_key().key,
-            version,
-        }],
-        writes: edit_writes(&edit),
-    };
-    match table.transact(&tx).await {
-        Ok(Committed::Yes) => Attempt::Committed(edit.revision),
-        Ok(Committed::No) => Attempt::Raced { current },
-        Err(PlatformError::Refused) => Attempt::Failed,
-        Err(PlatformError::NoAnswer | PlatformError::BadAnswer) => {
-            resolve(table, &edit, current).await
+
+    async fn read_back(&self, revision: u64) -> CommitEvent {
+        let keys = [head_key(), edit_key(revision)];
+        let Ok(rows) = self.table().read(&keys).await else {
+            monoio::time::sleep(RESOLVE_INTERVAL).await;
+            return CommitEvent::ReadFailed;
+        };
+        let [head, edit] = rows.as_slice() else {
+            return CommitEvent::ReadFailed;
+        };
+        let found = match edit {
+            None => None,
+            Some(row) => match serde_json::from_value::<Edit>(row.value.clone()) {
+                Ok(edit) => Some(edit.id),
+                Err(_) => return CommitEvent::ReadFailed,
+            },
+        };
+        CommitEvent::ReadBack {
+            version: head.as_ref().map_or(0, |row| row.version),
+            found,
         }
     }
 }
 
-async fn read_row(table: &dyn Table) -> Result<Option<Row>, PlatformError> {
-    let rows = table.read(&[head_key()]).await?;
-    Ok(rows.into_iter().next().flatten())
+fn head_check(version: u64) -> RowCheck {
+    let key = head_key();
+    RowCheck {
+        table: key.table,
+        key: key.key,
+        version,
+    }
 }
 
-/// Finds out what became of a write whose answer was lost.
-///
-/// An absent row proves nothing yet, since the write may still be under way. Only another edit
-/// under the same revision proves that it can no longer take effect.
-async fn resolve(table: &dyn Table, edit: &Edit, current: u64) -> Attempt {
-    for _ in 0..RESOLVE_TRIES {
-        let rows = table.read(&[edit_key(edit.revision)]).await;
-        if let Ok(Some(row)) = rows.map(|rows| rows.into_iter().next().flatten()) {
-            return match serde_json::from_value::<Edit>(row.value) {
-                Ok(found) if found.id == edit.id => Attempt::Committed(edit.revision),
-                Ok(_) => Attempt::Raced { current },
-                Err(_) => Attempt::Unknown,
-            };
-        }
-        monoio::time::sleep(RESOLVE_INTERVAL).await;
+fn event_of_write(res: Result<Committed, PlatformError>) -> CommitEvent {
+    match res {
+        Ok(Committed::Yes) => CommitEvent::Written,
+        Ok(Committed::No) => CommitEvent::ConditionFailed,
+        Err(PlatformError::Refused) => CommitEvent::WriteRefused,
+        Err(PlatformError::NoAnswer | PlatformError::BadAnswer) => CommitEvent::AnswerLost,
     }
-    Attempt::Unknown
+}
+
+/// Tells whether the changes of members, if any, may follow the state of `catalog`.
+fn members_allow(catalog: &Catalog, changes: &[Change]) -> bool {
+    let members = catalog.members();
+    changes.iter().all(|change| match change {
+        Change::AddMember(m) => {
+            members.unsettled_since().is_none() && members.find(m.incarnation).is_none()
+        }
+        Change::RemoveMember(m) => {
+            members.unsettled_since().is_none() && members.find(m.incarnation).is_some()
+        }
+        Change::SettleMembers { began, .. } => members.unsettled_since() == Some(*began),
+        _ => true,
+    })
 }
 
 fn new_edit_id() -> EditId {
--- a/src/sync/edit_answer.rs
+++ b/src/sync/edit_answer.rs
@@ -18,11 +18,19 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
 pub enum EditAnswer {
-    /// The edit was committed.
+    /// The edit was committed, and more than half of the members hold it or are gone.
     Accepted {
         /// Revision that it led to.
         revision: u64,
     },
+    /// The edit was committed, but not confirmed by more than half of the members in time; it takes
+    /// effect wherever it arrives.
+    Pending {
+        /// Revision that it led to.
+        revision: u64,
+        /// Hosts that neither confirmed it nor are gone.
+        missing: Vec<String>,
+    },
     /// The edit was made from a revision that is no longer current; nothing changed.
     Stale {
         /// The current revision.
--- a/src/sync/load.rs
+++ b/src/sync/load.rs
@@ -5,21 +5,41 @@
     platform::{PlatformError, RowKey, Table},
 };
 
-use super::rows::{change_of_row, edit_key, head_key, Head, ACCESS, KEYS, PLANS};
+use super::rows::{
+    change_of_row, edit_key, head_key, member_of_row, Head, ACCESS, KEYS, MEMBERS, PLANS,
+};
 
 /// Rows per scan.
 const SCAN_ROWS: usize = 1000;
 /// Edits per read.
 const EDIT_ROWS: u64 = 100;
 
+/// The head row with its version, 0 when it is absent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct HeadRow {
+    pub(super) head: Head,
+    pub(super) version: u64,
+}
+
 /// Reads the newest revision; 0 when there was no edit yet.
 pub(super) async fn read_head(table: &dyn Table) -> Result<u64, PlatformError> {
+    Ok(read_head_row(table).await?.head.revision)
+}
+
+/// Reads the head row, that of revision 0 when there was no edit yet.
+pub(super) async fn read_head_row(table: &dyn Table) -> Result<HeadRow, PlatformError> {
     let rows = table.read(&[head_key()]).await?;
     let Some(row) = rows.into_iter().next().flatten() else {
-        return Ok(0);
+        return Ok(HeadRow {
+            head: Head::default(),
+            version: 0,
+        });
     };
-    let head: Head = serde_json::from_value(row.value).map_err(|_| PlatformError::BadAnswer)?;
-    Ok(head.revision)
+    let head = serde_json::from_value(row.value).map_err(|_| PlatformError::BadAnswer)?;
+    Ok(HeadRow {
+        head,
+        version: row.version,
+    })
 }
 
 /// Reads up to 100 edits behind `from`, up to `to`, in order and without a gap.
@@ -46,11 +66,12 @@
 /// all revisions from before the scans leads to the exact state of the last one.
 pub(super) async fn load_catalog(table: &dyn Table) -> Result<Catalog, PlatformError> {
     let mut catalog = Catalog::default();
-    let base = read_head(table).await?;
-    for name in [PLANS, ACCESS, KEYS] {
+    let base = read_head_row(table).await?.head;
+    for name in [PLANS, ACCESS, KEYS, MEMBERS] {
         load_table(table, name, &mut catalog).await?;
     }
-    catalog.advance_to(base);
+    catalog.advance_to(base.revision);
+    catalog.note_lists_revision(base.lists_revision);
     let head = read_head(table).await?;
     while catalog.revision() < head {
         let edits = read_edits(table, catalog.revision(), head).await?;
@@ -77,6 +98,11 @@
         };
         after = last.key.clone();
         for row in rows {
+            if name == MEMBERS {
+                let row = member_of_row(row).ok_or(PlatformError::BadAnswer)?;
+                catalog.restore_member(&row.member, row.phase, row.changed_at);
+                continue;
+            }
             match change_of_row(name, row) {
                 Some(change) => catalog.apply_change(&change),
                 None => log::error!("unreadable row in table {name}"),
--- a/src/sync/rows.rs
+++ b/src/sync/rows.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     catalog::{Change, Edit, EditId, KeyHash, Plan, Route},
+    membership::{Incarnation, Member, Phase},
     platform::{RowKey, RowWrite, ScannedRow},
 };
 
@@ -21,11 +22,24 @@
 /// Table of keys, one row a hash.
 pub(super) const KEYS: &str = "keys";
 
+/// Table of members, one row each.
+pub(super) const MEMBERS: &str = "members";
+
 /// The head row: the newest revision and the edit that led to it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub(super) struct Head {
     pub(super) revision: u64,
     pub(super) id: EditId,
+    #[serde(default)]
+    pub(super) lists_revision: u64,
+}
+
+/// The row of a member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct MemberRow {
+    pub(super) member: Member,
+    pub(super) phase: Phase,
+    pub(super) changed_at: u64,
 }
 
 pub(super) fn head_key() -> RowKey {
@@ -46,31 +60,75 @@
     serde_json::to_value(value).ok()
 }
 
-/// Returns all writes of one edit.
-pub(super) fn edit_writes(edit: &Edit) -> Vec<RowWrite> {
+/// Returns the write of the head row.
+pub(super) fn head_write(head: &Head) -> RowWrite {
+    RowWrite {
+        table: META,
+        key: HEAD.to_owned(),
+        value: to_value(head),
+    }
+}
+
+/// Returns all writes of one edit on top of lists of `lists_revision`.
+pub(super) fn edit_writes(edit: &Edit, lists_revision: u64) -> Vec<RowWrite> {
     let head = Head {
         revision: edit.revision,
         id: edit.id,
+        lists_revision: if edit.changes_lists() {
+            edit.revision
+        } else {
+            lists_revision
+        },
     };
     let edit_row = edit_key(edit.revision);
     let mut writes = vec![
-        RowWrite {
-            table: META,
-            key: HEAD.to_owned(),
-            value: to_value(&head),
-        },
+        head_write(&head),
         RowWrite {
             table: edit_row.table,
             key: edit_row.key,
             value: to_value(edit),
         },
     ];
-    writes.extend(edit.changes.iter().map(change_write));
+    for change in &edit.changes {
+        writes.extend(change_writes(change, edit.revision));
+    }
     writes
 }
 
-fn change_write(change: &Change) -> RowWrite {
+fn member_write(member: &Member, phase: Phase, changed_at: u64) -> RowWrite {
+    let row = MemberRow {
+        member: member.clone(),
+        phase,
+        changed_at,
+    };
+    RowWrite {
+        table: MEMBERS,
+        key: member.incarnation.to_string(),
+        value: to_value(&row),
+    }
+}
+
+fn settle_writes(began: u64, joined: &[Member], left: &[Incarnation]) -> Vec<RowWrite> {
+    let entered = joined
+        .iter()
+        .map(|m| member_write(m, Phase::Settled, began));
+    let gone = left.iter().map(|i| RowWrite {
+        table: MEMBERS,
+        key: i.to_string(),
+        value: None,
+    });
+    entered.chain(gone).collect()
+}
+
+fn change_writes(change: &Change, revision: u64) -> Vec<RowWrite> {
     let (table, key, value) = match change {
+        Change::AddMember(m) => return vec![member_write(m, Phase::Joining, revision)],
+        Change::RemoveMember(m) => return vec![member_write(m, Phase::Leaving, revision)],
+        Change::SettleMembers {
+            began,
+            joined,
+            left,
+        } => return settle_writes(*began, joined, left),
         Change::SetPlan { workspace, plan } => (PLANS, workspace.clone(), to_value(plan)),
         Change::RemovePlan { workspace } => (PLANS, workspace.clone(), None),
         Change::SetAccess { plan, routes } => (ACCESS, plan.clone(), to_value(routes)),
@@ -78,7 +136,12 @@
         Change::GiveKey { hash, workspace } => (KEYS, hash.to_string(), to_value(workspace)),
         Change::WithdrawKey { hash } => (KEYS, hash.to_string(), None),
     };
-    RowWrite { table, key, value }
+    vec![RowWrite { table, key, value }]
+}
+
+/// Returns what a scanned row of a member holds; none when it is unreadable.
+pub(super) fn member_of_row(row: ScannedRow) -> Option<MemberRow> {
+    serde_json::from_value(row.value).ok()
 }
 
 /// Returns the change that sets what a scanned row holds; none when the row is unreadable.
--- a/src/sync/task.rs
+++ b/src/sync/task.rs
@@ -1,22 +1,27 @@
-//! The task that owns the catalog.
+//! The tasks that keep the catalog at the newest revision.
 
 use std::{rc::Rc, time::Duration};
 
 use local_sync::{mpsc, oneshot};
 
-use crate::{
-    metrics::{Counter, Metrics},
-    platform::{PlatformError, Table},
-};
+use crate::{catalog::Change, metrics::Counter, revision::CommitEnd};
 
 use super::{
-    commit::commit_edit,
-    load::{load_catalog, read_edits, read_head},
-    CatalogView, EditAnswer, EditRequest,
+    commit::commit,
+    contact_task::contact_task,
+    members_task::members_task,
+    replica::Replica,
+    snapshot_task::snapshot_task,
+    spread::{all_daemons, spread},
+    EditAnswer, EditRequest,
 };
 
-/// Time between two reads of the newest revision.
-const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest time between two reads of the newest revision.
+const MIN_POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Reads of the newest revision per second of the whole fleet.
+const FLEET_READS_PER_S: f64 = 600.0;
+/// Time between two tries to get the first revision.
+const START_INTERVAL: Duration = Duration::from_millis(300);
 
 /// A message to the sync task.
 pub enum SyncMessage {
@@ -24,61 +29,91 @@
     Edit(EditRequest, oneshot::Sender<EditAnswer>),
 }
 
-/// State of the sync task.
-pub struct SyncTask {
-    /// The table service.
-    pub table: Rc<dyn Table>,
-    /// The catalog that all tasks read.
-    pub view: CatalogView,
-    /// The counters.
-    pub metrics: Rc<Metrics>,
+/// Keeps the catalog at the newest revision and commits edits, until all senders are gone.
+pub async fn sync_task(replica: Rc<Replica>, mut rx: mpsc::unbounded::Rx<SyncMessage>) {
+    monoio::spawn(poll_task(replica.clone()));
+    monoio::spawn(contact_task(replica.clone()));
+    monoio::spawn(members_task(replica.clone()));
+    monoio::spawn(snapshot_task(replica.clone()));
+    while let Some(SyncMessage::Edit(req, reply)) = rx.recv().await {
+        let replica = replica.clone();
+        monoio::spawn(async move {
+            let answer = edit(&replica, &req).await;
+            let _ = reply.send(answer);
+        });
+    }
 }
 
-/// Keeps the catalog at the newest revision and commits edits, until all senders are gone.
-pub async fn sync_task(cx: SyncTask, mut rx: mpsc::unbounded::Rx<SyncMessage>) {
+impl Replica {
+    /// Returns the time between two reads of the newest revision.
+    pub(super) fn poll_interval(&self) -> Duration {
+        let daemons = self.parts.peers.directory().peers().len() + 1;
+        let share = Duration::from_secs_f64(daemons as f64 / FLEET_READS_PER_S);
+        share.max(MIN_POLL_INTERVAL)
+    }
+}
+
+async fn poll_task(replica: Rc<Replica>) {
     loop {
-        if let Err(e) = cx.catch_up().await {
-            cx.metrics.count(Counter::PlatformErrors);
+        if let Err(e) = replica.catch_up().await {
+            replica.parts.metrics.count(Counter::PlatformErrors);
             log::warn!("table service: {e}");
         }
-        monoio::select! {
-            () = monoio::time::sleep(POLL_INTERVAL) => {}
-            msg = rx.recv() => match msg {
-                Some(SyncMessage::Edit(req, reply)) => cx.start_edit(req, reply),
-                None => return,
-            }
+        if replica.held().is_none() {
+            ask_for_snapshot(&replica).await;
+            monoio::time::sleep(START_INTERVAL).await;
+            continue;
         }
+        replica.refresh_serving();
+        monoio::time::sleep(replica.poll_interval()).await;
     }
 }
 
-impl SyncTask {
-    async fn catch_up(&self) -> Result<(), PlatformError> {
-        if !self.view.is_ready() {
-            let catalog = load_catalog(self.table.as_ref()).await?;
-            self.view.update(|c| *c = catalog);
-            return Ok(());
+/// Takes the lists from the first daemon that has them.
+async fn ask_for_snapshot(replica: &Rc<Replica>) {
+    let directory = replica.parts.peers.directory();
+    let listed = all_daemons(replica);
+    let listed = listed
+        .iter()
+        .map(|p| directory.address_of(&p.host, p.address));
+    let seeds = replica.parts.seed_peers.iter().copied();
+    let mut addresses: Vec<_> = listed.chain(seeds).collect();
+    fastrand::shuffle(&mut addresses);
+    for address in addresses {
+        match replica.fetch_snapshot(address).await {
+            Ok(()) => return,
+            Err(e) => log::warn!("snapshot from {address}: {e}"),
         }
-        let head = read_head(self.table.as_ref()).await?;
-        while self.view.get().revision() < head {
-            let held = self.view.get().revision();
-            let edits = read_edits(self.table.as_ref(), held, head).await?;
-            if edits.is_empty() {
-                return Err(PlatformError::BadAnswer);
-            }
-            for edit in &edits {
-                self.view.update(|c| c.apply(edit));
-                self.metrics.count(Counter::EditsApplied);
+    }
+}
+
+/// Commits an edit and tells truthfully what became of it.
+async fn edit(replica: &Rc<Replica>, req: &EditRequest) -> EditAnswer {
+    if let Err(expected) = check(&req.changes) {
+        let expected = expected.to_owned();
+        return EditAnswer::Invalid { expected };
+    }
+    match commit(replica, &req.changes, req.from_revision).await {
+        CommitEnd::Committed(revision) => {
+            let spreading = spread(replica, revision).await;
+            if spreading.accepted {
+                return EditAnswer::Accepted { revision };
             }
+            let missing = spreading.missing;
+            EditAnswer::Pending { revision, missing }
         }
-        Ok(())
+        CommitEnd::Stale { current } => EditAnswer::Stale { current },
+        CommitEnd::Unavailable => EditAnswer::Unavailable,
+        CommitEnd::Unknown => EditAnswer::Unknown,
     }
+}
 
-    /// Commits an edit beside the polling, and leaves its adoption to the next poll.
-    fn start_edit(&self, req: EditRequest, reply: oneshot::Sender<EditAnswer>) {
-        let table = self.table.clone();
-        monoio::spawn(async move {
-            let answer = commit_edit(table.as_ref(), &req).await;
-            let _ = reply.send(answer);
-        });
+fn check(changes: &[Change]) -> Result<(), &'static str> {
+    if changes.is_empty() {
+        return Err("changes: expected at least one");
+    }
+    if changes.iter().any(Change::is_of_members) {
+        return Err("changes: expected lists and keys only; daemons join and leave by themselves");
     }
+    changes.iter().try_for_each(Change::check)
 }
