--- a/standins/src/cluster.rs
+++ b/standins/src/cluster.rs
@@ -108,6 +108,7 @@
             self.list_daemon(&settings)?;
             planned.push(settings);
         }
+        name_seed_peers(&mut planned);
         if self.opts.links {
             self.start_links(&mut planned)?;
         }
@@ -145,6 +146,7 @@
                 addresses.insert(name, json!(link.address));
                 self.links.push(PeerLink { from, to, link });
             }
+            settings["seed_peers"] = addresses.values().cloned().collect();
             settings["peer_addresses"] = Value::Object(addresses);
         }
         Ok(())
@@ -291,6 +293,16 @@
     }
 }
 
+/// Names all other daemons in the settings of each.
+fn name_seed_peers(planned: &mut [Value]) {
+    let all: Vec<Value> = planned.iter().map(|s| s["peer_address"].clone()).collect();
+    for settings in planned {
+        let own = settings["peer_address"].clone();
+        let others = all.iter().filter(|a| **a != own).cloned();
+        settings["seed_peers"] = others.collect();
+    }
+}
+
 fn start_targets(platform: &Platform, opts: &ClusterOptions) -> io::Result<Vec<Target>> {
     let mut targets = Vec::new();
     for (service, count) in &opts.services {
