--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -39,8 +39,12 @@
     TooManyConnections,
     /// Too many requests are in flight.
     TooManyInFlight,
+    /// Too many bytes of request bodies are buffered.
+    BufferFull,
     /// The service has no target that may take the request now.
     NoTarget,
+    /// All targets were busy for too long, or too many requests waited for them.
+    Overloaded,
     /// No connection to a target could be opened.
     ConnectFailed,
     /// The targets shed the request.
@@ -98,7 +102,9 @@
             Self::ShuttingDown => (503, NotRun, Some(0), "this host is shutting down"),
             Self::TooManyConnections => (503, NotRun, Some(1), "too many connections"),
             Self::TooManyInFlight => (503, NotRun, Some(1), "too many requests in flight"),
+            Self::BufferFull => (503, NotRun, Some(1), "too many request bodies are buffered"),
             Self::NoTarget => (503, NotRun, Some(1), "no target can take the request now"),
+            Self::Overloaded => (503, NotRun, Some(1), "all targets are busy"),
             Self::ConnectFailed => (503, NotRun, Some(1), "no target could be connected"),
             Self::TargetShed => (503, NotRun, Some(1), "the targets shed the request"),
             Self::DeadlineBeforeRun => (504, NotRun, Some(0), "the deadline passed before the run"),
