--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod lifecycle;
 pub mod limit;
 pub mod logging;
+pub mod membership;
 pub mod metrics;
 pub mod operator;
 pub mod outcome;
@@ -28,6 +29,7 @@
 pub mod proxy;
 pub mod queue;
 pub mod retry;
+pub mod revision;
 pub mod sync;
 
 pub use command::run;
