--- /dev/null
+++ b/tests/membership_model.rs
@@ -0,0 +1,442 @@
+//! Exhaustive search over spreading and serving: three hosts, a table, an edit, a member change.
+//!
+//! The search drives the product's own [`Contact`], [`Members`], [`Confirmation`], [`adoption`] and
+//! [`serve_until`]. Every message and every read may happen or not, at any time, which covers
+//! outages, cuts in one or both directions and pauses; answers may be late.
+
+use std::{cell::Cell, time::Duration, time::Instant};
+
+use chervillug::{
+    clock::BootTime,
+    membership::{
+        serve_until, Contact, ContactReport, Incarnation, Member, Members, Phase, FRESH_LIMIT,
+    },
+    revision::{adoption, Adoption, Confirmation, Confirmed},
+};
+use pathfinding::directed::bfs::bfs;
+
+const HOSTS: usize = 3;
+/// Ticks in which a proof of holding the newest revision lapses.
+const TICKS_PER_LIMIT: u32 = 2;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Variant {
+    Correct,
+    /// Counts members that did not read the table lately as gone.
+    CountsAgainstLiveRows,
+    /// Settles a change of members without the old majority.
+    SkipsOldMajority,
+    /// Lets a restarted host count as the member that it was.
+    KeepsIncarnation,
+    /// Takes whatever revision a peer offers.
+    AdoptsLower,
+    /// Counts answers of hosts that hold a higher revision.
+    HearsHigher,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Change {
+    Lists,
+    /// The host of this number removes all others from the members.
+    RemoveOthers(usize),
+    Settle(u64),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Answer {
+    report: (Incarnation, u64, Vec<u16>),
+    asked: BootTime,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Host {
+    incarnation: Incarnation,
+    revision: Option<u64>,
+    contact: Contact,
+    table_read: Option<BootTime>,
+    answer: Option<Answer>,
+}
+
+/// Confirmations that one host gathers for one revision.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Gathering {
+    by: usize,
+    revision: u64,
+    confirmation: Confirmation,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    tick: u32,
+    log: Vec<Change>,
+    hosts: Vec<Host>,
+    gathering: Option<Gathering>,
+    /// Newest accepted revision, and when it was accepted.
+    accepted: Option<(u64, u32)>,
+    lists_left: u32,
+    members_left: u32,
+    restarts_left: u32,
+    fallen: bool,
+}
+
+struct Search {
+    variant: Variant,
+    ticks: u32,
+}
+
+fn time_of(tick: u32) -> BootTime {
+    BootTime::from_duration(Duration::from_secs(1000) + FRESH_LIMIT * tick / TICKS_PER_LIMIT)
+}
+
+fn incarnation(host: usize, run: u8) -> Incarnation {
+    Incarnation([host as u8, run, 0, 0, 0, 0, 0, 0])
+}
+
+fn member(host: usize) -> Member {
+    Member {
+        incarnation: incarnation(host, 0),
+        host: name(host),
+        address: ([127, 0, 0, 1], 1).into(),
+    }
+}
+
+fn name(host: usize) -> String {
+    format!("entry-{host}")
+}
+
+impl State {
+    fn new(lists: u32, members: u32, restarts: u32) -> Self {
+        let host = |i| Host {
+            incarnation: incarnation(i, 0),
+            revision: Some(0),
+            contact: Contact::default(),
+            table_read: None,
+            answer: None,
+        };
+        Self {
+            tick: 0,
+            log: Vec::new(),
+            hosts: (0..HOSTS).map(host).collect(),
+            gathering: None,
+            accepted: None,
+            lists_left: lists,
+            members_left: members,
+            restarts_left: restarts,
+            fallen: false,
+        }
+    }
+
+    fn now(&self) -> BootTime {
+        time_of(self.tick)
+    }
+
+    fn head(&self) -> u64 {
+        self.log.len() as u64
+    }
+
+    fn members_at(&self, revision: u64) -> Members {
+        let mut members = Members::default();
+        for i in 0..HOSTS {
+            members.restore(&member(i), Phase::Settled, 0);
+        }
+        for (at, change) in self.log.iter().take(revision as usize).enumerate() {
+            match change {
+                Change::Lists => {}
+                Change::RemoveOthers(keep) => (0..HOSTS)
+                    .filter(|i| i != keep)
+                    .for_each(|i| members.remove(incarnation(i, 0), at as u64 + 1)),
+                Change::Settle(began) => members.settle(*began),
+            }
+        }
+        members
+    }
+
+    fn serves(&self, h: usize) -> bool {
+        let host = &self.hosts[h];
+        let Some(revision) = host.revision else {
+            return false;
+        };
+        let members = self.members_at(revision);
+        let heard = host
+            .contact
+            .quorum_heard_at(host.incarnation, &members, self.now());
+        self.now() < serve_until(host.table_read, heard)
+    }
+
+    /// Tells whether a host serves without an edit that was accepted longer ago than the limit, or
+    /// fell to a lower revision.
+    fn is_violation(&self) -> bool {
+        let Some((accepted, at)) = self.accepted else {
+            return self.fallen;
+        };
+        let late = self.tick >= at + TICKS_PER_LIMIT;
+        let behind = |h: usize| self.hosts[h].revision < Some(accepted) && self.serves(h);
+        self.fallen || (late && (0..HOSTS).any(behind))
+    }
+}
+
+impl Search {
+    fn adopt(&self, state: &mut State, h: usize, offered: u64) {
+        let host = &mut state.hosts[h];
+        let adopted = match adoption(host.revision, 0, offered) {
+            Adoption::Ignore if self.variant == Variant::AdoptsLower => offered,
+            Adoption::Ignore => return,
+            _ => offered,
+        };
+        state.fallen |= host.revision > Some(adopted);
+        host.revision = Some(adopted);
+        let members = state.members_at(adopted);
+        state.hosts[h].contact.retain_members(&members);
+    }
+
+    fn read_table(&self, state: &State, h: usize) -> State {
+        let mut next = state.clone();
+        self.adopt(&mut next, h, state.head());
+        next.hosts[h].table_read = Some(state.now());
+        next
+    }
+
+    /// Host `h` asks host `p`, whose answer is under way from now on.
+    fn ask(&self, state: &State, h: usize, p: usize) -> Option<State> {
+        let asked = &state.hosts[p];
+        let revision = asked.revision?;
+        let members = state.members_at(revision);
+        let report = asked
+            .contact
+            .report(asked.incarnation, revision, &members, state.now());
+        let mut next = state.clone();
+        next.hosts[h].answer = Some(Answer {
+            report: (report.incarnation, report.revision, report.ages),
+            asked: state.now(),
+        });
+        Some(next)
+    }
+
+    fn take_answer(&self, state: &State, h: usize) -> Option<State> {
+        let mut next = state.clone();
+        let answer = next.hosts[h].answer.take()?;
+        let (incarnation, revision, ages) = answer.report;
+        let report = ContactReport {
+            incarnation,
+            revision,
+            ages,
+        };
+        if self.variant != Variant::HearsHigher {
+            self.adopt(&mut next, h, report.revision);
+        }
+        let held = next.hosts[h].revision?;
+        let counted = match self.variant {
+            Variant::HearsHigher => held.max(report.revision),
+            _ => held,
+        };
+        let members = next.members_at(held);
+        next.hosts[h]
+            .contact
+            .hear(&report, answer.asked, counted, &members);
+        Some(next)
+    }
+
+    fn commit(&self, state: &State, h: usize, change: Change) -> Option<State> {
+        if state.hosts[h].revision != Some(state.head()) || state.gathering.is_some() {
+            return None;
+        }
+        let mut next = state.clone();
+        next.log.push(change);
+        let revision = next.head();
+        self.adopt(&mut next, h, revision);
+        let mut confirmation = Confirmation::default();
+        confirmation.confirm(&Confirmed {
+            incarnation: next.hosts[h].incarnation,
+            host: &name(h),
+        });
+        next.gathering = Some(Gathering {
+            by: h,
+            revision,
+            confirmation,
+        });
+        Some(self.judge(next))
+    }
+
+    fn judge(&self, mut state: State) -> State {
+        let Some(gathering) = &state.gathering else {
+            return state;
+        };
+        let members = state.members_at(state.hosts[gathering.by].revision.unwrap_or(0));
+        let lapsed = |host: &str| {
+            let read = |h: &Host| h.table_read.is_some_and(|t| state.now() < t + FRESH_LIMIT);
+            let at = (0..HOSTS).find(|i| name(*i) == host);
+            self.variant == Variant::CountsAgainstLiveRows
+                && at.is_some_and(|i| !read(&state.hosts[i]))
+        };
+        if gathering.confirmation.is_accepted(&members, lapsed) {
+            let newer = state.accepted.is_none_or(|(r, _)| r < gathering.revision);
+            if newer {
+                state.accepted = Some((gathering.revision, state.tick));
+            }
+        }
+        state
+    }
+
+    /// Host `h` takes the edit that is spread; its confirmation arrives or not.
+    fn spread(&self, state: &State, h: usize, confirmed: bool) -> Option<State> {
+        let revision = state.gathering.as_ref()?.revision;
+        let mut next = state.clone();
+        next.hosts[h].revision?;
+        self.adopt(&mut next, h, revision);
+        let incarnation = next.hosts[h].incarnation;
+        if confirmed {
+            let gathering = next.gathering.as_mut()?;
+            gathering.confirmation.confirm(&Confirmed {
+                incarnation,
+                host: &name(h),
+            });
+        }
+        Some(self.judge(next))
+    }
+
+    /// The host that gathers goes on to the next edit: settling, if a change was accepted.
+    fn finish(&self, state: &State) -> Option<State> {
+        let gathering = state.gathering.as_ref()?;
+        let mut next = state.clone();
+        next.gathering = None;
+        let began = state.members_at(state.head()).unsettled_since();
+        let accepted = state.accepted.is_some_and(|(r, _)| r >= gathering.revision);
+        match began {
+            Some(began) if accepted || self.variant == Variant::SkipsOldMajority => {
+                self.commit(&next, gathering.by, Change::Settle(began))
+            }
+            Some(_) => None,
+            None => Some(next),
+        }
+    }
+
+    fn restart(&self, state: &State, h: usize) -> Option<State> {
+        let mut next = state.clone();
+        next.restarts_left = state.restarts_left.checked_sub(1)?;
+        let run = u8::from(self.variant != Variant::KeepsIncarnation);
+        next.hosts[h] = Host {
+            incarnation: incarnation(h, run),
+            revision: None,
+            contact: Contact::default(),
+            table_read: None,
+            answer: None,
+        };
+        if next.gathering.as_ref().is_some_and(|g| g.by == h) {
+            next.gathering = None;
+        }
+        Some(next)
+    }
+
+    fn load_from(&self, state: &State, h: usize, p: usize) -> Option<State> {
+        let offered = state.hosts[p].revision?;
+        let mut next = state.clone();
+        next.hosts[h].revision = Some(offered);
+        Some(next)
+    }
+
+    fn host_successors(&self, state: &State, h: usize, out: &mut Vec<State>) {
+        out.push(self.read_table(state, h));
+        out.extend(self.take_answer(state, h));
+        out.extend(self.spread(state, h, true));
+        out.extend(self.spread(state, h, false));
+        out.extend(self.restart(state, h));
+        for p in (0..HOSTS).filter(|p| *p != h) {
+            if state.hosts[h].revision.is_none() {
+                out.extend(self.load_from(state, h, p));
+            } else {
+                out.extend(self.ask(state, h, p));
+            }
+        }
+        // Edits start at host 0 only, since the hosts are alike.
+        if h == 0 && state.lists_left > 0 {
+            out.extend(self.commit(state, h, Change::Lists).map(|mut s| {
+                s.lists_left -= 1;
+                s
+            }));
+        }
+        if h == 0 && state.members_left > 0 {
+            out.extend(self.commit(state, h, Change::RemoveOthers(h)).map(|mut s| {
+                s.members_left -= 1;
+                s
+            }));
+        }
+    }
+
+    fn successors(&self, state: &State) -> Vec<State> {
+        let mut out = Vec::new();
+        for h in 0..HOSTS {
+            self.host_successors(state, h, &mut out);
+        }
+        out.extend(self.finish(state));
+        if state.tick < self.ticks {
+            let mut next = state.clone();
+            next.tick += 1;
+            out.push(self.judge(next));
+        }
+        out.retain(|s| s != state);
+        out
+    }
+}
+
+#[test]
+fn no_serving_host_is_behind_an_accepted_edit() {
+    struct Case {
+        variant: Variant,
+        lists: u32,
+        members: u32,
+        restarts: u32,
+        ticks: u32,
+        violated: bool,
+    }
+    let case = |variant, [lists, members, restarts, ticks]: [u32; 4]| Case {
+        variant,
+        lists,
+        members,
+        restarts,
+        ticks,
+        violated: variant != Variant::Correct,
+    };
+    let cases = [
+        case(Variant::Correct, [1, 0, 0, 2]),
+        case(Variant::CountsAgainstLiveRows, [1, 0, 0, 3]),
+        case(Variant::SkipsOldMajority, [1, 1, 0, 3]),
+        case(Variant::KeepsIncarnation, [1, 0, 1, 3]),
+        case(Variant::AdoptsLower, [1, 0, 0, 3]),
+        case(Variant::HearsHigher, [1, 0, 0, 3]),
+    ];
+    for case in &cases {
+        let begin = Instant::now();
+        let states = Cell::new(0_u64);
+        let search = Search {
+            variant: case.variant,
+            ticks: case.ticks,
+        };
+        let start = State::new(case.lists, case.members, case.restarts);
+        let path = bfs(
+            &start,
+            |s| {
+                states.set(states.get() + 1);
+                search.successors(s)
+            },
+            State::is_violation,
+        );
+        println!(
+            "{:?}, {} list edits, {} member changes, {} restarts, {} ticks: {} states, {:?}, \
+             violation after {:?} steps",
+            case.variant,
+            case.lists,
+            case.members,
+            case.restarts,
+            case.ticks,
+            states.get(),
+            begin.elapsed(),
+            path.as_ref().map(|p| p.len() - 1),
+        );
+        assert_eq!(
+            path.is_some(),
+            case.violated,
+            "{:?}: {path:#?}",
+            case.variant
+        );
+    }
+}
