--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -4,6 +4,7 @@
 
 mod capacity;
 mod counting_allocator;
+mod edit;
 mod figure;
 mod fleet;
 mod gray;
@@ -50,7 +51,7 @@
     ("path", path::path),
     ("peer", peer::peer),
     ("rate", rate::rate),
-    ("edit", rate::edit),
+    ("edit", edit::edit),
     ("outage", rate::outage),
     ("outcomes", outcomes::outcomes),
     ("silent", outcomes::silent),
--- a/examples/measure/rate.rs
+++ b/examples/measure/rate.rs
@@ -9,11 +9,6 @@
     Err(io::Error::other("not measured yet"))
 }
 
-/// Not measured yet.
-pub(crate) fn edit(_: &RunOptions, _: &mut Report) -> io::Result<()> {
-    Err(io::Error::other("not measured yet"))
-}
-
 /// Not measured yet.
 pub(crate) fn outage(_: &RunOptions, _: &mut Report) -> io::Result<()> {
     Err(io::Error::other("not measured yet"))
