--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     catalog::KeyHasher,
+    claim::{claim_sweep_task, ClaimStore},
     clock::{Clock, SystemClock},
     config::Settings,
     health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
@@ -28,6 +29,7 @@
         peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
     },
     platform::HttpPlatform,
+    poison::{PoisonHandler, PoisonWatch},
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, ProxyContext, ProxyParts},
     sync::{sync_task, CatalogView, ContactHandler, Replica, ReplicaParts, RevisionHandler},
@@ -88,6 +90,11 @@
     let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
     let peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
     let mut router = PeerRouter::default();
+    let poison = PoisonWatch::new(peers.clone(), &settings.data_centre, clock.clone());
+    router.set(
+        PeerKind::Poison,
+        Rc::new(PoisonHandler::new(poison.clone())),
+    );
 
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
@@ -131,6 +138,8 @@
     let handler = ContactHandler::new(replica.clone());
     router.set(PeerKind::Heartbeat, Rc::new(handler));
     monoio::spawn(sync_task(replica, sync_rx));
+    let claims = ClaimStore::new(platform.clone());
+    monoio::spawn(claim_sweep_task(platform.clone(), directory.clone()));
     monoio::spawn(host_list_task(
         platform,
         balancer.clone(),
@@ -157,6 +166,8 @@
         limiter: Box::new(TaskLimiter::new(limiter_tx)),
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
+        claims,
+        poison,
         metrics,
         clock,
         shutdown: shutdown.clone(),
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{header, request, HeaderValue, Method, Version};
+use http::{header, request, response, HeaderValue, Method, Version};
 use monoio::{
     io::Splitable,
     net::TcpStream,
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    claim::FirstRun,
     http::{
         encode_response_head, request_body_kind, BodyKind, Framing, HttpError, HttpReader,
         HttpWriter,
@@ -22,7 +23,7 @@
 use super::{
     access_log::log_refusal,
     admit::Refusal,
-    headers::add_outcome,
+    headers::{add_first_run, add_outcome},
     serve::{ServedRequest, Serving},
     ProxyContext,
 };
@@ -183,10 +184,32 @@
 
     /// Tells the caller why its request got no target's answer.
     pub(super) async fn tell(&mut self, refusal: Refusal, form: &RefusalForm<'_>) -> After {
-        self.cx.metrics.count_refusal(refusal.kind);
-        log_refusal(form.request_id, refusal.kind);
-        let (mut head, body) = problem_response(refusal.kind, form.request_id, refusal.retry_after);
-        add_outcome(&mut head, refusal.kind.answer().outcome, form.request_id);
+        let (head, body) = problem_response(refusal.kind, form.request_id, refusal.retry_after);
+        self.send_problem(refusal.kind, head, &body, form).await
+    }
+
+    /// Tells the caller of the earlier request under the same idempotency key.
+    pub(super) async fn tell_held(
+        &mut self,
+        kind: ErrorKind,
+        first: &FirstRun,
+        form: &RefusalForm<'_>,
+    ) -> After {
+        let (mut head, body) = problem_response(kind, form.request_id, None);
+        add_first_run(&mut head, first);
+        self.send_problem(kind, head, &body, form).await
+    }
+
+    async fn send_problem(
+        &mut self,
+        kind: ErrorKind,
+        mut head: response::Parts,
+        body: &Bytes,
+        form: &RefusalForm<'_>,
+    ) -> After {
+        self.cx.metrics.count_refusal(kind);
+        log_refusal(form.request_id, kind);
+        add_outcome(&mut head, kind.answer().outcome, form.request_id);
         if !form.keep_alive {
             let close = HeaderValue::from_static("close");
             head.headers.insert(header::CONNECTION, close);
@@ -194,7 +217,7 @@
         let mut buf = BytesMut::new();
         encode_response_head(&head, Framing::Length(body.len() as u64), &mut buf);
         if *form.method != Method::HEAD {
-            buf.extend_from_slice(&body);
+            buf.extend_from_slice(body);
         }
         match self.write(buf.freeze()).await {
             Ok(()) => After::whole_answer(form.keep_alive),
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     catalog::KeyHasher,
+    claim::ClaimStore,
     clock::Clock,
     config::LimitSettings,
     health::BalancerHandle,
@@ -11,11 +12,12 @@
     lifecycle::{InFlight, Shutdown},
     limit::Limiter,
     metrics::Metrics,
+    poison::PoisonWatch,
     pool::PoolHandle,
     sync::CatalogView,
 };
 
-use super::request_id::RequestIds;
+use super::{request_id::RequestIds, service_states::ServiceStates};
 
 /// Most connections that are open only to be told that there is no room.
 const MAX_REFUSED_CONNECTIONS: usize = 256;
@@ -34,6 +36,10 @@
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
+    /// Claims of requests that must not run twice.
+    pub claims: ClaimStore,
+    /// Watches for requests that crash targets.
+    pub poison: PoisonWatch,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -46,6 +52,7 @@
     pub connections: InFlight,
     /// Requests in flight.
     pub in_flight: InFlight,
+    pub(super) services: ServiceStates,
     /// Connections that are refused for lack of room.
     pub refused_connections: InFlight,
     /// Bytes of request bodies that are buffered.
@@ -67,6 +74,10 @@
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
+    /// Claims of requests that must not run twice.
+    pub claims: ClaimStore,
+    /// Watches for requests that crash targets.
+    pub poison: PoisonWatch,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -89,10 +100,13 @@
             limiter: parts.limiter,
             balancer: parts.balancer,
             pool: parts.pool,
+            claims: parts.claims,
+            poison: parts.poison,
             metrics: parts.metrics,
             clock: parts.clock,
             leaving: Shutdown::default(),
             shutdown: parts.shutdown,
+            services: ServiceStates::default(),
             request_ids: RefCell::new(RequestIds::default()),
         }
     }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -4,7 +4,9 @@
 mod admit;
 mod attempt;
 mod caller;
+mod claimed;
 mod context;
+mod crash;
 mod deadline;
 mod dispatch;
 mod headers;
@@ -13,6 +15,7 @@
 mod request_body;
 mod request_id;
 mod serve;
+mod service_states;
 
 pub use context::{ProxyContext, ProxyParts};
 pub(crate) use headers::target_state;
