--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -116,9 +116,6 @@
             Err(DispatchError::Failed(kind)) => {
                 return self.conn.tell(kind.into(), &refusal).await;
             }
-            Err(DispatchError::Held(kind, first)) => {
-                return self.conn.tell_held(kind, &first, &refusal).await;
-            }
         };
         let status = answer.head.status;
         let form = AnswerForm {
