Read the list of hosts only when it changed

Ruled out: reading it less often, since leaving targets must get no work after 3 s. Change: the read names the version that is known, and the platform answers without the list when it still is the current one; a platform that counts no versions gives the whole list as before.

--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -1,6 +1,6 @@
 //! The platform's services over HTTP.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
@@ -28,6 +28,14 @@
     address: SocketAddr,
     host: String,
     metrics: Rc<Metrics>,
+    hosts: RefCell<KnownHosts>,
+}
+
+/// The list of hosts as last read.
+#[derive(Default)]
+struct KnownHosts {
+    version: Option<u64>,
+    hosts: Vec<ListedHost>,
 }
 
 #[derive(Deserialize)]
@@ -54,7 +62,11 @@
 
 #[derive(Deserialize)]
 struct HostsAnswer {
-    hosts: Vec<ListedHost>,
+    /// Version of the list; none when the platform counts none.
+    #[serde(default)]
+    version: Option<u64>,
+    /// The list; none when the version that was named is still the current one.
+    hosts: Option<Vec<ListedHost>>,
 }
 
 impl HttpPlatform {
@@ -64,6 +76,7 @@
             address,
             host: host.to_owned(),
             metrics,
+            hosts: RefCell::default(),
         }
     }
 
@@ -183,12 +196,22 @@
 impl HostList for HttpPlatform {
     fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, PlatformError>> {
         Box::pin(async move {
+            let known = self.hosts.borrow().version;
+            let path = match known {
+                Some(version) => format!("/v1/hosts?version={version}"),
+                None => "/v1/hosts".to_owned(),
+            };
             let (_, body) = self
-                .send(Method::GET, "/v1/hosts", Bytes::new(), CALL_TIMEOUT)
+                .send(Method::GET, &path, Bytes::new(), CALL_TIMEOUT)
                 .await?;
             let answer: HostsAnswer =
                 serde_json::from_slice(&body).map_err(|_| PlatformError::BadAnswer)?;
-            Ok(answer.hosts)
+            let mut known = self.hosts.borrow_mut();
+            if let Some(hosts) = answer.hosts {
+                known.version = answer.version;
+                known.hosts = hosts;
+            }
+            Ok(known.hosts.clone())
         })
     }
 }
--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -111,6 +111,7 @@
     objects: BTreeMap<String, Vec<u8>>,
     hosts: BTreeMap<String, HostRow>,
     shown_hosts: Vec<HostRow>,
+    shown_version: u64,
     host_changes: Vec<(Instant, Vec<HostRow>)>,
     next_version: u64,
     faults: PlatformFaults,
@@ -168,12 +169,20 @@
         self.host_changes.push((Instant::now() + lag, hosts));
     }
 
-    fn visible_hosts(&mut self) -> &[HostRow] {
+    /// Returns the list and its version, without the hosts when the caller has that version.
+    fn list_hosts(&mut self, known: Option<u64>) -> Value {
+        self.show_hosts();
+        let version = self.shown_version;
+        let hosts = (known != Some(version)).then_some(&self.shown_hosts);
+        json!({"version": version, "hosts": hosts})
+    }
+
+    fn show_hosts(&mut self) {
         let now = Instant::now();
         while self.host_changes.first().is_some_and(|(at, _)| *at <= now) {
             self.shown_hosts = self.host_changes.remove(0).1;
+            self.shown_version += 1;
         }
-        &self.shown_hosts
     }
 }
 
@@ -274,7 +283,7 @@
             "/v1/transact" => parse(&req.body).map(|tx| self.lock().transact(tx)),
             "/v1/read" => parse(&req.body).map(|keys: Vec<RowKey>| self.read(&keys)),
             "/v1/scan" => parse(&req.body).map(|scan| self.scan(&scan)),
-            "/v1/hosts" => Ok(json!({"hosts": self.lock().visible_hosts()})),
+            "/v1/hosts" => Ok(self.lock().list_hosts(known_version(&req.path))),
             "/control/faults" => parse(&req.body).map(|f| {
                 self.lock().faults = f;
                 json!({})
@@ -324,6 +333,12 @@
     }
 }
 
+/// Returns the version of the list that the caller has, as its query says.
+fn known_version(path: &str) -> Option<u64> {
+    let (_, version) = path.split_once("?version=")?;
+    version.parse().ok()
+}
+
 fn parse<T: for<'a> Deserialize<'a>>(body: &[u8]) -> Result<T, String> {
     serde_json::from_slice(body).map_err(|e| e.to_string())
 }
