Cut the paused host off, so that only the lapse of its proof stops it

Cause: the test of a paused host passed also when a proof of the newest lists lasted 75 minutes, since the host found the edit in its socket when it woke. It proved nothing of the lapse. Change: the host is cut off from the platform and the other hosts while it is paused, so that it wakes with the old lists; the cuts end after the check. Stricter than before.

--- a/tests/revision_processes.rs
+++ b/tests/revision_processes.rs
@@ -197,17 +197,20 @@
 
 #[test]
 fn paused_host_serves_no_withdrawn_key_when_it_wakes() {
-    let cluster = fleet(3, false);
+    const SILENT: &[(&[usize], &[usize])] = &[(&[0, 1], &[2])];
+    let cluster = fleet(3, true);
     for round in 0..2 {
         let key = env::workspace(&cluster, "parish", 1e6, 1_000_000);
         let mut clients = open_connections(&cluster, &key);
         cluster.daemons[2].signal("STOP");
+        set_cuts(&cluster, &[2], SILENT, true);
         let answer = withdraw(&cluster, 0);
         assert_eq!(answer["result"], "accepted", "round {round}: {answer}");
         thread::sleep(IN_FORCE_LIMIT);
         cluster.daemons[2].signal("CONT");
         let status = answer_on(&mut clients[2], &key);
         assert!(status == 401 || status == 503, "round {round}: {status}");
+        set_cuts(&cluster, &[2], SILENT, false);
         assert!(env::eventually(PATIENCE, || ready(&cluster, 2)));
     }
 }
