--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -180,7 +180,12 @@
     pub fn restart(&self) -> io::Result<()> {
         let mut server = self.service.server.lock().unwrap();
         *server = None;
-        self.service.lock().dead = false;
+        {
+            let mut state = self.service.lock();
+            state.dead = false;
+            state.faults.silent_up_to_connection = 0;
+            state.last_connection = 0;
+        }
         *server = Some(Server::start(self.address, self.service.clone())?);
         Ok(())
     }
