--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -34,7 +34,7 @@
     pub(super) cx: &'a ProxyContext,
     /// Service that serves the request.
     pub(super) service: &'a Rc<str>,
-    /// Workspace of the request.
+    /// Workspace of the caller.
     pub(super) workspace: &'a Rc<str>,
     /// Rate of the workspace's plan, 1/s.
     pub(super) rate_per_s: f64,
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -90,6 +90,7 @@
             workspace: &allowed.workspace,
             request_id: req.id,
             rate_per_s: allowed.plan.rate_per_s,
+            request_id: req.id,
             repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
             deadline: Deadline::of_request(&head.headers, cx.limits.deadline, started),
         };
@@ -110,6 +111,9 @@
                 log_caller_gone(req.id);
                 return After::Reset;
             }
+            Err(DispatchError::Held(kind, first)) => {
+                return self.conn.tell_held(kind, &first, &refusal).await;
+            }
             Err(DispatchError::Failed(kind)) => {
                 return self.conn.tell(kind.into(), &refusal).await;
             }
