Remove the fields that a merge left twice in serve.rs

Cause: two merges each added the request id and the arm for a held claim; the text merged, and the crate no longer built.

Change: one of each stays.

--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -90,7 +90,6 @@
             workspace: &allowed.workspace,
             request_id: req.id,
             rate_per_s: allowed.plan.rate_per_s,
-            request_id: req.id,
             repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
             deadline: Deadline::of_request(&head.headers, cx.limits.deadline, started),
         };
@@ -117,9 +116,6 @@
             Err(DispatchError::Failed(kind)) => {
                 return self.conn.tell(kind.into(), &refusal).await;
             }
-            Err(DispatchError::Held(kind, first)) => {
-                return self.conn.tell_held(kind, &first, &refusal).await;
-            }
         };
         let status = answer.head.status;
         let form = AnswerForm {
