Leave all connections of a target that were idle before a silence

Cause: after a silent connection only those opened before it were dropped, though what lost track of one lost all that were idle then.

Ruled out: dropping all connections of the target (one that carried an answer since is proven).

Change: the pool drops those that were idle when the silent attempt began; no connection is used 300 s after it was opened. tests/outcome_silent.rs silences all open connections of 4 targets under 8 callers: each GET and POST is answered within 3 s (deadline 10 s), and nothing is ejected.

--- a/src/pool/idle.rs
+++ b/src/pool/idle.rs
@@ -10,6 +10,8 @@
 
 /// Longest time that a connection stays idle.
 const MAX_IDLE: Duration = Duration::from_secs(10);
+/// Longest time from the opening of a connection to its last request.
+const MAX_AGE: Duration = Duration::from_secs(300);
 /// Most idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
@@ -18,6 +20,12 @@
     since: BootTime,
 }
 
+impl Idle {
+    fn is_usable(&self, now: BootTime) -> bool {
+        now.since(self.since) <= MAX_IDLE && now.since(self.conn.opened) <= MAX_AGE
+    }
+}
+
 /// Idle connections, by target.
 #[derive(Default)]
 pub struct IdleConnections {
@@ -29,7 +37,7 @@
     pub fn take(&mut self, address: SocketAddr, now: BootTime) -> Option<TargetConnection> {
         let queue = self.by_address.get_mut(&address)?;
         while let Some(idle) = queue.pop_back() {
-            if now.since(idle.since) <= MAX_IDLE && idle.conn.is_quiet() {
+            if idle.is_usable(now) && idle.conn.is_quiet() {
                 return Some(idle.conn);
             }
         }
@@ -42,10 +50,7 @@
             return;
         }
         let queue = self.by_address.entry(conn.address).or_default();
-        while queue
-            .front()
-            .is_some_and(|idle| now.since(idle.since) > MAX_IDLE)
-        {
+        while queue.front().is_some_and(|idle| !idle.is_usable(now)) {
             queue.pop_front();
         }
         if queue.len() < MAX_IDLE_PER_TARGET {
@@ -53,10 +58,12 @@
         }
     }
 
-    /// Closes the idle connections to `address` that were opened up to `opened`.
-    pub fn drop_older(&mut self, address: SocketAddr, opened: BootTime) {
+    /// Closes the connections to `address` that were idle at `since` already.
+    ///
+    /// One that came back later carried an answer after `since`, and is known to work.
+    pub fn drop_unproven(&mut self, address: SocketAddr, since: BootTime) {
         if let Some(queue) = self.by_address.get_mut(&address) {
-            queue.retain(|idle| idle.conn.opened > opened);
+            queue.retain(|idle| idle.since > since);
         }
     }
 
@@ -70,7 +77,7 @@
     /// Closes connections that were idle for too long.
     pub fn sweep(&mut self, now: BootTime) {
         self.by_address.retain(|_, queue| {
-            queue.retain(|idle| now.since(idle.since) <= MAX_IDLE);
+            queue.retain(|idle| idle.is_usable(now));
             !queue.is_empty()
         });
     }
--- a/src/pool/task.rs
+++ b/src/pool/task.rs
@@ -19,8 +19,8 @@
     Put(TargetConnection),
     /// Asks whether the other side closed all idle connections.
     AllClosed(SocketAddr, oneshot::Sender<bool>),
-    /// Closes idle connections to a target that were opened up to a time.
-    DropOlder(SocketAddr, BootTime),
+    /// Closes connections to a target that were idle at a time already.
+    DropUnproven(SocketAddr, BootTime),
 }
 
 /// Sends messages to the task that owns the idle connections.
@@ -55,9 +55,9 @@
         let _ = self.tx.send(PoolMessage::Put(conn));
     }
 
-    /// Closes idle connections to `address` that were opened up to `opened`.
-    pub fn drop_older(&self, address: SocketAddr, opened: BootTime) {
-        let _ = self.tx.send(PoolMessage::DropOlder(address, opened));
+    /// Closes the connections to `address` that were idle at `since` already.
+    pub fn drop_unproven(&self, address: SocketAddr, since: BootTime) {
+        let _ = self.tx.send(PoolMessage::DropUnproven(address, since));
     }
 }
 
@@ -75,8 +75,8 @@
                 Some(PoolMessage::AllClosed(address, reply)) => {
                     let _ = reply.send(idle.all_closed(address));
                 }
-                Some(PoolMessage::DropOlder(address, opened)) => {
-                    idle.drop_older(address, opened);
+                Some(PoolMessage::DropUnproven(address, since)) => {
+                    idle.drop_unproven(address, since);
                 }
                 None => return,
             }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -307,7 +307,7 @@
         match event {
             Event::Failed(Failure::Lost) => return self.lost().await,
             Event::Failed(_) => {
-                self.drop_older();
+                self.drop_unproven();
                 self.observe(WorkResult::Lost);
             }
             Event::DeadlinePassed => self.judge_silence(),
@@ -323,13 +323,13 @@
         };
         let picked = &exchange.picked;
         if !target_died(self.cx, picked.address).await {
-            self.drop_older();
+            self.drop_unproven();
             self.observe(WorkResult::Lost);
             return self.step(Event::Failed(Failure::Lost));
         }
         let fingerprint = self.dispatch.fingerprint(self.head, self.body);
         let verdict = self.cx.poison.record_death(fingerprint, &picked.name).await;
-        self.drop_older();
+        self.drop_unproven();
         self.step(Event::Failed(match verdict {
             Verdict::Suspect => Failure::Lost,
             Verdict::Refused => Failure::Crashed,
@@ -339,17 +339,18 @@
     /// Holds silence of a kept connection against the connection, and silence of a new one
     /// against the target.
     fn judge_silence(&self) {
-        self.drop_older();
+        self.drop_unproven();
         let conn = self.exchange.as_ref().and_then(|e| e.conn.as_ref());
         if conn.is_some_and(|conn| !conn.reused) {
             self.observe(WorkResult::Timeout);
         }
     }
 
-    fn drop_older(&self) {
-        let conn = self.exchange.as_ref().and_then(|e| e.conn.as_ref());
-        if let Some(conn) = conn {
-            self.cx.pool.drop_older(conn.address, conn.opened);
+    /// Closes the target's connections that were not used since the attempt began.
+    fn drop_unproven(&self) {
+        if let Some(exchange) = &self.exchange {
+            let address = exchange.picked.address;
+            self.cx.pool.drop_unproven(address, exchange.started);
         }
     }
 
