Measure outcomes, silent connections and crash requests

Cause: the three cases of the module were stubs.

Change: measure -- outcomes prints mismatches, double_runs, unknown_share, attempts_per_request (also with the service wholly down), claim_p50_ms and claim_p99_ms; silent prints silent_answer_p99_ms; poison prints targets_killed. The reconciliation is that of tests/outcome.rs.

--- a/examples/measure/outcomes.rs
+++ b/examples/measure/outcomes.rs
@@ -1,20 +1,257 @@
 //! Cases of the module `outcomes`.
 
-use std::io;
+#[path = "../../tests/reconcile/mod.rs"]
+mod reconcile;
 
-use crate::{figure::Report, RunOptions};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
 
-/// Not measured yet.
-pub(crate) fn outcomes(_: &RunOptions, _: &mut Report) -> io::Result<()> {
-    Err(io::Error::other("not measured yet"))
+use hdrhistogram::Histogram;
+use serde_json::{json, Value};
+use standins::{Client, Cluster, Target};
+
+use crate::{figure::Report, fleet, RunOptions};
+use reconcile::{disturb, mismatches, Driver, Told};
+
+/// Requests of the case `outcomes`, as far as its time allows.
+const REQUESTS: u32 = 100_000;
+/// Threads that send requests.
+const THREADS: u32 = 32;
+/// Requests of one turn of a thread.
+const TURN: u32 = 30;
+/// Claimed requests whose latency is measured.
+const CLAIMS: u32 = 500;
+/// Requests to a service that is wholly down.
+const DOWN_REQUESTS: u32 = 1000;
+/// Longest time that a caller waits.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn start(daemons: usize, targets: usize) -> io::Result<(Cluster, String)> {
+    let mut shape = fleet::options()?;
+    shape.daemons = daemons;
+    shape.services = vec![("catalogue".into(), targets)];
+    shape.settings = json!({"limits": {"deadline_ms": 1000}});
+    let cluster = Cluster::start(shape)?;
+    let key = cluster.add_workspace("parish", 1e6, 1_000_000)?;
+    for i in 0..daemons {
+        let end = Instant::now() + Duration::from_secs(10);
+        while cluster.request(i, &key, "GET", "/catalogue")?.status != 200 {
+            if Instant::now() > end {
+                return Err(io::Error::other("the key is not served"));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    Ok((cluster, key))
+}
+
+/// Compares outcomes with logs under faults, and measures attempts and claims without.
+pub(crate) fn outcomes(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
+    let (cluster, key) = start(3, 5)?;
+    claim_latency(&cluster, &key, report)?;
+    drop(cluster);
+    let (cluster, key) = start(1, 5)?;
+    attempts(&cluster, &key, report, "none")?;
+    cluster.targets.iter().for_each(Target::kill);
+    attempts(&cluster, &key, report, "service_down")?;
+    drop(cluster);
+    reconciled(opts, report)
+}
+
+fn reconciled(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
+    let (mut cluster, key) = start(3, 5)?;
+    let addresses: Vec<SocketAddr> = cluster.daemons.iter().map(|d| d.caller_address).collect();
+    let end = Instant::now() + Duration::from_secs(opts.seconds * 3 / 5);
+    let done = AtomicBool::new(false);
+    let mut told: Vec<Told> = Vec::new();
+    thread::scope(|s| {
+        let drivers: Vec<_> = (0..THREADS)
+            .map(|i| {
+                let (addresses, key) = (addresses.clone(), key.as_str());
+                let seed = (opts.seed << 32) + u64::from(i) * u64::from(REQUESTS);
+                s.spawn(move || drive(addresses, key, seed, end))
+            })
+            .collect();
+        let disturber = s.spawn(|| disturb(&mut cluster, &done, opts.seed));
+        for driver in drivers {
+            told.extend(driver.join().unwrap_or_default());
+        }
+        done.store(true, Ordering::SeqCst);
+        let _ = disturber.join();
+    });
+    thread::sleep(Duration::from_millis(500));
+    let log: Vec<_> = cluster.targets.iter().flat_map(Target::log).collect();
+    let found = mismatches(&told, &log);
+    found.iter().for_each(|mismatch| eprintln!("{mismatch}"));
+    let double = found.iter().filter(|m| m.starts_with("ran ")).count();
+    let unknown = told.iter().filter(|t| t.outcome == "unknown").count();
+    let field = json!({"arrivals": told.len()});
+    report.figure("mismatches", found.len() as f64, "1", &field);
+    report.figure("double_runs", double as f64, "1", &field);
+    let share = unknown as f64 / told.len().max(1) as f64;
+    report.figure("unknown_share", share, "1", &field);
+    Ok(())
+}
+
+fn drive(addresses: Vec<SocketAddr>, key: &str, seed: u64, end: Instant) -> Vec<Told> {
+    let mut told = Vec::new();
+    let mut turn = 0;
+    while turn * TURN < REQUESTS / THREADS && Instant::now() < end {
+        let mut driver = Driver::new(addresses.clone(), key, seed + u64::from(turn));
+        told.extend(driver.run(TURN));
+        turn += 1;
+    }
+    told
+}
+
+fn counters(cluster: &Cluster) -> Value {
+    cluster.daemons[0].status(cluster.operator_token())["counters"].clone()
+}
+
+fn sum_of(counters: &Value, prefix: &str) -> f64 {
+    let all = counters.as_object().into_iter().flatten();
+    let chosen = all.filter(|(name, _)| name.starts_with(prefix));
+    chosen.filter_map(|(_, v)| v.as_f64()).sum()
+}
+
+/// Measures the attempts per request from the retries counted; each request has one besides.
+fn attempts(cluster: &Cluster, key: &str, report: &mut Report, fault: &str) -> io::Result<()> {
+    let before = counters(cluster);
+    for n in 0..DOWN_REQUESTS {
+        cluster.request(0, key, "GET", &format!("/catalogue/{n}"))?;
+    }
+    let after = counters(cluster);
+    let grown = |prefix| sum_of(&after, prefix) - sum_of(&before, prefix);
+    let per_request = 1.0 + grown("retried.") / f64::from(DOWN_REQUESTS);
+    let field = json!({"fault": fault});
+    report.figure("attempts_per_request", per_request, "1", &field);
+    Ok(())
+}
+
+fn histogram() -> io::Result<Histogram<u64>> {
+    Histogram::new(3).map_err(io::Error::other)
+}
+
+fn quantile_ms(latencies: &Histogram<u64>, quantile: f64) -> f64 {
+    latencies.value_at_quantile(quantile) as f64 / 1000.0
+}
+
+/// Measures what a claim adds to the latency of a request, and its table writes.
+fn claim_latency(cluster: &Cluster, key: &str, report: &mut Report) -> io::Result<()> {
+    let plain = posts(cluster, key, false)?;
+    let before = cluster.platform.stats().writes;
+    let claimed = posts(cluster, key, true)?;
+    thread::sleep(Duration::from_millis(200));
+    let writes = cluster.platform.stats().writes - before;
+    for (name, quantile) in [("claim_p50_ms", 0.5), ("claim_p99_ms", 0.99)] {
+        let added = quantile_ms(&claimed, quantile) - quantile_ms(&plain, quantile);
+        report.figure(name, added, "ms", &json!({}));
+    }
+    let per_claim = writes as f64 / f64::from(CLAIMS);
+    report.figure("claim_writes", per_claim, "1", &json!({}));
+    Ok(())
+}
+
+fn posts(cluster: &Cluster, key: &str, claimed: bool) -> io::Result<Histogram<u64>> {
+    let mut latencies = histogram()?;
+    let mut client = Client::connect(cluster.daemons[0].caller_address, PATIENCE)?;
+    let bearer = format!("Bearer {key}");
+    for n in 0..CLAIMS {
+        let name = n.to_string();
+        let mut headers = vec![("authorization", bearer.as_str())];
+        if claimed {
+            headers.push(("idempotency-key", &name));
+        }
+        let begin = Instant::now();
+        let reply = client.send("POST", "/catalogue/order", &headers, b"order")?;
+        if reply.status != 200 {
+            return Err(io::Error::other(reply.text()));
+        }
+        let _ = latencies.record(begin.elapsed().as_micros() as u64);
+    }
+    Ok(latencies)
+}
+
+/// Measures the time to the answer after all open connections went silent.
+pub(crate) fn silent(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
+    let (cluster, key) = start(1, 6)?;
+    for method in ["GET", "POST"] {
+        let end = Instant::now() + Duration::from_secs(opts.seconds / 4);
+        let mut all = histogram()?;
+        let mut failed = 0;
+        while Instant::now() < end {
+            silent_round(&cluster, &key, "GET", 40)?;
+            cluster
+                .targets
+                .iter()
+                .for_each(Target::silence_open_connections);
+            let (latencies, not_answered) = silent_round(&cluster, &key, method, 2)?;
+            all.add(latencies).map_err(io::Error::other)?;
+            failed += not_answered;
+        }
+        let field = json!({"method": method, "requests": all.len(), "failed": failed});
+        let p99 = quantile_ms(&all, 0.99);
+        report.figure("silent_answer_p99_ms", p99, "ms", &field);
+    }
+    Ok(())
 }
 
-/// Not measured yet.
-pub(crate) fn silent(_: &RunOptions, _: &mut Report) -> io::Result<()> {
-    Err(io::Error::other("not measured yet"))
+/// Sends `count` requests from each of 8 callers; returns latencies and the count of failures.
+fn silent_round(
+    cluster: &Cluster,
+    key: &str,
+    method: &str,
+    count: u32,
+) -> io::Result<(Histogram<u64>, u64)> {
+    let address = cluster.daemons[0].caller_address;
+    let bearer = format!("Bearer {key}");
+    let drive = || -> io::Result<(Histogram<u64>, u64)> {
+        let mut latencies = histogram()?;
+        let mut failed = 0;
+        let mut client = Client::connect(address, PATIENCE)?;
+        for _ in 0..count {
+            let headers = [("authorization", bearer.as_str())];
+            let begin = Instant::now();
+            let reply = client.send(method, "/catalogue/item", &headers, b"")?;
+            failed += u64::from(reply.status != 200);
+            let _ = latencies.record(begin.elapsed().as_micros() as u64);
+        }
+        Ok((latencies, failed))
+    };
+    let mut all = (histogram()?, 0);
+    thread::scope(|s| {
+        let callers: Vec<_> = (0..8).map(|_| s.spawn(drive)).collect();
+        for caller in callers {
+            let joined = caller.join().map_err(|_| io::Error::other("caller"))?;
+            let (latencies, failed) = joined?;
+            all.0.add(latencies).map_err(io::Error::other)?;
+            all.1 += failed;
+        }
+        Ok::<(), io::Error>(())
+    })?;
+    Ok(all)
 }
 
-/// Not measured yet.
-pub(crate) fn poison(_: &RunOptions, _: &mut Report) -> io::Result<()> {
-    Err(io::Error::other("not measured yet"))
+/// Counts the targets that a crash request kills when its caller sends it again and again.
+pub(crate) fn poison(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
+    let (cluster, key) = start(6, 12)?;
+    for target in &cluster.targets {
+        target.set_faults(|f| f.crash_on = Some("crash".into()));
+    }
+    let mut random = fastrand::Rng::with_seed(opts.seed);
+    let mut refused = 0;
+    for _ in 0..200 {
+        let i = random.usize(0..cluster.daemons.len());
+        let reply = cluster.request(i, &key, "GET", "/catalogue/crash")?;
+        refused += u32::from(reply.json()["reason"] == "crashes_targets");
+    }
+    let dead = cluster.targets.iter().filter(|t| t.is_dead()).count();
+    let field = json!({"arrivals": 200, "refused": refused, "targets": 12, "data_centres": 3});
+    report.figure("targets_killed", dead as f64, "1", &field);
+    Ok(())
 }
--- a/tests/reconcile/mod.rs
+++ b/tests/reconcile/mod.rs
@@ -1,9 +1,13 @@
 //! Callers that note what they are told, and the comparison with the targets' logs.
 
+mod disturb;
+
 use std::{collections::HashMap, io, net::SocketAddr, time::Duration};
 
 use standins::{Client, Reply, WorkRecord};
 
+pub(crate) use disturb::disturb;
+
 /// Longest time that a caller waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(15);
 /// Most sends of one request with an idempotency key.
