--- a/examples/measure/outcomes.rs
+++ b/examples/measure/outcomes.rs
@@ -89,8 +89,10 @@
     let found = mismatches(&told, &log);
     found.iter().for_each(|mismatch| eprintln!("{mismatch}"));
     let double = found.iter().filter(|m| m.starts_with("ran ")).count();
-    let unknown = told.iter().filter(|t| t.outcome == "unknown").count();
-    let field = json!({"arrivals": told.len()});
+    let count = |outcome: &str| told.iter().filter(|t| t.outcome == outcome).count();
+    let unknown = count("unknown");
+    let (answers, not_run) = (count("answer"), count("not-run"));
+    let field = json!({"arrivals": told.len(), "answers": answers, "not_run": not_run});
     report.figure("mismatches", found.len() as f64, "1", &field);
     report.figure("double_runs", double as f64, "1", &field);
     let share = unknown as f64 / told.len().max(1) as f64;
