--- a/src/command/edit.rs
+++ b/src/command/edit.rs
@@ -59,6 +59,7 @@
         }
         match answer.status {
             StatusCode::OK => ExitCode::Success,
+            StatusCode::ACCEPTED => ExitCode::Pending,
             StatusCode::GATEWAY_TIMEOUT => ExitCode::Unknown,
             _ => ExitCode::Refused,
         }
