Sum up the evidence of all daemons on a service

Cause: 36 to 48 daemons share a target's work, so each alone sees a failing target late. Change: daemons report bad work to two daemons chosen by rendezvous per service, which test the sum against the work that the fleet gives the target; an alarm puts the target on trial, where real work decides.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,18 +12,24 @@
     net::{ListenerOpts, TcpListener},
     LegacyDriver, RuntimeBuilder,
 };
+use rustc_hash::FxHashMap;
 
 use crate::{
     catalog::KeyHasher,
-    clock::{Clock, SystemClock},
+    clock::{BootTime, Clock, SystemClock},
     config::Settings,
-    health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
+    health::{
+        balancer_task, probe_task, Balancer, BalancerHandle, Member, Sequential, SuspicionExchange,
+        SuspicionHandler, SuspicionTask,
+    },
     hosts::host_list_task,
     lifecycle::{wait_for_stop_signal, Shutdown},
     limit::{static_split_task, TaskLimiter},
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
-    peer::{peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerRouter, PeerServer},
+    peer::{
+        peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
+    },
     platform::HttpPlatform,
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, ProxyContext, ProxyParts},
@@ -78,9 +84,10 @@
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
     let directory = PeerDirectory::new(&settings.host);
-    let _peers = PeerClient::new(secrets.clone(), directory.clone());
-    let router = PeerRouter::default();
+    let peers = PeerClient::new(secrets.clone(), directory.clone());
+    let mut router = PeerRouter::default();
 
+    let (suspicion_tx, suspicion_rx) = mpsc::unbounded::channel();
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
     let state = Balancer::new(
@@ -94,8 +101,23 @@
         balancer.clone(),
         clock.clone(),
         metrics.clone(),
+        suspicion_tx.clone(),
     ));
     monoio::spawn(probe_task(balancer.clone()));
+    let suspicions = SuspicionTask {
+        exchange: exchange_of(&settings, clock.now()),
+        peers,
+        balancer: balancer.clone(),
+        metrics: metrics.clone(),
+        clock: clock.clone(),
+        tx: suspicion_tx.clone(),
+        under_way: FxHashMap::default(),
+    };
+    monoio::spawn(suspicions.run(suspicion_rx));
+    router.set(
+        PeerKind::Suspicion,
+        Rc::new(SuspicionHandler { tx: suspicion_tx }),
+    );
 
     let (pool_tx, pool_rx) = mpsc::unbounded::channel();
     monoio::spawn(pool_task(pool_rx, clock.clone()));
@@ -162,6 +184,14 @@
     Ok(())
 }
 
+fn exchange_of(settings: &Settings, now: BootTime) -> SuspicionExchange {
+    let own = Member {
+        host: Rc::from(settings.host.as_str()),
+        data_centre: Rc::from(settings.data_centre.as_str()),
+    };
+    SuspicionExchange::new(own, settings.profile.options().fleet_threshold, now)
+}
+
 /// Waits until nothing is in flight, or the limit has passed.
 async fn drain(proxy: &ProxyContext, limit: Duration) {
     let end = Instant::now() + limit;
--- a/src/health/balancer.rs
+++ b/src/health/balancer.rs
@@ -7,8 +7,8 @@
 use crate::{clock::BootTime, platform::ListedHost};
 
 use super::{
-    routing_set, Candidate, Detector, Flights, Observation, Service, ServiceId, Target, TargetId,
-    TargetState, Ticket, WorkResult,
+    routing_set, Candidate, Detector, Flights, Observation, Service, ServiceId, Suspicion, Target,
+    TargetId, TargetState, Ticket, WorkResult,
 };
 
 /// Longest time for which the routing set of a service stands without a rebuild.
@@ -17,6 +17,8 @@
 const TRIAL_SHARE: f64 = 0.05;
 /// Draws of a target before a full or cold one is accepted.
 const MAX_DRAWS: usize = 8;
+/// Suspicions kept for other daemons at a time.
+const MAX_SUSPICIONS: usize = 256;
 /// Time between probes of a target that said that it drains.
 const DRAINING_PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -66,6 +68,7 @@
     next_id: u32,
     next_ticket: u64,
     ejections: u64,
+    suspicions: Vec<Suspicion>,
     random: fastrand::Rng,
 }
 
@@ -82,6 +85,7 @@
             next_id: 0,
             next_ticket: 0,
             ejections: 0,
+            suspicions: Vec::new(),
             random: fastrand::Rng::with_seed(seed),
         }
     }
@@ -204,6 +208,9 @@
         self.next_ticket += 1;
         let target = self.targets.get_mut(&id)?;
         target.flights.start(ticket, now);
+        if let Some(service) = self.services.get_mut(&target.service) {
+            service.count_work(now);
+        }
         Some(Choice {
             id,
             ticket,
@@ -312,34 +319,46 @@
         }
     }
 
-    /// Takes note of how a request ended; returns whether it speaks against the target.
-    pub fn observe(
-        &mut self,
-        id: TargetId,
-        ticket: Ticket,
-        obs: &Observation,
-        now: BootTime,
-    ) -> bool {
+    /// Takes note of how a request ended.
+    pub fn observe(&mut self, id: TargetId, ticket: Ticket, obs: &Observation, now: BootTime) {
         let Some(target) = self.targets.get_mut(&id) else {
-            return false;
+            return;
         };
         match obs.result {
             WorkResult::Shed => target.shed(now),
             WorkResult::Success => target.succeeded(),
             _ => {}
         }
-        if target.flights.was_overdue(ticket) {
-            return false;
+        if !target.flights.was_overdue(ticket) {
+            self.judge(id, obs, now);
         }
-        self.judge(id, obs, now)
     }
 
-    /// Tells the detector of one piece of work; returns whether evidence against the target grew.
-    fn judge(&mut self, id: TargetId, obs: &Observation, now: BootTime) -> bool {
-        let before = self.detector.own_evidence(id, now);
-        let changed = self.detector.observe(id, obs, now);
-        self.note_change(id, changed, now);
-        self.detector.own_evidence(id, now) > before
+    /// Tells the detector of one piece of work, and keeps what other daemons should know.
+    fn judge(&mut self, id: TargetId, obs: &Observation, now: BootTime) {
+        let judgement = self.detector.observe(id, obs, now);
+        self.note_change(id, judgement.changed, now);
+        if judgement.nats_against <= 0.0 || self.suspicions.len() >= MAX_SUSPICIONS {
+            return;
+        }
+        let Some(target) = self.targets.get(&id) else {
+            return;
+        };
+        let Some(service) = self.services.get(&target.service) else {
+            return;
+        };
+        self.suspicions.push(Suspicion {
+            service: service.name.clone(),
+            target: target.name.clone(),
+            nats: judgement.nats_against,
+            siblings: service.targets.len() as u32,
+            work_per_s: service.work_per_target(now),
+        });
+    }
+
+    /// Returns the suspicions that came up since the last call.
+    pub fn take_suspicions(&mut self) -> Vec<Suspicion> {
+        std::mem::take(&mut self.suspicions)
     }
 
     fn note_change(&mut self, id: TargetId, changed: bool, now: BootTime) {
@@ -355,18 +374,18 @@
         }
     }
 
-    /// Finds requests that are overdue; returns the targets that this speaks against.
-    pub fn tick(&mut self, now: BootTime) -> Vec<TargetId> {
+    /// Finds requests that are overdue.
+    pub fn tick(&mut self, now: BootTime) {
         let busy = self.targets.values().filter(|t| !t.flights.is_empty());
         let ids: Vec<TargetId> = busy.map(|t| t.id).collect();
-        ids.into_iter()
-            .filter(|id| self.find_overdue(*id, now))
-            .collect()
+        for id in ids {
+            self.find_overdue(id, now);
+        }
     }
 
-    fn find_overdue(&mut self, id: TargetId, now: BootTime) -> bool {
+    fn find_overdue(&mut self, id: TargetId, now: BootTime) {
         let Some(limit) = self.detector.overdue_after(id, now) else {
-            return false;
+            return;
         };
         let flights = self.targets.get_mut(&id).map(|t| &mut t.flights);
         let count = flights.map_or(0, |f| f.mark_overdue(limit, now));
@@ -374,11 +393,9 @@
             result: WorkResult::Overdue,
             latency: limit,
         };
-        let mut grew = false;
         for _ in 0..count {
-            grew |= self.judge(id, &obs, now);
+            self.judge(id, &obs, now);
         }
-        grew
     }
 
     /// Takes note of what a target said of itself.
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -13,7 +13,10 @@
     queue::{FairQueue, QueueFull, Waiting},
 };
 
-use super::{Balancer, Choice, Observation, PickError, PickRequest, TargetId, TargetState, Ticket};
+use super::{
+    Balancer, Choice, Observation, PickError, PickRequest, SuspicionEvent, TargetId, TargetState,
+    Ticket,
+};
 
 /// Requests that may wait for a target of one service.
 const QUEUE_CAPACITY: usize = 256;
@@ -173,6 +176,7 @@
     queues: FxHashMap<Rc<str>, FairQueue<WaitingPick>>,
     handle: BalancerHandle,
     metrics: Rc<Metrics>,
+    suspicions: mpsc::unbounded::Tx<SuspicionEvent>,
     ejections: u64,
 }
 
@@ -183,6 +187,7 @@
     handle: BalancerHandle,
     clock: Rc<dyn Clock>,
     metrics: Rc<Metrics>,
+    suspicions: mpsc::unbounded::Tx<SuspicionEvent>,
 ) {
     monoio::spawn(tick_task(handle.clone()));
     let mut task = BalancerTask {
@@ -190,6 +195,7 @@
         queues: FxHashMap::default(),
         handle,
         metrics,
+        suspicions,
         ejections: 0,
     };
     while let Some(msg) = rx.recv().await {
@@ -234,6 +240,9 @@
             }
         }
         self.count_ejections();
+        for suspicion in self.balancer.take_suspicions() {
+            let _ = self.suspicions.send(SuspicionEvent::Own(suspicion));
+        }
     }
 
     fn pick(&mut self, waiting: WaitingPick, now: BootTime) {
--- a/src/health/consecutive.rs
+++ b/src/health/consecutive.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::BootTime;
 
-use super::{Detector, Observation, ServiceId, Standing, TargetId, WorkResult};
+use super::{Detector, Judgement, Observation, ServiceId, Standing, TargetId, WorkResult};
 
 /// Failures in a row that eject a target.
 const FAILURES: u32 = 5;
@@ -28,7 +28,7 @@
 impl Detector for Consecutive {
     fn join(&mut self, _: TargetId, _: ServiceId) {}
 
-    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> bool {
+    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> Judgement {
         let record = self.records.entry(target).or_default();
         match obs.result {
             WorkResult::Success | WorkResult::Shed => record.failures = 0,
@@ -38,11 +38,14 @@
             }
         }
         if record.failures < FAILURES {
-            return false;
+            return Judgement::default();
         }
         record.failures = 0;
         record.out_until = Some(now + EJECTION);
-        true
+        Judgement {
+            changed: true,
+            nats_against: 0.0,
+        }
     }
 
     fn standing(&self, target: TargetId, now: BootTime) -> Standing {
--- a/src/health/detector.rs
+++ b/src/health/detector.rs
@@ -32,6 +32,15 @@
     pub latency: Duration,
 }
 
+/// What one piece of work changed.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Judgement {
+    /// Whether the target was ejected or returned.
+    pub changed: bool,
+    /// Evidence of this piece against the target, nats; zero unless it was bad.
+    pub nats_against: f64,
+}
+
 /// How a target stands.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Standing {
@@ -46,8 +55,8 @@
     /// Takes note of a target of a service, before anything else is told of it.
     fn join(&mut self, target: TargetId, service: ServiceId);
 
-    /// Takes note of one piece of work; returns whether a verdict changed.
-    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> bool;
+    /// Takes note of one piece of work.
+    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> Judgement;
 
     /// Returns how a target stands.
     fn standing(&self, target: TargetId, now: BootTime) -> Standing;
--- a/src/health/fleet_evidence.rs
+++ b/src/health/fleet_evidence.rs
@@ -103,6 +103,11 @@
         total / f64::from(report.siblings.saturating_sub(1).max(1))
     }
 
+    /// Tells whether there is no evidence at all.
+    pub fn is_empty(&self) -> bool {
+        self.sums.is_empty()
+    }
+
     /// Drops what is older than `limit`.
     pub fn forget_older(&mut self, limit: Duration, now: BootTime) {
         self.sums.retain(|_, s| now.since(s.at) < limit);
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -2,6 +2,7 @@
 
 mod balancer;
 mod balancer_task;
+mod byte_budget;
 mod consecutive;
 mod decayed;
 mod detector;
@@ -14,15 +15,19 @@
 mod profile;
 mod sequential;
 mod service;
+mod suspicion;
+mod suspicion_exchange;
+mod suspicion_task;
 mod target;
 mod verdict;
 mod work_counts;
 
 pub use balancer::{Balancer, Choice, PickError, PickRequest};
 pub use balancer_task::{balancer_task, BalancerHandle, BalancerMessage, PickOrder, Picked};
+pub use byte_budget::ByteBudget;
 pub use consecutive::Consecutive;
 pub use decayed::Decayed;
-pub use detector::{Detector, Observation, Standing, WorkResult};
+pub use detector::{Detector, Judgement, Observation, Standing, WorkResult};
 pub use evidence::{log_likelihood_ratio, Evidence, EVIDENCE_HALF_LIFE, FAULT_SHARES};
 pub use fleet_evidence::{EvidenceReport, FleetEvidence};
 pub use flights::{Flights, Ticket};
@@ -32,6 +37,11 @@
 pub use profile::{Profile, SequentialOptions};
 pub use sequential::Sequential;
 pub use service::{Service, ServiceId};
+pub use suspicion::{Suspicion, SuspicionMessage, SuspicionReport};
+pub use suspicion_exchange::{
+    Member, Outgoing, Round, SuspicionExchange, BURST_BYTES, BYTES_PER_S, MESSAGE_BYTES,
+};
+pub use suspicion_task::{SuspicionEvent, SuspicionHandler, SuspicionTask};
 pub use target::{Target, TargetId, TargetState, RAMP};
 pub use verdict::Verdict;
 pub use work_counts::{WorkCounts, WorkTotals, BASELINE_HALF_LIFE};
--- a/src/health/probe_only.rs
+++ b/src/health/probe_only.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::BootTime;
 
-use super::{Detector, Observation, ServiceId, Standing, TargetId};
+use super::{Detector, Judgement, Observation, ServiceId, Standing, TargetId};
 
 /// Time between two probes of a target.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,8 +30,8 @@
         self.records.insert(target, Record::default());
     }
 
-    fn observe(&mut self, _: TargetId, _: &Observation, _: BootTime) -> bool {
-        false
+    fn observe(&mut self, _: TargetId, _: &Observation, _: BootTime) -> Judgement {
+        Judgement::default()
     }
 
     fn standing(&self, target: TargetId, _: BootTime) -> Standing {
--- a/src/health/sequential.rs
+++ b/src/health/sequential.rs
@@ -7,8 +7,9 @@
 use crate::clock::BootTime;
 
 use super::{
-    evidence::EVIDENCE_CAP, Decayed, Detector, Evidence, Observation, SequentialOptions, ServiceId,
-    Standing, TargetId, Verdict, WorkCounts, WorkResult, WorkTotals, EVIDENCE_HALF_LIFE,
+    evidence::EVIDENCE_CAP, log_likelihood_ratio, Decayed, Detector, Evidence, Judgement,
+    Observation, SequentialOptions, ServiceId, Standing, TargetId, Verdict, WorkCounts, WorkResult,
+    WorkTotals, EVIDENCE_HALF_LIFE, FAULT_SHARES,
 };
 
 /// Mean evidence against siblings that chance explains, nats.
@@ -17,6 +18,8 @@
 const SIBLING_WEIGHT: f64 = 3.0;
 /// Half-life of the memory of ejections.
 const FLAP_HALF_LIFE: Duration = Duration::from_secs(300);
+/// Time after which a trial that gets no idempotent work ends with a probe.
+const TRIAL_WITHOUT_WORK: Duration = Duration::from_secs(10);
 /// Part of the threshold that a target starts from after a trial.
 const EVIDENCE_AFTER_TRIAL: f64 = 0.5;
 
@@ -28,7 +31,7 @@
     /// It gets none before `until`, and then only after a probe.
     Ejected { until: BootTime },
     /// It gets a small share of idempotent work.
-    Trial { good: u32 },
+    Trial { good: u32, since: BootTime },
 }
 
 struct Record {
@@ -157,11 +160,37 @@
             return true;
         }
         if let Some(record) = self.targets.get_mut(&target) {
-            record.phase = Phase::Trial { good: good + 1 };
+            record.phase = Phase::Trial {
+                good: good + 1,
+                since: now,
+            };
         }
         false
     }
 
+    /// Takes in work at a target that is neither ejected nor on trial.
+    fn at_work(
+        &mut self,
+        target: TargetId,
+        verdict: Verdict,
+        obs: &Observation,
+        now: BootTime,
+    ) -> Judgement {
+        let bad = verdict != Verdict::Good;
+        let siblings = self.siblings(&self.targets[&target], now);
+        let timed = obs.result == WorkResult::Success;
+        self.take_in(target, verdict, timed.then_some(obs.latency), now);
+        let record = &self.targets[&target];
+        let changed = bad && self.excess_evidence(record, now) >= self.opts.own_threshold;
+        if changed {
+            self.eject(target, now);
+        }
+        Judgement {
+            changed,
+            nats_against: nats_against(verdict, &siblings),
+        }
+    }
+
     /// Judges one piece of work; none when it says nothing of the target.
     fn judge(&self, record: &Record, obs: &Observation, now: BootTime) -> Option<Verdict> {
         match obs.result {
@@ -194,27 +223,23 @@
         service.members += 1;
     }
 
-    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> bool {
+    fn observe(&mut self, target: TargetId, obs: &Observation, now: BootTime) -> Judgement {
         let Some(record) = self.targets.get(&target) else {
-            return false;
+            return Judgement::default();
         };
         let Some(verdict) = self.judge(record, obs, now) else {
-            return false;
+            return Judgement::default();
         };
         let bad = verdict != Verdict::Good;
-        match record.phase {
-            Phase::Ejected { .. } => return false,
-            Phase::Trial { good } => return self.on_trial(target, bad, good, now),
-            Phase::Serving => {}
-        }
-        let timed = obs.result == WorkResult::Success;
-        self.take_in(target, verdict, timed.then_some(obs.latency), now);
-        let record = &self.targets[&target];
-        if !bad || self.excess_evidence(record, now) < self.opts.own_threshold {
-            return false;
+        let changed = match record.phase {
+            Phase::Ejected { .. } => false,
+            Phase::Trial { good, .. } => self.on_trial(target, bad, good, now),
+            Phase::Serving => return self.at_work(target, verdict, obs, now),
+        };
+        Judgement {
+            changed,
+            nats_against: 0.0,
         }
-        self.eject(target, now);
-        true
     }
 
     fn standing(&self, target: TargetId, now: BootTime) -> Standing {
@@ -255,23 +280,37 @@
         }
         self.leave_comparison(target, now);
         if let Some(record) = self.targets.get_mut(&target) {
-            record.phase = Phase::Trial { good: 0 };
+            record.phase = Phase::Trial {
+                good: 0,
+                since: now,
+            };
         }
         true
     }
 
     fn wants_probe(&self, target: TargetId, now: BootTime) -> bool {
-        let record = self.targets.get(&target);
-        record.is_some_and(|r| matches!(r.phase, Phase::Ejected { until } if until <= now))
+        match self.targets.get(&target).map(|r| r.phase) {
+            Some(Phase::Ejected { until }) => until <= now,
+            Some(Phase::Trial { since, .. }) => now.since(since) >= TRIAL_WITHOUT_WORK,
+            _ => false,
+        }
     }
 
     fn probed(&mut self, target: TargetId, healthy: bool, now: BootTime) -> bool {
         if !healthy || !self.wants_probe(target, now) {
             return false;
         }
-        if let Some(record) = self.targets.get_mut(&target) {
-            record.phase = Phase::Trial { good: 0 };
+        let Some(record) = self.targets.get_mut(&target) else {
+            return false;
+        };
+        if matches!(record.phase, Phase::Trial { .. }) {
+            self.return_to_work(target, now);
+            return true;
         }
+        record.phase = Phase::Trial {
+            good: 0,
+            since: now,
+        };
         true
     }
 
@@ -287,3 +326,12 @@
         }
     }
 }
+
+/// Returns the evidence that peers are told of one piece of work, nats.
+fn nats_against(verdict: Verdict, siblings: &WorkTotals) -> f64 {
+    match verdict {
+        Verdict::Good => 0.0,
+        Verdict::Slow => log_likelihood_ratio(true, siblings.slow_share(), FAULT_SHARES[0]),
+        Verdict::Failed => log_likelihood_ratio(true, siblings.failed_share(), FAULT_SHARES[0]),
+    }
+}
--- a/src/health/service.rs
+++ b/src/health/service.rs
@@ -1,10 +1,13 @@
 //! One service as a daemon knows it.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use crate::clock::BootTime;
 
-use super::TargetId;
+use super::{Decayed, TargetId};
+
+/// Half-life of the count of work.
+const WORK_HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Identity of a service within one daemon, never used twice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -23,6 +26,7 @@
     pub on_trial: Vec<TargetId>,
     /// When the sets were built; none when they must be built again.
     pub built_at: Option<BootTime>,
+    work: Decayed,
 }
 
 impl Service {
@@ -34,6 +38,19 @@
             routing: Vec::new(),
             on_trial: Vec::new(),
             built_at: None,
+            work: Decayed::default(),
         }
     }
+
+    /// Counts a request that is sent to a target.
+    pub fn count_work(&mut self, now: BootTime) {
+        self.work.add(1.0, now, WORK_HALF_LIFE);
+    }
+
+    /// Returns the recent rate of requests per target, 1/s.
+    pub fn work_per_target(&self, now: BootTime) -> f64 {
+        let count = self.work.get(now, WORK_HALF_LIFE);
+        let mean_age_s = WORK_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        count / mean_age_s / self.targets.len().max(1) as f64
+    }
 }
--- /dev/null
+++ b/src/health/suspicion_exchange.rs
@@ -0,0 +1,205 @@
+//! Decisions on what to tell other daemons about targets.
+
+use std::{cmp::Reverse, rc::Rc, time::Duration};
+
+use rustc_hash::FxHashMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::BootTime;
+
+use super::{
+    ByteBudget, EvidenceReport, FleetEvidence, Suspicion, SuspicionMessage, SuspicionReport,
+};
+
+/// Daemons that sum up the evidence on a service.
+const COLLECTORS: usize = 2;
+/// Bytes that the exchange may send on average, 1/s.
+pub const BYTES_PER_S: f64 = 600.0;
+/// Bytes that it may send at once.
+pub const BURST_BYTES: f64 = 64.0 * 1024.0;
+/// Bytes of a message and its reply on the wire besides the names in it.
+pub const MESSAGE_BYTES: f64 = 450.0;
+/// Bytes of a report besides the names in it.
+const REPORT_BYTES: f64 = 24.0;
+/// Time after which evidence on a service without new reports is dropped.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// A daemon of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Member {
+    /// Its host.
+    pub host: Rc<str>,
+    /// Its data centre.
+    pub data_centre: Rc<str>,
+}
+
+/// A message and the daemon that it is for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outgoing {
+    /// Host of the daemon.
+    pub host: Rc<str>,
+    /// The message.
+    pub msg: SuspicionMessage,
+}
+
+/// What follows from a round of the exchange.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Round {
+    /// Messages to other daemons.
+    pub outgoing: Vec<Outgoing>,
+    /// Names of targets that this daemon itself should put on trial.
+    pub alarms: Vec<String>,
+    /// Messages that the byte budget left no room for.
+    pub dropped: u32,
+}
+
+/// Collects this daemon's suspicions, and sums up those of all daemons on some of the services.
+pub struct SuspicionExchange {
+    own: Member,
+    threshold: f64,
+    others: Vec<Member>,
+    pending: Vec<SuspicionReport>,
+    alarms: Vec<String>,
+    services: FxHashMap<String, FleetEvidence>,
+    budget: ByteBudget,
+}
+
+impl SuspicionExchange {
+    /// Makes an exchange of the daemon `own` that alarms at `threshold` nats.
+    pub fn new(own: Member, threshold: f64, now: BootTime) -> Self {
+        Self {
+            own,
+            threshold,
+            others: Vec::new(),
+            pending: Vec::new(),
+            alarms: Vec::new(),
+            services: FxHashMap::default(),
+            budget: ByteBudget::new(BYTES_PER_S, BURST_BYTES, now),
+        }
+    }
+
+    /// Takes over the list of the other daemons.
+    pub fn set_others(&mut self, others: Vec<Member>) {
+        self.others = others;
+    }
+
+    /// Takes in a suspicion of this daemon; it is told in the next round.
+    pub fn suspect(&mut self, suspicion: &Suspicion) {
+        let same = |r: &&mut SuspicionReport| *r.target == *suspicion.target;
+        if let Some(report) = self.pending.iter_mut().find(same) {
+            report.nats += suspicion.nats as f32;
+            return;
+        }
+        self.pending.push(SuspicionReport {
+            service: suspicion.service.to_string(),
+            target: suspicion.target.to_string(),
+            nats: suspicion.nats as f32,
+            siblings: suspicion.siblings,
+            work_per_s: suspicion.work_per_s as f32,
+        });
+    }
+
+    /// Takes in a report of the daemon on `host`, or of this daemon.
+    pub fn report(&mut self, host: &str, report: &SuspicionReport, now: BootTime) {
+        let known = self.others.iter().find(|m| *m.host == *host);
+        let own = (*self.own.host == *host).then_some(&self.own);
+        let Some(member) = own.or(known) else {
+            return;
+        };
+        let sane = report.nats.is_finite() && report.nats > 0.0 && report.work_per_s >= 0.0;
+        if !sane {
+            return;
+        }
+        let fleet = self.others.len() as f64 + 1.0;
+        let threshold = self.threshold;
+        let evidence = self
+            .services
+            .entry(report.service.clone())
+            .or_insert_with(|| FleetEvidence::new(threshold));
+        let report = EvidenceReport {
+            target: &report.target,
+            siblings: report.siblings,
+            host: &member.host,
+            data_centre: &member.data_centre,
+            nats: f64::from(report.nats),
+            expected_per_s: f64::from(report.work_per_s) * fleet,
+        };
+        if evidence.report(&report, now) {
+            self.alarms.push(report.target.to_owned());
+        }
+    }
+
+    /// Sends on what came together since the last round.
+    pub fn round(&mut self, now: BootTime) -> Round {
+        let mut round = Round::default();
+        self.send_reports(&mut round, now);
+        self.send_alarms(&mut round, now);
+        for evidence in self.services.values_mut() {
+            evidence.forget_older(FORGET_AFTER, now);
+        }
+        self.services.retain(|_, e| !e.is_empty());
+        round
+    }
+
+    fn send_reports(&mut self, round: &mut Round, now: BootTime) {
+        let mut by_host: FxHashMap<Rc<str>, Vec<SuspicionReport>> = FxHashMap::default();
+        for report in std::mem::take(&mut self.pending) {
+            for host in self.collectors(&report.service) {
+                by_host.entry(host).or_default().push(report.clone());
+            }
+        }
+        for (host, reports) in by_host {
+            if host == self.own.host {
+                for report in &reports {
+                    self.report(&host, report, now);
+                }
+                continue;
+            }
+            let names: usize = reports
+                .iter()
+                .map(|r| r.service.len() + r.target.len())
+                .sum();
+            let bytes = names as f64 + REPORT_BYTES * reports.len() as f64;
+            self.send(host, SuspicionMessage::Reports(reports), bytes, round, now);
+        }
+    }
+
+    fn send_alarms(&mut self, round: &mut Round, now: BootTime) {
+        if self.alarms.is_empty() {
+            return;
+        }
+        round.alarms = std::mem::take(&mut self.alarms);
+        let bytes: usize = round.alarms.iter().map(String::len).sum();
+        let hosts: Vec<Rc<str>> = self.others.iter().map(|m| m.host.clone()).collect();
+        for host in hosts {
+            let msg = SuspicionMessage::Alarm(round.alarms.clone());
+            self.send(host, msg, bytes as f64, round, now);
+        }
+    }
+
+    fn send(
+        &mut self,
+        host: Rc<str>,
+        msg: SuspicionMessage,
+        bytes: f64,
+        round: &mut Round,
+        now: BootTime,
+    ) {
+        if self.budget.take(MESSAGE_BYTES + bytes, now) {
+            round.outgoing.push(Outgoing { host, msg });
+        } else {
+            round.dropped += 1;
+        }
+    }
+
+    /// Returns the hosts of the daemons that sum up the evidence on a service.
+    fn collectors(&self, service: &str) -> Vec<Rc<str>> {
+        let mut all: Vec<&Member> = self.others.iter().chain([&self.own]).collect();
+        let score = |m: &Member| xxh3_64(format!("{service}\n{}", m.host).as_bytes());
+        all.sort_by_cached_key(|m| Reverse(score(m)));
+        all.iter()
+            .take(COLLECTORS)
+            .map(|m| m.host.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/health/suspicion_task.rs
@@ -0,0 +1,146 @@
+//! The task that exchanges suspicions with other daemons.
+
+use std::{rc::Rc, time::Duration};
+
+use local_sync::mpsc;
+use rustc_hash::FxHashMap;
+
+use crate::{
+    clock::Clock,
+    metrics::{Counter, Metrics},
+    peer::{decode, encode, PeerClient, PeerHandler, PeerKind},
+    platform::BoxFuture,
+};
+
+use super::{
+    BalancerHandle, BalancerMessage, Member, Outgoing, Suspicion, SuspicionExchange,
+    SuspicionMessage,
+};
+
+/// Time between two rounds of the exchange.
+const ROUND_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time of one message.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Messages to one daemon that may be under way at a time.
+const MAX_UNDER_WAY: u32 = 4;
+
+/// A message to the task that exchanges suspicions.
+pub enum SuspicionEvent {
+    /// This daemon saw bad work.
+    Own(Suspicion),
+    /// The daemon on a host sent a message.
+    Received(String, SuspicionMessage),
+    /// A message to the daemon on a host ended.
+    Sent(Rc<str>),
+}
+
+/// Hands messages of kind `suspicion` to the task.
+pub struct SuspicionHandler {
+    /// Sends to the task.
+    pub tx: mpsc::unbounded::Tx<SuspicionEvent>,
+}
+
+impl PeerHandler for SuspicionHandler {
+    fn handle<'a>(&'a self, from: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
+        Box::pin(async move {
+            let msg: SuspicionMessage = decode(body)?;
+            let _ = self.tx.send(SuspicionEvent::Received(from.to_owned(), msg));
+            encode(&())
+        })
+    }
+}
+
+/// The task that exchanges suspicions with other daemons.
+pub struct SuspicionTask {
+    /// Decides what to tell whom.
+    pub exchange: SuspicionExchange,
+    /// Calls other daemons.
+    pub peers: PeerClient,
+    /// Puts targets on trial.
+    pub balancer: BalancerHandle,
+    /// The counters.
+    pub metrics: Rc<Metrics>,
+    /// Source of time.
+    pub clock: Rc<dyn Clock>,
+    /// Sends to this task.
+    pub tx: mpsc::unbounded::Tx<SuspicionEvent>,
+    /// Messages under way to each host.
+    pub under_way: FxHashMap<Rc<str>, u32>,
+}
+
+impl SuspicionTask {
+    /// Exchanges suspicions until the daemon ends.
+    pub async fn run(mut self, mut rx: mpsc::unbounded::Rx<SuspicionEvent>) {
+        loop {
+            monoio::time::sleep(ROUND_INTERVAL).await;
+            self.update_others();
+            while let Ok(event) = rx.try_recv() {
+                self.handle(event);
+            }
+            self.round();
+        }
+    }
+
+    fn update_others(&mut self) {
+        let peers = self.peers.directory().peers();
+        let members = peers.iter().filter(|p| !p.leaving).map(|p| Member {
+            host: p.host.clone(),
+            data_centre: p.data_centre.clone(),
+        });
+        self.exchange.set_others(members.collect());
+    }
+
+    fn handle(&mut self, event: SuspicionEvent) {
+        match event {
+            SuspicionEvent::Own(suspicion) => self.exchange.suspect(&suspicion),
+            SuspicionEvent::Received(from, SuspicionMessage::Reports(reports)) => {
+                let now = self.clock.now();
+                for report in &reports {
+                    self.exchange.report(&from, report, now);
+                }
+            }
+            SuspicionEvent::Received(_, SuspicionMessage::Alarm(names)) => self.advise(names),
+            SuspicionEvent::Sent(host) => {
+                if let Some(count) = self.under_way.get_mut(&host) {
+                    *count = count.saturating_sub(1);
+                }
+            }
+        }
+    }
+
+    fn advise(&self, names: Vec<String>) {
+        for name in names {
+            self.balancer.send(BalancerMessage::Advise(name));
+        }
+    }
+
+    fn round(&mut self) {
+        let round = self.exchange.round(self.clock.now());
+        self.advise(round.alarms);
+        for _ in 0..round.dropped {
+            self.metrics.count(Counter::SuspicionsDropped);
+        }
+        for outgoing in round.outgoing {
+            self.send(outgoing);
+        }
+    }
+
+    fn send(&mut self, outgoing: Outgoing) {
+        let under_way = self.under_way.entry(outgoing.host.clone()).or_default();
+        if *under_way >= MAX_UNDER_WAY {
+            self.metrics.count(Counter::SuspicionsDropped);
+            return;
+        }
+        *under_way += 1;
+        self.metrics.count(Counter::SuspicionsSent);
+        let (peers, tx) = (self.peers.clone(), self.tx.clone());
+        monoio::spawn(async move {
+            let Outgoing { host, msg } = outgoing;
+            let sent = peers.call::<_, ()>(&host, PeerKind::Suspicion, &msg, MESSAGE_TIMEOUT);
+            if let Err(e) = sent.await {
+                log::debug!("suspicion to {host}: {e:?}");
+            }
+            let _ = tx.send(SuspicionEvent::Sent(host));
+        });
+    }
+}
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -32,6 +32,10 @@
     PeerUnreadable,
     /// Targets ejected or put on trial.
     Ejections,
+    /// Messages about suspect targets sent to other daemons.
+    SuspicionsSent,
+    /// Messages about suspect targets that the bound on bytes or a slow peer left unsent.
+    SuspicionsDropped,
     /// Requests that waited for a target.
     Queued,
 }
