Move the waiting requests out of the balancer's task

Cause: measurements must drive the decisions about waiting without sockets. Change: a scheduler owns balancer and queues; the task only answers its decisions.

--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -3,43 +3,22 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use local_sync::{mpsc, oneshot};
-use rustc_hash::FxHashMap;
 use serde::Serialize;
 
 use crate::{
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
     platform::ListedHost,
-    queue::{FairQueue, QueueFull, Waiting},
 };
 
 use super::{
-    Balancer, Choice, Observation, PickError, PickRequest, SuspicionEvent, TargetId, TargetState,
-    Ticket,
+    Balancer, Decided, Observation, PickError, PickOrder, Scheduler, SuspicionEvent, TargetId,
+    TargetState, Ticket,
 };
 
-/// Requests that may wait for a target of one service.
-const QUEUE_CAPACITY: usize = 256;
 /// Time between two looks at overdue requests and passed deadlines.
 const TICK: Duration = Duration::from_millis(20);
 
-/// The order of a target for one request.
-#[derive(Debug, Clone)]
-pub struct PickOrder {
-    /// The service.
-    pub service: Rc<str>,
-    /// Workspace of the request.
-    pub workspace: Rc<str>,
-    /// Rate of the workspace's plan, 1/s.
-    pub rate_per_s: f64,
-    /// Whether the request may run more than once.
-    pub repeatable: bool,
-    /// When the request is no longer worth running.
-    pub deadline: BootTime,
-    /// Targets that were tried already.
-    pub avoid: Vec<TargetId>,
-}
-
 /// A message to the task that owns the balancer.
 pub enum BalancerMessage {
     /// Takes over the platform's list.
@@ -165,19 +144,15 @@
     }
 }
 
-/// A request that waits for a target.
-struct WaitingPick {
-    order: PickOrder,
-    reply: oneshot::Sender<Result<Picked, PickError>>,
-}
+type PickReply = oneshot::Sender<Result<Picked, PickError>>;
 
 struct BalancerTask {
-    balancer: Balancer,
-    queues: FxHashMap<Rc<str>, FairQueue<WaitingPick>>,
+    scheduler: Scheduler<PickReply>,
     handle: BalancerHandle,
     metrics: Rc<Metrics>,
     suspicions: mpsc::unbounded::Tx<SuspicionEvent>,
     ejections: u64,
+    queued: u64,
 }
 
 /// Owns the balancer and the queues, and answers messages until all senders are gone.
@@ -191,15 +166,16 @@
 ) {
     monoio::spawn(tick_task(handle.clone()));
     let mut task = BalancerTask {
-        balancer,
-        queues: FxHashMap::default(),
+        scheduler: Scheduler::new(balancer),
         handle,
         metrics,
         suspicions,
         ejections: 0,
+        queued: 0,
     };
     while let Some(msg) = rx.recv().await {
         task.handle(msg, clock.now());
+        task.pass_on();
     }
 }
 
@@ -212,152 +188,73 @@
 
 impl BalancerTask {
     fn handle(&mut self, msg: BalancerMessage, now: BootTime) {
+        let balancer = &mut self.scheduler.balancer;
         match msg {
-            BalancerMessage::SetTargets(hosts) => {
-                self.balancer.set_targets(&hosts, now);
-                self.serve_queues(now);
-            }
+            BalancerMessage::SetTargets(hosts) => balancer.set_targets(&hosts, now),
             BalancerMessage::Pick { order, reply } => {
-                self.pick(WaitingPick { order, reply }, now);
+                let decided = self.scheduler.order(order, reply, now);
+                self.answer(decided);
             }
-            BalancerMessage::Release(id, ticket) => self.release(id, ticket, now),
-            BalancerMessage::Observe(id, ticket, obs) => {
-                self.balancer.observe(id, ticket, &obs, now);
+            BalancerMessage::Release(id, ticket) => {
+                let decided = self.scheduler.release(id, ticket, now);
+                self.answer(decided);
             }
+            BalancerMessage::Observe(id, ticket, obs) => balancer.observe(id, ticket, &obs, now),
             BalancerMessage::ReportState(id, state, load) => {
-                self.balancer.report_state(id, state, load, now);
+                balancer.report_state(id, state, load, now);
             }
-            BalancerMessage::Advise(name) => self.balancer.advise(&name, now),
+            BalancerMessage::Advise(name) => balancer.advise(&name, now),
             BalancerMessage::Probes(reply) => {
-                let _ = reply.send(self.balancer.probes(now));
+                let _ = reply.send(balancer.probes(now));
             }
             BalancerMessage::Probed { id, healthy, state } => {
-                self.balancer.probed(id, healthy, state, now);
+                balancer.probed(id, healthy, state, now);
             }
-            BalancerMessage::Tick => self.tick(now),
-            BalancerMessage::Status(reply) => {
-                let _ = reply.send(self.status(now));
+            BalancerMessage::Tick => {
+                let decided = self.scheduler.tick(now);
+                self.answer(decided);
             }
-        }
-        self.count_ejections();
-        for suspicion in self.balancer.take_suspicions() {
-            let _ = self.suspicions.send(SuspicionEvent::Own(suspicion));
-        }
-    }
-
-    fn pick(&mut self, waiting: WaitingPick, now: BootTime) {
-        let service = waiting.order.service.clone();
-        let queued = self.queues.get(&service).is_some_and(|q| !q.is_empty());
-        if !queued {
-            match self.try_pick(&waiting.order, now) {
-                Err(PickError::Busy) => {}
-                res => return self.answer(waiting, res),
+            BalancerMessage::Status(reply) => {
+                let _ = reply.send(status(balancer, now));
             }
         }
-        self.enqueue(service, waiting);
-    }
-
-    fn try_pick(&mut self, order: &PickOrder, now: BootTime) -> Result<Choice, PickError> {
-        let req = PickRequest {
-            service: &order.service,
-            avoid: &order.avoid,
-            repeatable: order.repeatable,
-        };
-        self.balancer.pick(&req, now)
-    }
-
-    fn answer(&self, waiting: WaitingPick, res: Result<Choice, PickError>) {
-        let picked = res.map(|choice| Picked {
-            id: choice.id,
-            address: choice.address,
-            name: choice.name,
-            ticket: choice.ticket,
-            handle: self.handle.clone(),
-        });
-        let _ = waiting.reply.send(picked);
-    }
-
-    fn enqueue(&mut self, service: Rc<str>, waiting: WaitingPick) {
-        let order = &waiting.order;
-        let entry = Waiting {
-            workspace: order.workspace.clone(),
-            rate_per_s: order.rate_per_s,
-            deadline: order.deadline,
-            item: waiting,
-        };
-        self.metrics.count(Counter::Queued);
-        let queue = self
-            .queues
-            .entry(service)
-            .or_insert_with(|| FairQueue::new(QUEUE_CAPACITY));
-        if let Err(QueueFull(shed)) = queue.push(entry) {
-            self.answer(shed.item, Err(PickError::Overloaded));
-        }
-    }
-
-    fn release(&mut self, id: TargetId, ticket: Ticket, now: BootTime) {
-        self.balancer.release(id, ticket);
-        let service = self.balancer.target(id).map(|t| t.service);
-        let name = service.and_then(|s| self.balancer.service(s));
-        if let Some(name) = name.map(|s| s.name.clone()) {
-            self.serve_queue(&name, now);
-        }
     }
 
-    fn serve_queues(&mut self, now: BootTime) {
-        let waiting = self.queues.iter().filter(|(_, q)| !q.is_empty());
-        let services: Vec<Rc<str>> = waiting.map(|(s, _)| s.clone()).collect();
-        for service in services {
-            self.serve_queue(&service, now);
+    fn answer(&self, decided: impl IntoIterator<Item = Decided<PickReply>>) {
+        for Decided { item, res } in decided {
+            let _ = item.send(res.map(|choice| Picked {
+                id: choice.id,
+                address: choice.address,
+                name: choice.name,
+                ticket: choice.ticket,
+                handle: self.handle.clone(),
+            }));
         }
     }
 
-    /// Gives targets to waiting requests until all targets are busy.
-    fn serve_queue(&mut self, service: &str, now: BootTime) {
-        loop {
-            let queue = self.queues.get(service);
-            let Some(first) = queue.and_then(FairQueue::peek) else {
-                return;
-            };
-            let order = first.item.order.clone();
-            let res = self.try_pick(&order, now);
-            if matches!(res, Err(PickError::Busy)) {
-                return;
-            }
-            let first = self.queues.get_mut(service).and_then(FairQueue::pop);
-            if let Some(first) = first {
-                self.answer(first.item, res);
-            }
-        }
-    }
-
-    fn tick(&mut self, now: BootTime) {
-        self.balancer.tick(now);
-        let mut expired = Vec::new();
-        for queue in self.queues.values_mut() {
-            expired.extend(queue.take_expired(now));
-        }
-        for waiting in expired {
-            self.answer(waiting.item, Err(PickError::Overloaded));
+    /// Passes on what the other parts of the daemon should know.
+    fn pass_on(&mut self) {
+        for suspicion in self.scheduler.balancer.take_suspicions() {
+            let _ = self.suspicions.send(SuspicionEvent::Own(suspicion));
         }
-        self.serve_queues(now);
-    }
-
-    fn count_ejections(&mut self) {
-        while self.ejections < self.balancer.ejections() {
+        while self.ejections < self.scheduler.balancer.ejections() {
             self.ejections += 1;
             self.metrics.count(Counter::Ejections);
         }
+        while self.queued < self.scheduler.queued() {
+            self.queued += 1;
+            self.metrics.count(Counter::Queued);
+        }
     }
+}
 
-    fn status(&self, now: BootTime) -> Vec<TargetStatus> {
-        let targets = self.balancer.targets(now);
-        let status = targets.map(|(t, suspicion)| TargetStatus {
-            name: t.name.to_string(),
-            leaving: t.is_leaving(),
-            in_flight: t.flights.len() as u32,
-            suspicion,
-        });
-        status.collect()
-    }
+fn status(balancer: &Balancer, now: BootTime) -> Vec<TargetStatus> {
+    let targets = balancer.targets(now);
+    let status = targets.map(|(t, suspicion)| TargetStatus {
+        name: t.name.to_string(),
+        leaving: t.is_leaving(),
+        in_flight: t.flights.len() as u32,
+        suspicion,
+    });
+    status.collect()
 }
