--- /dev/null
+++ b/examples/measure/gray_fleet.rs
@@ -0,0 +1,503 @@
+//! The decisions of a whole fleet in virtual time, over simple queueing targets.
+//!
+//! Only the daemons' own decision code runs here; there is no network, platform or clock.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+use chervillug::{
+    clock::BootTime,
+    health::{
+        Balancer, Choice, Decided, Member, Observation, PickOrder, Scheduler, SuspicionExchange,
+        SuspicionMessage, TargetState, WorkResult,
+    },
+    platform::ListedHost,
+};
+
+use crate::gray_scenario::{Fault, Outcome, Policy, Scenario};
+
+const SERVICE: &str = "service";
+const FLOOR: f64 = 0.7;
+/// Mean time of one request at a target.
+const WORK_S: f64 = 0.02;
+/// Share of requests that a healthy target fails.
+const HEALTHY_ERRORS: f64 = 0.005;
+/// Share of requests that may run more than once.
+const REPEATABLE_SHARE: f64 = 0.7;
+const DEADLINE_S: f64 = 2.0;
+const LINK_S: f64 = 0.001;
+const TICK_S: f64 = 0.02;
+const ROUND_S: f64 = 0.05;
+const PROBE_S: f64 = 0.1;
+const PERIOD_S: f64 = 60.0;
+const PERIOD_PART_S: f64 = 5.0;
+const WORKSPACE_SHARES: [f64; 8] = [0.3, 0.25, 0.2, 0.1, 0.05, 0.05, 0.03, 0.02];
+
+#[derive(Debug)]
+enum Event {
+    Arrive(usize),
+    Done(usize),
+    Deadline(usize),
+    Message(usize, usize, SuspicionMessage),
+    Tick,
+    Round,
+    Probe,
+}
+
+struct Entry(u64, u64, Event);
+
+impl PartialEq for Entry {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Entry {}
+impl PartialOrd for Entry {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Entry {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+struct Request {
+    daemon: usize,
+    workspace: usize,
+    started_s: f64,
+    choice: Option<Choice>,
+    target: usize,
+    counted: bool,
+    ended: bool,
+}
+
+#[derive(Default)]
+struct Workspace {
+    plan: f64,
+    asked_per_s: f64,
+    tokens: f64,
+    at_s: f64,
+    admitted: u64,
+    good: u64,
+}
+
+#[derive(Default)]
+struct QueueingTarget {
+    running: u32,
+    waiting: VecDeque<usize>,
+}
+
+struct Daemon {
+    scheduler: Scheduler<usize>,
+    exchange: SuspicionExchange,
+    stopped: bool,
+}
+
+/// A fleet in virtual time.
+pub(crate) struct Fleet {
+    scenario: Scenario,
+    daemons: Vec<Daemon>,
+    targets: Vec<QueueingTarget>,
+    workspaces: Vec<Workspace>,
+    requests: Vec<Request>,
+    events: BinaryHeap<Reverse<Entry>>,
+    order: u64,
+    now_s: f64,
+    faulty_left: bool,
+    random: fastrand::Rng,
+    messages: u64,
+    outcome: Outcome,
+}
+
+fn boot(s: f64) -> BootTime {
+    BootTime::from_duration(Duration::from_secs_f64(s + 1000.0))
+}
+
+/// Runs a scenario.
+pub(crate) fn run(scenario: &Scenario) -> Outcome {
+    let mut fleet = Fleet::new(*scenario);
+    fleet.start();
+    fleet.run()
+}
+
+impl Fleet {
+    fn new(scenario: Scenario) -> Self {
+        let site = scenario.site;
+        let member = |i: usize| Member {
+            host: format!("entry-{i}").into(),
+            data_centre: format!("dc-{}", i % 3).into(),
+        };
+        let threshold = site.profile.options().fleet_threshold;
+        let threshold = match scenario.policy {
+            Policy::Sequential(profile) => profile.options().fleet_threshold,
+            _ => threshold,
+        };
+        let daemons = (0..site.daemons).map(|i| {
+            let seed = scenario.seed.wrapping_mul(1000) + i as u64;
+            let balancer = Balancer::new(scenario.policy.detector(), FLOOR, seed);
+            let mut exchange = SuspicionExchange::new(member(i), threshold, boot(0.0));
+            let others = (0..site.daemons).filter(|j| *j != i).map(member);
+            exchange.set_others(others.collect());
+            Daemon {
+                scheduler: Scheduler::new(balancer),
+                exchange,
+                stopped: false,
+            }
+        });
+        let capacity = site.targets as f64 * f64::from(site.slots) / WORK_S;
+        let workspaces = WORKSPACE_SHARES.iter().enumerate().map(|(i, share)| {
+            let plan = capacity * scenario.load * share;
+            let multiple = if i == 0 { scenario.neighbour } else { 0.9 };
+            Workspace {
+                plan,
+                asked_per_s: plan * multiple,
+                tokens: plan,
+                ..Workspace::default()
+            }
+        });
+        Self {
+            scenario,
+            daemons: daemons.collect(),
+            targets: (0..site.targets)
+                .map(|_| QueueingTarget::default())
+                .collect(),
+            workspaces: workspaces.collect(),
+            requests: Vec::new(),
+            events: BinaryHeap::new(),
+            order: 0,
+            now_s: 0.0,
+            faulty_left: false,
+            random: fastrand::Rng::with_seed(scenario.seed),
+            messages: 0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn start(&mut self) {
+        self.list();
+        for i in 0..self.workspaces.len() {
+            self.schedule(0.0, Event::Arrive(i));
+        }
+        self.schedule(TICK_S, Event::Tick);
+        self.schedule(ROUND_S, Event::Round);
+        self.schedule(PROBE_S, Event::Probe);
+    }
+
+    fn list(&mut self) {
+        let site = self.scenario.site;
+        let hosts: Vec<ListedHost> = (0..site.targets)
+            .map(|i| ListedHost {
+                name: format!("target-{i}"),
+                data_centre: format!("dc-{}", i % 3),
+                address: ([127, 0, 0, 1], 9000 + i as u16).into(),
+                service: Some(SERVICE.into()),
+                slots: site.slots,
+                leaving: i == 0 && self.faulty_left,
+            })
+            .collect();
+        for daemon in &mut self.daemons {
+            let balancer = &mut daemon.scheduler.balancer;
+            balancer.set_targets(&hosts, boot(self.now_s));
+        }
+    }
+
+    fn schedule(&mut self, after_s: f64, event: Event) {
+        self.order += 1;
+        let at_ns = ((self.now_s + after_s) * 1e9) as u64;
+        self.events.push(Reverse(Entry(at_ns, self.order, event)));
+    }
+
+    fn run(mut self) -> Outcome {
+        while let Some(Reverse(Entry(at_ns, _, event))) = self.events.pop() {
+            self.now_s = at_ns as f64 / 1e9;
+            let detected = self.scenario.until_detected && self.outcome.detect_s.is_some();
+            if self.now_s >= self.scenario.end_s || detected {
+                break;
+            }
+            self.handle(event);
+        }
+        self.finish()
+    }
+
+    fn finish(mut self) -> Outcome {
+        let shares = self.workspaces.iter().filter(|w| w.admitted > 0);
+        let share = |w: &Workspace| w.good as f64 / w.admitted as f64;
+        self.outcome.worst_workspace = shares.map(share).fold(1.0, f64::min);
+        let ejections = self
+            .daemons
+            .iter()
+            .map(|d| d.scheduler.balancer.ejections());
+        self.outcome.ejections = ejections.sum();
+        self.outcome.simulated_s = self.now_s;
+        self.outcome.messages_per_s =
+            self.messages as f64 / self.daemons.len() as f64 / self.now_s.max(1e-9);
+        self.outcome
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(workspace) => self.arrive(workspace),
+            Event::Done(req) => self.done(req),
+            Event::Deadline(req) => self.end(req, Some(WorkResult::Timeout)),
+            Event::Message(from, to, msg) => self.receive(from, to, msg),
+            Event::Tick => self.tick(),
+            Event::Round => self.round(),
+            Event::Probe => self.probe(),
+        }
+    }
+
+    fn in_period(&self) -> bool {
+        self.now_s >= self.scenario.onset_s && self.now_s % PERIOD_S < PERIOD_PART_S
+    }
+
+    fn arrive(&mut self, i: usize) {
+        let peak = self.scenario.fault == Fault::Peaks && self.in_period();
+        let factor = if peak { 2.0 } else { 1.0 };
+        let rate = self.workspaces[i].asked_per_s * factor;
+        let gap = -(1.0 - self.random.f64()).ln() / rate;
+        self.schedule(gap, Event::Arrive(i));
+        let now_s = self.now_s;
+        let ws = &mut self.workspaces[i];
+        ws.tokens = (ws.tokens + ws.plan * factor * (now_s - ws.at_s)).min(ws.plan);
+        ws.at_s = now_s;
+        if ws.tokens < 1.0 {
+            return;
+        }
+        ws.tokens -= 1.0;
+        self.admit(i);
+    }
+
+    fn admit(&mut self, workspace: usize) {
+        let counted =
+            self.now_s >= self.scenario.onset_s && self.now_s < self.scenario.end_s - DEADLINE_S;
+        let daemon = self.random.usize(0..self.daemons.len());
+        let req = self.requests.len();
+        self.requests.push(Request {
+            daemon,
+            workspace,
+            started_s: self.now_s,
+            choice: None,
+            target: 0,
+            counted,
+            ended: false,
+        });
+        if counted {
+            self.outcome.admitted += 1;
+            self.workspaces[workspace].admitted += 1;
+        }
+        let order = PickOrder {
+            service: Rc::from(SERVICE),
+            workspace: Rc::from(format!("workspace-{workspace}")),
+            rate_per_s: self.workspaces[workspace].plan,
+            repeatable: self.random.f64() < REPEATABLE_SHARE,
+            deadline: boot(self.now_s + DEADLINE_S),
+            avoid: Vec::new(),
+        };
+        let scheduler = &mut self.daemons[daemon].scheduler;
+        let decided = scheduler.order(order, req, boot(self.now_s));
+        self.decide(decided);
+        self.schedule(DEADLINE_S, Event::Deadline(req));
+    }
+
+    fn decide(&mut self, decided: impl IntoIterator<Item = Decided<usize>>) {
+        for Decided { item: req, res } in decided {
+            match res {
+                Ok(choice) => self.send(req, choice),
+                Err(_) => {
+                    self.requests[req].ended = true;
+                    self.outcome.refused += u64::from(self.requests[req].counted);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, req: usize, choice: Choice) {
+        let number = choice.name.trim_start_matches("target-").parse();
+        let target = number.unwrap_or(0);
+        let request = &mut self.requests[req];
+        request.choice = Some(choice);
+        request.target = target;
+        let started_s = self.now_s;
+        request.started_s = started_s;
+        if let Fault::BadLink(share) = self.scenario.fault {
+            let lost = request.daemon == 0 && self.in_period() && self.random.f64() < share;
+            if lost {
+                return self.end(req, Some(WorkResult::Lost));
+            }
+        }
+        self.targets[target].waiting.push_back(req);
+        self.begin_work(target);
+    }
+
+    fn is_faulty(&self, target: usize) -> bool {
+        target == 0 && self.now_s >= self.scenario.onset_s
+    }
+
+    fn begin_work(&mut self, target: usize) {
+        if self.scenario.fault == Fault::Silent && self.is_faulty(target) {
+            return;
+        }
+        while self.targets[target].running < self.scenario.site.slots {
+            let Some(req) = self.targets[target].waiting.pop_front() else {
+                return;
+            };
+            if self.requests[req].ended {
+                continue;
+            }
+            self.targets[target].running += 1;
+            let factor = match self.scenario.fault {
+                Fault::Slow(factor) if self.is_faulty(target) => factor,
+                Fault::ServiceSlow(factor) if self.in_period() => factor,
+                _ => 1.0,
+            };
+            let work_s = -(1.0 - self.random.f64()).ln() * WORK_S * factor;
+            self.schedule(work_s + LINK_S, Event::Done(req));
+        }
+    }
+
+    fn done(&mut self, req: usize) {
+        let target = self.requests[req].target;
+        self.targets[target].running = self.targets[target].running.saturating_sub(1);
+        let failed_share = match self.scenario.fault {
+            Fault::Errors(share) if self.is_faulty(target) => share,
+            Fault::Flap(period) if self.is_faulty(target) => {
+                let passed = (self.now_s - self.scenario.onset_s) / period;
+                f64::from(u8::from(passed as u64 % 2 == 0))
+            }
+            _ => HEALTHY_ERRORS,
+        };
+        let result = if self.random.f64() < failed_share {
+            WorkResult::ServerError
+        } else {
+            WorkResult::Success
+        };
+        let load = f64::from(self.targets[target].running) / f64::from(self.scenario.site.slots);
+        let silent = self.scenario.fault == Fault::Silent && self.is_faulty(target);
+        if !self.requests[req].ended && !silent {
+            let daemon = &mut self.daemons[self.requests[req].daemon];
+            if let Some(choice) = &self.requests[req].choice {
+                let (id, now) = (choice.id, boot(self.now_s));
+                let balancer = &mut daemon.scheduler.balancer;
+                balancer.report_state(id, TargetState::Serving, Some(load), now);
+            }
+            self.end(req, Some(result));
+        }
+        self.begin_work(target);
+    }
+
+    /// Ends a request once, and tells its daemon how.
+    fn end(&mut self, req: usize, result: Option<WorkResult>) {
+        if self.requests[req].ended {
+            return;
+        }
+        let request = &mut self.requests[req];
+        let (Some(choice), Some(result)) = (request.choice.clone(), result) else {
+            return;
+        };
+        request.ended = true;
+        if result == WorkResult::Success && request.counted {
+            self.outcome.good += 1;
+            self.workspaces[request.workspace].good += 1;
+        }
+        let obs = Observation {
+            result,
+            latency: Duration::from_secs_f64(self.now_s - request.started_s),
+        };
+        let now = boot(self.now_s);
+        let daemon = request.daemon;
+        let scheduler = &mut self.daemons[daemon].scheduler;
+        let balancer = &mut scheduler.balancer;
+        balancer.observe(choice.id, choice.ticket, &obs, now);
+        let decided = scheduler.release(choice.id, choice.ticket, now);
+        self.decide(decided);
+    }
+
+    fn tick(&mut self) {
+        self.schedule(TICK_S, Event::Tick);
+        let now = boot(self.now_s);
+        let begun = self.now_s >= self.scenario.onset_s;
+        if begun && self.scenario.policy == Policy::Informed && !self.faulty_left {
+            self.faulty_left = true;
+            self.list();
+        }
+        for i in 0..self.daemons.len() {
+            let decided = self.daemons[i].scheduler.tick(now);
+            self.decide(decided);
+            self.check_daemon(i, begun, now);
+        }
+        let all = self.daemons.iter().all(|d| d.stopped);
+        if all && self.outcome.detect_s.is_none() {
+            self.outcome.detect_s = Some(self.now_s - self.scenario.onset_s);
+        }
+    }
+
+    fn check_daemon(&mut self, i: usize, begun: bool, now: BootTime) {
+        let daemon = &mut self.daemons[i];
+        let balancer = &mut daemon.scheduler.balancer;
+        let Some(id) = balancer.find("target-0").map(|t| t.id) else {
+            return;
+        };
+        let suspicion = balancer.detector().standing(id, now).suspicion;
+        daemon.stopped |= begun && suspicion >= 1.0;
+        let live = self.scenario.site.targets - usize::from(self.faulty_left);
+        let routed = balancer.routing(SERVICE, now).len() as f64;
+        self.outcome.floor_violations += u64::from(routed < FLOOR * live as f64 - 1e-9);
+    }
+
+    fn round(&mut self) {
+        self.schedule(ROUND_S, Event::Round);
+        let now = boot(self.now_s);
+        for i in 0..self.daemons.len() {
+            let daemon = &mut self.daemons[i];
+            for suspicion in daemon.scheduler.balancer.take_suspicions() {
+                daemon.exchange.suspect(&suspicion);
+            }
+            let round = daemon.exchange.round(now);
+            for name in &round.alarms {
+                daemon.scheduler.balancer.advise(name, now);
+            }
+            for out in round.outgoing {
+                self.messages += 1;
+                let to = out.host.trim_start_matches("entry-").parse();
+                self.schedule(LINK_S, Event::Message(i, to.unwrap_or(0), out.msg));
+            }
+        }
+    }
+
+    fn receive(&mut self, from: usize, to: usize, msg: SuspicionMessage) {
+        let now = boot(self.now_s);
+        let daemon = &mut self.daemons[to];
+        match msg {
+            SuspicionMessage::Reports(reports) => {
+                for report in &reports {
+                    let host = format!("entry-{from}");
+                    daemon.exchange.report(&host, report, now);
+                }
+            }
+            SuspicionMessage::Alarm(names) => {
+                for name in &names {
+                    daemon.scheduler.balancer.advise(name, now);
+                }
+            }
+        }
+    }
+
+    fn probe(&mut self) {
+        self.schedule(PROBE_S, Event::Probe);
+        let now = boot(self.now_s);
+        let silent = self.scenario.fault == Fault::Silent && self.is_faulty(0);
+        for daemon in &mut self.daemons {
+            let balancer = &mut daemon.scheduler.balancer;
+            for (id, address) in balancer.probes(now) {
+                let healthy = !(silent && address.port() == 9000);
+                balancer.probed(id, healthy, None, now);
+            }
+        }
+    }
+}
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -7,6 +7,8 @@
 mod figure;
 mod fleet;
 mod gray;
+mod gray_fleet;
+mod gray_scenario;
 mod outcomes;
 mod path;
 mod rate;
