Weigh slow work less, and take silence as failure

Cause: answers are slow in bursts while a short queue lasts at a target; the test takes them as independent. Ruled out: a longer slow limit, which delays the detection of slow targets and of silence alike. Change: a piece of slow work weighs a quarter; a request 4 times as old as an overdue one is evidence of failure.

--- a/src/health/balancer.rs
+++ b/src/health/balancer.rs
@@ -7,8 +7,8 @@
 use crate::{clock::BootTime, platform::ListedHost};
 
 use super::{
-    routing_set, Candidate, Detector, Flights, Observation, Service, ServiceId, Suspicion, Target,
-    TargetId, TargetState, Ticket, WorkResult,
+    routing_set, Candidate, Detector, Flights, Lateness, Observation, Service, ServiceId,
+    Suspicion, Target, TargetId, TargetState, Ticket, WorkResult,
 };
 
 /// Longest time for which the routing set of a service stands without a rebuild.
@@ -17,6 +17,8 @@
 const TRIAL_SHARE: f64 = 0.05;
 /// Draws of a target before a full or cold one is accepted.
 const MAX_DRAWS: usize = 8;
+/// Multiple of the age of overdue requests at which no answer is expected any more.
+const SILENT_FACTOR: u32 = 4;
 /// Suspicions kept for other daemons at a time.
 const MAX_SUSPICIONS: usize = 256;
 /// Time between probes of a target that said that it drains.
@@ -329,7 +331,7 @@
             WorkResult::Success => target.succeeded(),
             _ => {}
         }
-        if !target.flights.was_overdue(ticket) {
+        if target.flights.lateness(ticket) == Lateness::InTime {
             self.judge(id, obs, now);
         }
     }
@@ -387,17 +389,24 @@
         let Some(limit) = self.detector.overdue_after(id, now) else {
             return;
         };
-        let flights = self.targets.get_mut(&id).map(|t| &mut t.flights);
-        let count = flights.map_or(0, |f| f.mark_overdue(limit, now));
-        let obs = Observation {
-            result: WorkResult::Overdue,
-            latency: limit,
+        let Some(target) = self.targets.get_mut(&id) else {
+            return;
         };
-        for _ in 0..count {
-            self.judge(id, &obs, now);
+        let silent_after = limit * SILENT_FACTOR;
+        let overdue = target.flights.mark(Lateness::Overdue, limit, now);
+        let silent = target.flights.mark(Lateness::Silent, silent_after, now);
+        for _ in 0..overdue {
+            self.judge_late(id, WorkResult::Overdue, limit, now);
+        }
+        for _ in 0..silent {
+            self.judge_late(id, WorkResult::Silent, silent_after, now);
         }
     }
 
+    fn judge_late(&mut self, id: TargetId, result: WorkResult, latency: Duration, now: BootTime) {
+        self.judge(id, &Observation { result, latency }, now);
+    }
+
     /// Takes note of what a target said of itself.
     pub fn report_state(
         &mut self,
--- a/src/health/consecutive.rs
+++ b/src/health/consecutive.rs
@@ -32,7 +32,7 @@
         let record = self.records.entry(target).or_default();
         match obs.result {
             WorkResult::Success | WorkResult::Shed => record.failures = 0,
-            WorkResult::Overdue => {}
+            WorkResult::Overdue | WorkResult::Silent => {}
             WorkResult::ServerError | WorkResult::Lost | WorkResult::Timeout => {
                 record.failures += 1;
             }
--- a/src/health/detector.rs
+++ b/src/health/detector.rs
@@ -21,6 +21,8 @@
     Timeout,
     /// It still has the work long after its siblings would have answered.
     Overdue,
+    /// It still has the work so long after that no answer is to be expected.
+    Silent,
 }
 
 /// One piece of real work at a target.
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -13,6 +13,10 @@
 /// Multiple of the threshold beyond which evidence does not grow.
 pub(super) const EVIDENCE_CAP: f64 = 4.0;
 
+/// Weight of slow work. Slow work comes in bursts, while a queue lasts, so that each piece says
+/// less than the test of independent pieces takes from it.
+pub const SLOW_WEIGHT: f64 = 0.25;
+
 /// Returns the log-likelihood ratio of one piece of work, in nats: a fault that turns
 /// `fault_share` of good work bad, against a healthy target with `bad_share` of bad work.
 pub fn log_likelihood_ratio(bad: bool, bad_share: f64, fault_share: f64) -> f64 {
@@ -35,10 +39,24 @@
     /// nats.
     pub fn observe(&mut self, verdict: Verdict, siblings: &WorkTotals, cap: f64, now: BootTime) {
         let failed = verdict == Verdict::Failed;
-        add_to(&mut self.failed, failed, siblings.failed_share(), cap, now);
+        add_to(
+            &mut self.failed,
+            failed,
+            siblings.failed_share(),
+            1.0,
+            cap,
+            now,
+        );
         if !failed {
             let slow = verdict == Verdict::Slow;
-            add_to(&mut self.slow, slow, siblings.slow_share(), cap, now);
+            add_to(
+                &mut self.slow,
+                slow,
+                siblings.slow_share(),
+                SLOW_WEIGHT,
+                cap,
+                now,
+            );
         }
     }
 
@@ -57,9 +75,9 @@
     }
 }
 
-fn add_to(sums: &mut [Decayed], bad: bool, bad_share: f64, cap: f64, now: BootTime) {
+fn add_to(sums: &mut [Decayed], bad: bool, bad_share: f64, weight: f64, cap: f64, now: BootTime) {
     for (sum, fault_share) in sums.iter_mut().zip(FAULT_SHARES) {
-        let llr = log_likelihood_ratio(bad, bad_share, fault_share);
+        let llr = weight * log_likelihood_ratio(bad, bad_share, fault_share);
         let value = sum.get(now, EVIDENCE_HALF_LIFE) + llr;
         sum.set(value.clamp(0.0, cap), now);
     }
--- a/src/health/flights.rs
+++ b/src/health/flights.rs
@@ -8,11 +8,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Ticket(pub u64);
 
+/// How late an answer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Lateness {
+    /// It may still come in time.
+    InTime,
+    /// It comes long after the siblings' would have.
+    Overdue,
+    /// It is no longer expected.
+    Silent,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Flight {
     ticket: Ticket,
     started: BootTime,
-    overdue: bool,
+    lateness: Lateness,
 }
 
 /// Requests in flight at one target.
@@ -37,7 +48,7 @@
         self.flights.push(Flight {
             ticket,
             started: now,
-            overdue: false,
+            lateness: Lateness::InTime,
         });
     }
 
@@ -46,16 +57,16 @@
         self.flights.retain(|f| f.ticket != ticket);
     }
 
-    /// Tells whether a request was found overdue before.
-    pub fn was_overdue(&self, ticket: Ticket) -> bool {
+    /// Returns how late a request was found to be.
+    pub fn lateness(&self, ticket: Ticket) -> Lateness {
         let found = self.flights.iter().find(|f| f.ticket == ticket);
-        found.is_some_and(|f| f.overdue)
+        found.map_or(Lateness::InTime, |f| f.lateness)
     }
 
-    /// Marks the requests older than `limit`, and returns how many were not marked before.
-    pub fn mark_overdue(&mut self, limit: Duration, now: BootTime) -> usize {
-        let late = |f: &&mut Flight| !f.overdue && now.since(f.started) > limit;
+    /// Marks the requests older than `limit`, and returns how many were not as late before.
+    pub fn mark(&mut self, lateness: Lateness, limit: Duration, now: BootTime) -> usize {
+        let late = |f: &&mut Flight| f.lateness < lateness && now.since(f.started) > limit;
         let newly = self.flights.iter_mut().filter(late);
-        newly.map(|f| f.overdue = true).count()
+        newly.map(|f| f.lateness = lateness).count()
     }
 }
--- a/src/health/sequential.rs
+++ b/src/health/sequential.rs
@@ -9,7 +9,7 @@
 use super::{
     evidence::EVIDENCE_CAP, log_likelihood_ratio, Decayed, Detector, Evidence, Judgement,
     Observation, SequentialOptions, ServiceId, Standing, TargetId, Verdict, WorkCounts, WorkResult,
-    WorkTotals, EVIDENCE_HALF_LIFE, FAULT_SHARES,
+    WorkTotals, EVIDENCE_HALF_LIFE, FAULT_SHARES, SLOW_WEIGHT,
 };
 
 /// Mean evidence against siblings that chance explains, nats.
@@ -201,9 +201,10 @@
                 let slow = limit.is_some_and(|limit| obs.latency > limit);
                 Some(if slow { Verdict::Slow } else { Verdict::Good })
             }
-            WorkResult::ServerError | WorkResult::Lost | WorkResult::Timeout => {
-                Some(Verdict::Failed)
-            }
+            WorkResult::ServerError
+            | WorkResult::Lost
+            | WorkResult::Timeout
+            | WorkResult::Silent => Some(Verdict::Failed),
         }
     }
 }
@@ -331,7 +332,9 @@
 fn nats_against(verdict: Verdict, siblings: &WorkTotals) -> f64 {
     match verdict {
         Verdict::Good => 0.0,
-        Verdict::Slow => log_likelihood_ratio(true, siblings.slow_share(), FAULT_SHARES[0]),
+        Verdict::Slow => {
+            SLOW_WEIGHT * log_likelihood_ratio(true, siblings.slow_share(), FAULT_SHARES[0])
+        }
         Verdict::Failed => log_likelihood_ratio(true, siblings.failed_share(), FAULT_SHARES[0]),
     }
 }
