Shed waiting requests that cannot be answered in time

Change: a waiting request is shed as not run when less than half of the service's recent mean latency is left. Alarms are withheld while over a third of the siblings are suspect themselves. Other daemons are told of slow work at an eighth of its weight. The detector's bench now tells of late work as the balancer does; its bounds stand.

--- a/src/health/balancer.rs
+++ b/src/health/balancer.rs
@@ -328,7 +328,12 @@
         };
         match obs.result {
             WorkResult::Shed => target.shed(now),
-            WorkResult::Success => target.succeeded(),
+            WorkResult::Success => {
+                target.succeeded();
+                if let Some(service) = self.services.get_mut(&target.service) {
+                    service.count_answer(obs.latency, now);
+                }
+            }
             _ => {}
         }
         if target.flights.lateness(ticket) == Lateness::InTime {
@@ -479,6 +484,13 @@
         self.services[&id].routing.clone()
     }
 
+    /// Returns the recent mean latency of a service's good answers, zero when there were none.
+    pub fn mean_latency(&self, service: &str, now: BootTime) -> Duration {
+        let id = self.service_ids.get(service);
+        let service = id.and_then(|id| self.services.get(id));
+        service.map_or(Duration::ZERO, |s| s.mean_latency(now))
+    }
+
     /// Returns the target of this name.
     pub fn find(&self, name: &str) -> Option<&Target> {
         self.by_name.get(name).and_then(|id| self.targets.get(id))
--- a/src/health/evidence.rs
+++ b/src/health/evidence.rs
@@ -16,6 +16,8 @@
 /// Weight of slow work. Slow work comes in bursts, while a queue lasts, so that each piece says
 /// less than the test of independent pieces takes from it.
 pub const SLOW_WEIGHT: f64 = 0.25;
+/// Weight of slow work that other daemons are told of; they see the same bursts.
+pub(super) const TOLD_SLOW_WEIGHT: f64 = 0.125;
 
 /// Returns the log-likelihood ratio of one piece of work, in nats: a fault that turns
 /// `fault_share` of good work bad, against a healthy target with `bad_share` of bad work.
--- a/src/health/fleet_evidence.rs
+++ b/src/health/fleet_evidence.rs
@@ -14,6 +14,10 @@
 const DATA_CENTRE_CAP: f64 = 0.6;
 /// Multiple of the siblings' mean evidence that is the service's, not the target's.
 const SIBLING_WEIGHT: f64 = 3.0;
+/// Part of the threshold from which a sibling is suspect itself.
+const SUSPECT_SIBLING: f64 = 0.25;
+/// Most of the siblings that may be suspect themselves when a target's faults are its own.
+const SUSPECT_SHARE: f64 = 0.34;
 /// Time between two alarms for one target.
 const ALARM_INTERVAL: Duration = Duration::from_secs(1);
 /// Multiple of the threshold beyond which evidence does not grow.
@@ -83,6 +87,9 @@
         {
             return false;
         }
+        if self.is_common(report, now) {
+            return false;
+        }
         let own = self.sums[report.target].capped(threshold, now);
         if own - SIBLING_WEIGHT * self.sibling_mean(report, now) < threshold {
             return false;
@@ -94,12 +101,28 @@
         true
     }
 
-    fn sibling_mean(&self, report: &EvidenceReport<'_>, now: BootTime) -> f64 {
+    /// Tells whether many of the siblings are suspect as well.
+    fn is_common(&self, report: &EvidenceReport<'_>, now: BootTime) -> bool {
+        let least = SUSPECT_SIBLING * self.threshold;
+        let nats = self.sibling_nats(report, now);
+        let suspect = nats.filter(|nats| *nats >= least).count() as f64;
+        suspect > SUSPECT_SHARE * f64::from(report.siblings.saturating_sub(1))
+    }
+
+    fn sibling_nats<'a>(
+        &'a self,
+        report: &'a EvidenceReport<'_>,
+        now: BootTime,
+    ) -> impl Iterator<Item = f64> + 'a {
         let others = self
             .sums
             .iter()
             .filter(|(name, _)| ***name != *report.target);
-        let total: f64 = others.map(|(_, s)| s.capped(self.threshold, now)).sum();
+        others.map(move |(_, s)| s.capped(self.threshold, now))
+    }
+
+    fn sibling_mean(&self, report: &EvidenceReport<'_>, now: BootTime) -> f64 {
+        let total: f64 = self.sibling_nats(report, now).sum();
         total / f64::from(report.siblings.saturating_sub(1).max(1))
     }
 
--- a/src/health/scheduler.rs
+++ b/src/health/scheduler.rs
@@ -13,6 +13,8 @@
 
 /// Requests that may wait for a target of one service.
 const QUEUE_CAPACITY: usize = 256;
+/// Part of the mean latency that must be left before the deadline when a waiting request is sent.
+const NEEDED_DIVISOR: u32 = 2;
 
 /// The order of a target for one request.
 #[derive(Debug, Clone)]
@@ -124,13 +126,6 @@
     pub fn tick(&mut self, now: BootTime) -> Vec<Decided<T>> {
         self.balancer.tick(now);
         let mut decided = Vec::new();
-        for queue in self.queues.values_mut() {
-            let expired = queue.take_expired(now).into_iter();
-            decided.extend(expired.map(|waiting| Decided {
-                item: waiting.item.item,
-                res: Err(PickError::Overloaded),
-            }));
-        }
         let waiting = self.queues.iter().filter(|(_, q)| !q.is_empty());
         let services: Vec<Rc<str>> = waiting.map(|(s, _)| s.clone()).collect();
         for service in services {
@@ -139,8 +134,22 @@
         decided
     }
 
+    /// Sheds the waiting requests that have too little time left for an answer.
+    fn shed_late(&mut self, service: &str, now: BootTime, decided: &mut Vec<Decided<T>>) {
+        let Some(queue) = self.queues.get_mut(service) else {
+            return;
+        };
+        let needed = self.balancer.mean_latency(service, now) / NEEDED_DIVISOR;
+        let late = queue.take_expired(now + needed).into_iter();
+        decided.extend(late.map(|waiting| Decided {
+            item: waiting.item.item,
+            res: Err(PickError::Overloaded),
+        }));
+    }
+
     /// Gives targets to the waiting requests of a service until all targets are busy.
     fn serve(&mut self, service: &str, now: BootTime, decided: &mut Vec<Decided<T>>) {
+        self.shed_late(service, now, decided);
         loop {
             let queue = self.queues.get(service);
             let Some(first) = queue.and_then(FairQueue::peek) else {
--- a/src/health/sequential.rs
+++ b/src/health/sequential.rs
@@ -7,9 +7,10 @@
 use crate::clock::BootTime;
 
 use super::{
-    evidence::EVIDENCE_CAP, log_likelihood_ratio, Decayed, Detector, Evidence, Judgement,
-    Observation, SequentialOptions, ServiceId, Standing, TargetId, Verdict, WorkCounts, WorkResult,
-    WorkTotals, EVIDENCE_HALF_LIFE, FAULT_SHARES, SLOW_WEIGHT,
+    evidence::{EVIDENCE_CAP, TOLD_SLOW_WEIGHT},
+    log_likelihood_ratio, Decayed, Detector, Evidence, Judgement, Observation, SequentialOptions,
+    ServiceId, Standing, TargetId, Verdict, WorkCounts, WorkResult, WorkTotals, EVIDENCE_HALF_LIFE,
+    FAULT_SHARES,
 };
 
 /// Mean evidence against siblings that chance explains, nats.
@@ -333,7 +334,7 @@
     match verdict {
         Verdict::Good => 0.0,
         Verdict::Slow => {
-            SLOW_WEIGHT * log_likelihood_ratio(true, siblings.slow_share(), FAULT_SHARES[0])
+            TOLD_SLOW_WEIGHT * log_likelihood_ratio(true, siblings.slow_share(), FAULT_SHARES[0])
         }
         Verdict::Failed => log_likelihood_ratio(true, siblings.failed_share(), FAULT_SHARES[0]),
     }
--- a/src/health/service.rs
+++ b/src/health/service.rs
@@ -27,6 +27,8 @@
     /// When the sets were built; none when they must be built again.
     pub built_at: Option<BootTime>,
     work: Decayed,
+    answered: Decayed,
+    latency_s: Decayed,
 }
 
 impl Service {
@@ -39,6 +41,8 @@
             on_trial: Vec::new(),
             built_at: None,
             work: Decayed::default(),
+            answered: Decayed::default(),
+            latency_s: Decayed::default(),
         }
     }
 
@@ -47,6 +51,25 @@
         self.work.add(1.0, now, WORK_HALF_LIFE);
     }
 
+    /// Takes note of the latency of a good answer.
+    pub fn count_answer(&mut self, latency: Duration, now: BootTime) {
+        self.answered.add(1.0, now, WORK_HALF_LIFE);
+        self.latency_s
+            .add(latency.as_secs_f64(), now, WORK_HALF_LIFE);
+    }
+
+    /// Returns the recent mean latency of good answers, zero when there were none.
+    pub fn mean_latency(&self, now: BootTime) -> Duration {
+        let answered = self.answered.get(now, WORK_HALF_LIFE);
+        let sum_s = self.latency_s.get(now, WORK_HALF_LIFE);
+        let mean_s = if answered > 0.0 {
+            sum_s / answered
+        } else {
+            0.0
+        };
+        Duration::try_from_secs_f64(mean_s).unwrap_or_default()
+    }
+
     /// Returns the recent rate of requests per target, 1/s.
     pub fn work_per_target(&self, now: BootTime) -> f64 {
         let count = self.work.get(now, WORK_HALF_LIFE);
--- a/tests/health.rs
+++ b/tests/health.rs
@@ -58,16 +58,34 @@
             let target = self.targets[i];
             let bad = self.random.f64() < target.bad_share;
             let exponential = -(1.0 - self.random.f64()).ln();
-            let obs = Observation {
-                result: if bad {
-                    WorkResult::ServerError
-                } else {
-                    WorkResult::Success
-                },
-                latency: Duration::from_secs_f64(target.latency_ms * exponential / 1000.0),
-            };
+            let latency = Duration::from_secs_f64(target.latency_ms * exponential / 1000.0);
             let id = TargetId(i as u32);
-            self.detector.observe(id, &obs, at(self.ms));
+            let result = if bad {
+                WorkResult::ServerError
+            } else {
+                WorkResult::Success
+            };
+            self.end_work(id, result, latency);
+        }
+    }
+
+    /// Tells the detector of one piece of work as the balancer does: first that it is late, and
+    /// how it ended only when it was not.
+    fn end_work(&mut self, id: TargetId, result: WorkResult, latency: Duration) {
+        let now = at(self.ms);
+        let limit = self.detector.overdue_after(id, now);
+        let limit = limit.unwrap_or(Duration::MAX);
+        let silent = limit.saturating_mul(4);
+        let results = if latency > silent {
+            vec![WorkResult::Overdue, WorkResult::Silent]
+        } else if latency > limit {
+            vec![WorkResult::Overdue]
+        } else {
+            vec![result]
+        };
+        for result in results {
+            self.detector
+                .observe(id, &Observation { result, latency }, now);
         }
     }
 
