--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     catalog::KeyHasher,
+    claim::{claim_sweep_task, ClaimStore},
     clock::{BootTime, Clock, SystemClock},
     config::Settings,
     health::{
@@ -23,7 +24,7 @@
         SuspicionHandler, SuspicionTask,
     },
     hosts::host_list_task,
-    lifecycle::{wait_for_stop_signal, Shutdown},
+    lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
     limit::{static_split_task, TaskLimiter},
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
@@ -31,13 +32,14 @@
         peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
     },
     platform::HttpPlatform,
+    poison::{PoisonHandler, PoisonWatch},
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, ProxyContext, ProxyParts},
     sync::{sync_task, CatalogView, SyncTask},
 };
 
-/// Time for the balancer to see the failing check before the listener closes.
-const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Longest time for one step behind the last request of a shutdown.
+const STEP_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time between two looks at the requests in flight.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -79,13 +81,23 @@
     let operator_listener = bind(settings.operator_address)?;
     let clock: Rc<dyn Clock> = Rc::new(SystemClock);
     let metrics = Rc::new(Metrics::default());
-    let platform = Rc::new(HttpPlatform::new(settings.platform_address, &settings.host));
+    let platform = Rc::new(HttpPlatform::new(
+        settings.platform_address,
+        &settings.host,
+        metrics.clone(),
+    ));
     let shutdown = Shutdown::default();
+    let steps = ShutdownSteps::default();
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
-    let directory = PeerDirectory::new(&settings.host);
-    let peers = PeerClient::new(secrets.clone(), directory.clone());
+    let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
+    let peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
     let mut router = PeerRouter::default();
+    let poison = PoisonWatch::new(peers.clone(), &settings.data_centre, clock.clone());
+    router.set(
+        PeerKind::Poison,
+        Rc::new(PoisonHandler::new(poison.clone())),
+    );
 
     let (suspicion_tx, suspicion_rx) = mpsc::unbounded::channel();
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
@@ -133,6 +145,8 @@
         metrics: metrics.clone(),
     };
     monoio::spawn(sync_task(sync, sync_rx));
+    let claims = ClaimStore::new(platform.clone());
+    monoio::spawn(claim_sweep_task(platform.clone(), directory.clone()));
     monoio::spawn(host_list_task(
         platform,
         balancer.clone(),
@@ -159,6 +173,8 @@
         limiter: Box::new(TaskLimiter::new(limiter_tx)),
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
+        claims,
+        poison,
         metrics,
         clock,
         shutdown: shutdown.clone(),
@@ -178,9 +194,10 @@
     wait_for_stop_signal().await?;
     log::info!("shutting down");
     proxy.leaving.begin();
-    monoio::time::sleep(BALANCER_NOTICE).await;
+    monoio::time::sleep(settings.limits.notice).await;
     shutdown.begin();
     drain(&proxy, settings.limits.shutdown_timeout).await;
+    steps.run(STEP_TIMEOUT).await;
     Ok(())
 }
 
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -40,6 +40,8 @@
     pub headers: HeaderMap,
     /// Whole body.
     pub body: Bytes,
+    /// Bytes sent and received, heads included.
+    pub transferred: u64,
 }
 
 /// Sends one request on a new connection and reads the whole response.
@@ -65,6 +67,7 @@
     let mut buf = BytesMut::new();
     encode_request_head(&head, Framing::Length(req.body.len() as u64), &mut buf);
     buf.extend_from_slice(&req.body);
+    let sent = buf.len() as u64;
     writer.write(buf.freeze()).await?;
 
     let limits = HeadLimits {
@@ -80,6 +83,7 @@
         status: head.status,
         headers: head.headers,
         body,
+        transferred: sent + reader.received(),
     })
 }
 
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     catalog::KeyHasher,
+    claim::ClaimStore,
     clock::Clock,
     config::LimitSettings,
     health::BalancerHandle,
@@ -11,11 +12,15 @@
     lifecycle::{InFlight, Shutdown},
     limit::Limiter,
     metrics::Metrics,
+    poison::PoisonWatch,
     pool::PoolHandle,
     sync::CatalogView,
 };
 
-use super::request_id::RequestIds;
+use super::{request_id::RequestIds, service_states::ServiceStates};
+
+/// Most connections that are open only to be told that there is no room.
+const MAX_REFUSED_CONNECTIONS: usize = 256;
 
 /// What all caller connections share.
 pub struct ProxyContext {
@@ -31,6 +36,10 @@
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
+    /// Claims of requests that must not run twice.
+    pub claims: ClaimStore,
+    /// Watches for requests that crash targets.
+    pub poison: PoisonWatch,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -43,6 +52,11 @@
     pub connections: InFlight,
     /// Requests in flight.
     pub in_flight: InFlight,
+    pub(super) services: ServiceStates,
+    /// Connections that are refused for lack of room.
+    pub refused_connections: InFlight,
+    /// Bytes of request bodies that are buffered.
+    pub buffered: InFlight,
     request_ids: RefCell<RequestIds>,
 }
 
@@ -60,6 +74,10 @@
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
+    /// Claims of requests that must not run twice.
+    pub claims: ClaimStore,
+    /// Watches for requests that crash targets.
+    pub poison: PoisonWatch,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -74,16 +92,21 @@
         Self {
             connections: InFlight::new(parts.limits.connections),
             in_flight: InFlight::new(parts.limits.in_flight),
+            refused_connections: InFlight::new(MAX_REFUSED_CONNECTIONS),
+            buffered: InFlight::new(parts.limits.buffered_bytes),
             limits: parts.limits,
             catalog: parts.catalog,
             hasher: parts.hasher,
             limiter: parts.limiter,
             balancer: parts.balancer,
             pool: parts.pool,
+            claims: parts.claims,
+            poison: parts.poison,
             metrics: parts.metrics,
             clock: parts.clock,
             leaving: Shutdown::default(),
             shutdown: parts.shutdown,
+            services: ServiceStates::default(),
             request_ids: RefCell::new(RequestIds::default()),
         }
     }
