--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,6 +26,7 @@
     hosts::host_list_task,
     lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
     limit::{static_split_task, TaskLimiter},
+    membership::Incarnation,
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
     peer::{
@@ -35,7 +36,7 @@
     poison::{PoisonHandler, PoisonWatch},
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, ProxyContext, ProxyParts},
-    sync::{sync_task, CatalogView, SyncTask},
+    sync::{sync_task, CatalogView, ContactHandler, Replica, ReplicaParts, RevisionHandler},
 };
 
 /// Longest time for one step behind the last request of a shutdown.
@@ -139,12 +140,24 @@
 
     let (sync_tx, sync_rx) = mpsc::unbounded::channel();
     let catalog = CatalogView::default();
-    let sync = SyncTask {
+    let replica = Rc::new(Replica::new(ReplicaParts {
+        host: settings.host.clone(),
+        address: settings.peer_address,
+        incarnation: Incarnation::random().ok_or(DaemonError::Io(io::ErrorKind::Other))?,
+        seed_peers: settings.seed_peers.clone(),
+        serve_while_cut_off: settings.serve_withdrawn_keys_while_cut_off,
         table: platform.clone(),
+        objects: platform.clone(),
+        peers,
         view: catalog.clone(),
+        clock: clock.clone(),
         metrics: metrics.clone(),
-    };
-    monoio::spawn(sync_task(sync, sync_rx));
+    }));
+    let handler = RevisionHandler::new(replica.clone());
+    router.set(PeerKind::Revision, Rc::new(handler));
+    let handler = ContactHandler::new(replica.clone());
+    router.set(PeerKind::Heartbeat, Rc::new(handler));
+    monoio::spawn(sync_task(replica, sync_rx));
     let claims = ClaimStore::new(platform.clone());
     monoio::spawn(claim_sweep_task(platform.clone(), directory.clone()));
     monoio::spawn(host_list_task(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lifecycle;
 pub mod limit;
 pub mod logging;
+pub mod membership;
 pub mod metrics;
 pub mod operator;
 pub mod outcome;
@@ -27,6 +28,7 @@
 pub mod proxy;
 pub mod queue;
 pub mod retry;
+pub mod revision;
 pub mod sync;
 
 pub use command::run;
