--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -119,7 +119,7 @@
     monoio::spawn(probe_task(balancer.clone()));
     let suspicions = SuspicionTask {
         exchange: exchange_of(&settings, clock.now()),
-        peers,
+        peers: peers.clone(),
         balancer: balancer.clone(),
         metrics: metrics.clone(),
         clock: clock.clone(),
