--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -8,6 +8,8 @@
 mod figure;
 mod fleet;
 mod gray;
+mod gray_fleet;
+mod gray_scenario;
 mod outcomes;
 mod path;
 mod peer;
