Send a waiting request only while its admission stands

Cause: key and grant were checked before a request waited for a target. A request that waited in the queue, or in a paused daemon, was sent although its key had been withdrawn, or although the pause had outlasted the lease under which it was admitted.

Ruled out: asking the limiter again whenever a grant's life has passed in the queue. A full queue would then cost each request two tokens and refuse requests inside the rate.

Change: right before the first byte of each attempt the key is looked up in the revision in force. Pauses of the process (no tick for 1 s on the boot-time clock) are counted, and a request admitted before a pause asks for admission again. `Event::Refused` brings the refusal into the request's state machine.

Conclusion: what remains between the last check and the first byte is one system call.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -210,6 +210,7 @@
         }),
         operator_listener,
     ));
+    monoio::spawn(proxy.pauses.clone().run());
     monoio::spawn(listen_task(proxy.clone(), caller_listener));
     log::info!("serving callers on {}", settings.caller_address);
 
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -1,11 +1,13 @@
 //! Start, shutdown and requests in flight of one daemon.
 
 mod in_flight;
+mod pause_watch;
 mod shutdown;
 mod shutdown_steps;
 mod signals;
 
 pub use in_flight::{InFlight, InFlightGuard};
+pub use pause_watch::PauseWatch;
 pub use shutdown::Shutdown;
 pub use shutdown_steps::ShutdownSteps;
 pub use signals::wait_for_stop_signal;
--- a/src/proxy/admit.rs
+++ b/src/proxy/admit.rs
@@ -6,7 +6,7 @@
 use http::{request, Method, Version};
 
 use crate::{
-    catalog::{Plan, RouteLookup},
+    catalog::{KeyHash, Plan, RouteLookup},
     limit::{Admission, Grant},
     outcome::ErrorKind,
 };
@@ -38,6 +38,8 @@
 pub(super) struct Allowed {
     /// The key.
     pub(super) key: Bytes,
+    /// Hash of the key.
+    pub(super) key_hash: KeyHash,
     /// Workspace of the key.
     pub(super) workspace: Rc<str>,
     /// Plan of the workspace.
@@ -66,6 +68,7 @@
         RouteLookup::Closed => Err(ErrorKind::RouteClosed.into()),
         RouteLookup::Open(route) => Ok(Allowed {
             key: Bytes::copy_from_slice(key),
+            key_hash: hash,
             workspace: workspace.clone(),
             plan: plan.clone(),
             service: Rc::from(route.service.as_str()),
--- a/src/proxy/claimed.rs
+++ b/src/proxy/claimed.rs
@@ -61,7 +61,7 @@
         if values.next().is_some() || key.is_empty() || key.len() > MAX_KEY_BYTES {
             return Err(DispatchError::Failed(ErrorKind::BadRequest));
         }
-        Ok(Some(ClaimKey::new(self.workspace, self.service, key)))
+        Ok(Some(ClaimKey::new(self.workspace(), self.service(), key)))
     }
 
     /// Claims the run; a claim that is given too late for the deadline is released again.
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -9,7 +9,7 @@
     config::LimitSettings,
     health::BalancerHandle,
     http::HeadLimits,
-    lifecycle::{InFlight, Shutdown},
+    lifecycle::{InFlight, PauseWatch, Shutdown},
     limit::Limiter,
     metrics::Metrics,
     poison::PoisonWatch,
@@ -48,6 +48,8 @@
     pub leaving: Shutdown,
     /// The signal that no further connections and requests are taken.
     pub shutdown: Shutdown,
+    /// Counts pauses of the process.
+    pub pauses: PauseWatch,
     /// Open connections of callers.
     pub connections: InFlight,
     /// Requests in flight.
@@ -103,6 +105,7 @@
             claims: parts.claims,
             poison: parts.poison,
             metrics: parts.metrics,
+            pauses: PauseWatch::new(parts.clock.clone()),
             clock: parts.clock,
             leaving: Shutdown::default(),
             shutdown: parts.shutdown,
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -22,6 +22,7 @@
     deadline::Deadline,
     headers::{is_shed, target_load, target_state, DEADLINE_MS},
     request_body::RequestBody,
+    standing::Standing,
     ProxyContext,
 };
 
@@ -32,12 +33,8 @@
 pub(super) struct Dispatch<'a> {
     /// What all connections share.
     pub(super) cx: &'a ProxyContext,
-    /// Service that serves the request.
-    pub(super) service: &'a Rc<str>,
-    /// Workspace of the caller.
-    pub(super) workspace: &'a Rc<str>,
-    /// Rate of the workspace's plan, 1/s.
-    pub(super) rate_per_s: f64,
+    /// The admitted request.
+    pub(super) standing: &'a Standing<'a>,
     /// Identity of the request.
     pub(super) request_id: &'a str,
     /// Whether the request may run more than once.
@@ -76,6 +73,16 @@
 }
 
 impl Dispatch<'_> {
+    /// Returns the service that serves the request.
+    pub(super) fn service(&self) -> &Rc<str> {
+        &self.standing.allowed.service
+    }
+
+    /// Returns the workspace of the caller.
+    pub(super) fn workspace(&self) -> &Rc<str> {
+        &self.standing.allowed.workspace
+    }
+
     /// Sends the request to targets until one answers.
     pub(super) async fn run(
         &self,
@@ -173,9 +180,9 @@
 
     fn order(&self) -> PickOrder {
         PickOrder {
-            service: self.dispatch.service.clone(),
-            workspace: self.dispatch.workspace.clone(),
-            rate_per_s: self.dispatch.rate_per_s,
+            service: self.dispatch.service().clone(),
+            workspace: self.dispatch.workspace().clone(),
+            rate_per_s: self.dispatch.standing.allowed.plan.rate_per_s,
             repeatable: self.dispatch.repeatable,
             deadline: self.dispatch.deadline.at(),
             avoid: self.tried.clone(),
@@ -208,6 +215,9 @@
     }
 
     async fn send(&mut self) -> Action {
+        if let Err(kind) = self.dispatch.standing.confirm(self.cx).await {
+            return self.step(Event::Refused(kind));
+        }
         let next = self.step(Event::Written);
         let left = self.dispatch.deadline.left(self.cx.clock.now());
         let value = HeaderValue::from(left.as_millis() as u64);
@@ -259,14 +269,14 @@
             return None;
         }
         let now = self.cx.clock.now();
-        let silence = self.cx.services.silence(self.dispatch.service, now);
+        let silence = self.cx.services.silence(self.dispatch.service(), now);
         Some(silence.saturating_sub(now.since(exchange.started)))
     }
 
     fn ask_budget(&mut self, reason: RetryReason) -> Action {
         let now = self.cx.clock.now();
         let poisoned = self.dispatch.check_poison(self.head, self.body).is_err();
-        if poisoned || !self.cx.services.withdraw(self.dispatch.service, now) {
+        if poisoned || !self.cx.services.withdraw(self.dispatch.service(), now) {
             self.cx.metrics.count_refused_retry(reason);
             return self.step(Event::BudgetRefused);
         }
@@ -291,7 +301,7 @@
         }
         let now = self.cx.clock.now();
         let latency = now.since(exchange.started);
-        let service = self.dispatch.service;
+        let service = self.dispatch.service();
         self.cx.services.record_answer(service, latency, now);
         self.observe(if head.status.is_server_error() {
             WorkResult::ServerError
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -16,6 +16,7 @@
 mod request_id;
 mod serve;
 mod service_states;
+mod standing;
 
 pub use context::{ProxyContext, ProxyParts};
 pub(crate) use headers::target_state;
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -16,6 +16,7 @@
     headers::{prepare_for_target, repeatable_mark},
     relay::{relay_answer, AnswerForm, Relayed},
     request_body::{BodyReceiver, ReceivedBody},
+    standing::Standing,
 };
 
 /// What is known of a request besides its head.
@@ -100,12 +101,11 @@
         let started = cx.clock.now();
         let mut body = received.body;
         let mark = repeatable_mark(&head.headers);
+        let standing = Standing::new(&cx, allowed);
         let dispatch = Dispatch {
             cx: &cx,
-            service: &allowed.service,
-            workspace: &allowed.workspace,
+            standing: &standing,
             request_id: req.id,
-            rate_per_s: allowed.plan.rate_per_s,
             repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
             deadline: Deadline::of_request(&head.headers, cx.limits.deadline, started),
         };
--- /dev/null
+++ b/src/proxy/standing.rs
@@ -0,0 +1,55 @@
+//! Whether an admitted request may still be sent.
+
+use std::cell::Cell;
+
+use crate::outcome::ErrorKind;
+
+use super::{
+    admit::{admit, Allowed},
+    ProxyContext,
+};
+
+/// An admitted request, which may be sent for as long as its key works and the daemon was not
+/// paused behind its admission.
+pub(super) struct Standing<'a> {
+    /// What the lists allowed.
+    pub(super) allowed: &'a Allowed,
+    pauses: Cell<u64>,
+}
+
+impl<'a> Standing<'a> {
+    /// Notes that the request was admitted now.
+    pub(super) fn new(cx: &ProxyContext, allowed: &'a Allowed) -> Self {
+        Self {
+            allowed,
+            pauses: Cell::new(cx.pauses.count()),
+        }
+    }
+
+    /// Checks the key against the revision in force, and asks for admission again behind a pause.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request may not be sent.
+    pub(super) async fn confirm(&self, cx: &ProxyContext) -> Result<(), ErrorKind> {
+        self.check_key(cx)?;
+        while self.pauses.get() != cx.pauses.count() {
+            self.pauses.set(cx.pauses.count());
+            admit(cx, self.allowed).await.map_err(|r| r.kind)?;
+            self.check_key(cx)?;
+        }
+        Ok(())
+    }
+
+    fn check_key(&self, cx: &ProxyContext) -> Result<(), ErrorKind> {
+        if !cx.catalog.is_ready(cx.clock.now()) {
+            return Err(ErrorKind::NotReady);
+        }
+        let catalog = cx.catalog.get();
+        let workspace = catalog.workspace_of(&self.allowed.key_hash);
+        if workspace != Some(&self.allowed.workspace) {
+            return Err(ErrorKind::KeyUnknown);
+        }
+        Ok(())
+    }
+}
--- a/src/retry/event.rs
+++ b/src/retry/event.rs
@@ -1,5 +1,7 @@
 //! What happened to a request.
 
+use crate::outcome::ErrorKind;
+
 use super::Failure;
 
 /// What happened to a request.
@@ -16,6 +18,8 @@
         /// Whether it carried a request before.
         reused: bool,
     },
+    /// The request may no longer be sent, for this reason; it has not been written.
+    Refused(ErrorKind),
     /// The first byte of the request is about to be written.
     Written,
     /// An informational response arrived.
--- a/src/retry/machine.rs
+++ b/src/retry/machine.rs
@@ -87,6 +87,9 @@
             (Phase::Connecting, Event::Failed(Failure::Connect)) => {
                 self.fail(Failure::Connect, false, false)
             }
+            (Phase::Exchanging { written: false, .. }, Event::Refused(kind)) => {
+                self.tell(self.not_sent(kind))
+            }
             (Phase::Exchanging { reused, .. }, Event::Written) => self.written(reused),
             (Phase::Exchanging { written: true, .. }, Event::Informational) => {
                 Some(Action::AwaitHead)
@@ -224,6 +227,13 @@
         self.last_refusal.unwrap_or(kind)
     }
 
+    fn not_sent(&self, kind: ErrorKind) -> ErrorKind {
+        if self.may_have_run {
+            return ErrorKind::TargetLost;
+        }
+        kind
+    }
+
     fn kind_of(&self, failure: Failure) -> ErrorKind {
         match (self.may_have_run, failure) {
             (true, Failure::Malformed) => ErrorKind::TargetMalformed,
