Make the test of a pause fail without its check

Ruled out: a fault of the check itself.

Change: the plan has three usable tokens, and two are used before the waiting request takes the last.

--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -18,6 +18,11 @@
 /// Time for which a daemon is paused.
 const PAUSE: Duration = Duration::from_secs(3);
 
+/// Rate at which no token comes back during a test, 1/s.
+const SLOW_RATE_PER_S: f64 = 0.001;
+/// Burst of three usable tokens, since a part of one pays for the life of grants.
+const BURST: u32 = 4;
+
 /// One target that runs one request at a time.
 fn narrow_fleet() -> Cluster {
     let mut opts = env::options();
@@ -69,7 +74,9 @@
 fn waiting_request_is_admitted_anew_behind_a_pause() {
     let cluster = narrow_fleet();
     let first_key = env::workspace(&cluster, "first", 1000.0, 1000);
-    let key = env::workspace(&cluster, "waiting", 0.001, 2);
+    let key = env::workspace(&cluster, "waiting", SLOW_RATE_PER_S, BURST);
+    let spare = cluster.request(0, &key, "OPTIONS", "/catalogue");
+    assert_eq!(spare.expect("an answer").status, 200);
 
     cluster.targets[0].set_faults(|f| f.slow_ms = WORK.as_millis() as u64);
     let first = post(&cluster, &first_key, "/catalogue/first");
