Prove that a target's connection with the rest of a body serves nobody else

Cause: a target that answers before it has the whole streamed body leaves its connection in the middle of that body.

Further: a withdrawn key is refused on a connection that is open; the daemon is one thread and holds no io_uring; the status page gained version, uptime_ms, leaving and buffered_bytes.

--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -174,10 +174,14 @@
         Status {
             host: self.settings.host.clone(),
             data_centre: self.settings.data_centre.clone(),
+            version: env!("CARGO_PKG_VERSION"),
+            uptime: self.proxy.clock.now().since(self.proxy.started),
             ready: self.is_ready(),
+            leaving: self.proxy.leaving.has_begun(),
             revision: self.proxy.catalog.get().revision(),
             in_flight: self.proxy.in_flight.count(),
             connections: self.proxy.connections.count(),
+            buffered_bytes: self.proxy.buffered.count(),
             counters,
             targets: serde_json::to_value(targets).unwrap_or_default(),
         }
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -1,26 +1,38 @@
 //! Bodies of the operator port.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
+use serde_with::{serde_as, DurationMilliSeconds};
 
 use crate::{catalog::KeyHash, sync::EditAnswer};
 
 /// The status page.
+#[serde_as]
 #[derive(Debug, Clone, Serialize)]
 pub struct Status {
     /// Name of this host.
     pub host: String,
     /// Data centre of this host.
     pub data_centre: String,
+    /// Version of the program.
+    pub version: &'static str,
+    /// Time since the start, ms.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "uptime_ms")]
+    pub uptime: Duration,
     /// Whether it serves.
     pub ready: bool,
+    /// Whether a shutdown has begun.
+    pub leaving: bool,
     /// Revision in force.
     pub revision: u64,
     /// Requests in flight.
     pub in_flight: usize,
     /// Open connections of callers.
     pub connections: usize,
+    /// Bytes of request bodies that are buffered.
+    pub buffered_bytes: usize,
     /// All counters.
     pub counters: BTreeMap<String, u64>,
     /// All targets.
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -5,7 +5,7 @@
 use crate::{
     catalog::KeyHasher,
     claim::ClaimStore,
-    clock::Clock,
+    clock::{BootTime, Clock},
     config::LimitSettings,
     health::BalancerHandle,
     http::HeadLimits,
@@ -41,6 +41,8 @@
     pub metrics: Rc<Metrics>,
     /// Source of time.
     pub clock: Rc<dyn Clock>,
+    /// When the daemon started.
+    pub started: BootTime,
     /// The signal that the balancer is to send no new callers.
     pub leaving: Shutdown,
     /// The signal that no further connections and requests are taken.
@@ -97,6 +99,7 @@
             pool: parts.pool,
             claims: parts.claims,
             metrics: parts.metrics,
+            started: parts.clock.now(),
             clock: parts.clock,
             leaving: Shutdown::default(),
             shutdown: parts.shutdown,
--- a/tests/hostile_target.rs
+++ b/tests/hostile_target.rs
@@ -15,6 +15,9 @@
 /// Longest time for one answer on a loaded machine.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Most bytes of a method that callers send in these tests.
+const MAX_METHOD_LEN: usize = 7;
+
 /// What the caller gets.
 enum Told {
     /// An answer with this status and body, whole.
@@ -96,6 +99,10 @@
                 false,
             )
         }
+        None if path == "/mixed" => (
+            b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nmixed".to_vec(),
+            true,
+        ),
         None => (
             b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nplain".to_vec(),
             false,
@@ -112,7 +119,14 @@
             continue;
         }
         let text = String::from_utf8_lossy(&head).into_owned();
-        let (answer, close) = answer_of(text.split(' ').nth(1).unwrap_or(""));
+        let mut words = text.split(' ');
+        let method = words.next().unwrap_or("");
+        let (answer, close) = if method.len() > MAX_METHOD_LEN {
+            // The head stands behind the rest of a body.
+            answer_of("/mixed")
+        } else {
+            answer_of(words.next().unwrap_or(""))
+        };
         head.clear();
         if stream.write_all(&answer).is_err() || close {
             return;
@@ -212,6 +226,29 @@
     }
 }
 
+#[test]
+fn connection_with_the_rest_of_a_body_serves_nobody_else() {
+    let (cluster, key) = fleet();
+    let address = cluster.daemons[0].caller_address;
+    for _ in 0..5 {
+        let mut client = Client::connect(address, ANSWER_TIMEOUT).expect("a connection");
+        let head = format!(
+            "POST /raw/plain HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
+             content-length: 300000\r\n\r\n"
+        );
+        client.write(head.as_bytes()).expect("a head");
+        client.write(&[b'x'; 100_000]).expect("a part of the body");
+        let early = client
+            .read_reply("POST")
+            .expect("an answer before the end of the body");
+        assert_eq!(early.text(), "plain");
+        let next = cluster
+            .request(0, &key, "GET", "/raw/plain")
+            .expect("an answer");
+        assert_eq!(next.text(), "plain");
+    }
+}
+
 #[test]
 fn cut_off_answer_to_an_old_caller_ends_with_a_reset() {
     let (cluster, key) = fleet();
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,9 +2,10 @@
 
 mod env;
 
-use std::time::Duration;
+use std::{fs, time::Duration};
 
 use serde_json::json;
+use standins::Client;
 
 #[test]
 fn request_reaches_a_target_and_its_answer_comes_back() {
@@ -42,6 +43,67 @@
     assert!(stopped);
 }
 
+#[test]
+fn withdrawn_key_stops_working_on_an_open_connection() {
+    let cluster = env::start(env::options());
+    let key = env::workspace(&cluster, "parish", 1000.0, 1000);
+    let bearer = format!("Bearer {key}");
+    let headers = [("authorization", bearer.as_str())];
+    let address = cluster.daemons[0].caller_address;
+    let mut client = Client::connect(address, Duration::from_secs(20)).expect("a connection");
+    let mut send = || {
+        client
+            .send("GET", "/catalogue", &headers, b"")
+            .expect("an answer")
+            .status
+    };
+    assert_eq!(send(), 200);
+    let keys = cluster
+        .operate(0, "GET", "/keys", &json!(null))
+        .expect("the keys")
+        .json();
+    let change = json!({"withdraw_key": {"hash": keys[0]["hash"]}});
+    assert_eq!(cluster.edit(0, &change).expect("an answer").status, 200);
+    assert!(env::eventually(Duration::from_secs(5), || send() == 401));
+}
+
+#[test]
+fn daemon_is_one_thread_without_io_uring() {
+    let cluster = env::start(env::options());
+    let key = env::workspace(&cluster, "parish", 1000.0, 1000);
+    assert!(cluster.request(0, &key, "GET", "/catalogue").is_ok());
+    let process = format!("/proc/{}", cluster.daemons[0].id());
+    let status = fs::read_to_string(format!("{process}/status")).expect("the process");
+    assert!(status
+        .lines()
+        .any(|l| l.split_whitespace().eq(["Threads:", "1"])));
+    for entry in fs::read_dir(format!("{process}/fd"))
+        .expect("descriptors")
+        .flatten()
+    {
+        let target = fs::read_link(entry.path()).unwrap_or_default();
+        assert!(!target.to_string_lossy().contains("io_uring"));
+    }
+}
+
+#[test]
+fn status_page_tells_the_state_of_the_daemon() {
+    let cluster = env::start(env::options());
+    env::workspace(&cluster, "parish", 1000.0, 1000);
+    let page = cluster.daemons[0].status(cluster.operator_token());
+    assert_eq!(page["host"], "entry-0");
+    assert_eq!(page["data_centre"], "hobart");
+    assert_eq!(page["version"], env!("CARGO_PKG_VERSION"));
+    assert_eq!(page["ready"], true);
+    assert_eq!(page["leaving"], false);
+    assert_eq!(page["buffered_bytes"], 0);
+    for counted in ["uptime_ms", "revision", "connections", "in_flight"] {
+        assert!(page[counted].is_u64(), "{counted}");
+    }
+    assert!(page["counters"]["requests"].as_u64() > Some(0));
+    assert_eq!(page["targets"].as_array().map(Vec::len), Some(2));
+}
+
 #[test]
 fn refusals_tell_their_reason() {
     struct Case {
