--- a/tests/path_limits.rs
+++ b/tests/path_limits.rs
@@ -95,3 +95,40 @@
     });
     assert_eq!(post(&cluster, &key, &[b'x'; 600]).status, 200);
 }
+
+#[test]
+fn slow_body_is_told() {
+    let (cluster, key) = fleet(&json!({"body_part_ms": 300}));
+    let address = cluster.daemons[0].caller_address;
+    for framing in ["content-length: 10", "transfer-encoding: chunked"] {
+        let mut client = Client::connect(address, STEP_TIMEOUT).expect("a connection");
+        let head = format!(
+            "POST /catalogue/slow HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n\
+             {framing}\r\n\r\n1\r\nx"
+        );
+        client.write(head.as_bytes()).expect("a request");
+        let reply = client.read_reply("POST").expect("an answer");
+        assert_eq!(reply.status, 408, "{framing}");
+        assert_eq!(reply.json()["reason"], "body_incomplete", "{framing}");
+        assert_eq!(reply.header("chervillug-outcome"), Some("not-run"));
+    }
+    let ran = cluster.targets.iter().flat_map(|t| t.log());
+    assert!(!ran.into_iter().any(|r| r.path == "/catalogue/slow"));
+}
+
+#[test]
+fn caller_that_does_not_read_is_cut_off() {
+    let (cluster, key) = fleet(&json!({"body_part_ms": 300}));
+    let address = cluster.daemons[0].caller_address;
+    let mut client = Client::connect(address, STEP_TIMEOUT).expect("a connection");
+    let head = format!(
+        "GET /catalogue?stream=100000000 HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {key}\r\n\r\n"
+    );
+    client.write(head.as_bytes()).expect("a request");
+    let status = || cluster.daemons[0].status(cluster.operator_token());
+    let cut_off = || status()["counters"]["answers_cut_off"] == 1;
+    assert!(env::eventually(STEP_TIMEOUT, cut_off));
+    assert!(env::eventually(STEP_TIMEOUT, || status()["in_flight"] == 0));
+    let error = client.read_end().expect_err("a reset");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
