--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -12,6 +12,7 @@
     lifecycle::{InFlight, Shutdown},
     limit::Limiter,
     metrics::Metrics,
+    poison::PoisonWatch,
     pool::PoolHandle,
     sync::CatalogView,
 };
@@ -37,6 +38,8 @@
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice.
     pub claims: ClaimStore,
+    /// Watches for requests that crash targets.
+    pub poison: PoisonWatch,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -51,11 +54,11 @@
     pub connections: InFlight,
     /// Requests in flight.
     pub in_flight: InFlight,
+    pub(super) services: ServiceStates,
     /// Connections that are refused for lack of room.
     pub refused_connections: InFlight,
     /// Bytes of request bodies that are buffered.
     pub buffered: InFlight,
-    pub(super) services: ServiceStates,
     request_ids: RefCell<RequestIds>,
 }
 
@@ -75,6 +78,8 @@
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice.
     pub claims: ClaimStore,
+    /// Watches for requests that crash targets.
+    pub poison: PoisonWatch,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -98,6 +103,7 @@
             balancer: parts.balancer,
             pool: parts.pool,
             claims: parts.claims,
+            poison: parts.poison,
             metrics: parts.metrics,
             started: parts.clock.now(),
             clock: parts.clock,
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -88,6 +88,7 @@
             cx: &cx,
             service: &allowed.service,
             workspace: &allowed.workspace,
+            request_id: req.id,
             rate_per_s: allowed.plan.rate_per_s,
             request_id: req.id,
             repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
@@ -116,6 +117,9 @@
             Err(DispatchError::Failed(kind)) => {
                 return self.conn.tell(kind.into(), &refusal).await;
             }
+            Err(DispatchError::Held(kind, first)) => {
+                return self.conn.tell_held(kind, &first, &refusal).await;
+            }
         };
         let status = answer.head.status;
         let form = AnswerForm {
--- a/src/retry/machine.rs
+++ b/src/retry/machine.rs
@@ -79,8 +79,10 @@
         }
         match (self.phase, event) {
             (Phase::Picking, Event::Picked) => self.connect(),
-            (Phase::Picking, Event::NoTarget) => self.tell(self.no_target(ErrorKind::NoTarget)),
-            (Phase::Picking, Event::Busy) => self.tell(self.no_target(ErrorKind::Overloaded)),
+            (Phase::Picking, Event::NoTarget) => self.tell(self.not_picked(ErrorKind::NoTarget)),
+            (Phase::Picking, Event::Overloaded) => {
+                self.tell(self.not_picked(ErrorKind::Overloaded))
+            }
             (Phase::Connecting, Event::Connected { reused }) => self.exchange(reused),
             (Phase::Connecting, Event::Failed(Failure::Connect)) => {
                 self.fail(Failure::Connect, false, false)
@@ -165,7 +167,7 @@
         if !self.may_have_run {
             self.last_refusal = Some(kind);
         }
-        if !self.may_retry() {
+        if failure == Failure::Crashed || !self.may_retry() {
             return self.tell(kind);
         }
         self.phase = Phase::Asking(kind);
@@ -215,7 +217,7 @@
         Some(action)
     }
 
-    fn no_target(&self, kind: ErrorKind) -> ErrorKind {
+    fn not_picked(&self, kind: ErrorKind) -> ErrorKind {
         if self.may_have_run {
             return ErrorKind::TargetLost;
         }
@@ -237,7 +239,7 @@
         Failure::Connect => RetryReason::ConnectFailed,
         Failure::Shed => RetryReason::TargetShed,
         Failure::Lost if reused => RetryReason::StaleConnection,
-        Failure::Lost => RetryReason::TargetLost,
+        Failure::Lost | Failure::Crashed => RetryReason::TargetLost,
         Failure::Malformed => RetryReason::TargetMalformed,
     }
 }
