--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -21,7 +21,7 @@
     sync::{EditAnswer, EditRequest, SyncMessage},
 };
 
-use super::{key_material::new_key, KeyGiven, Status};
+use super::{key_material::new_key, KeyGiven, MemberStatus, Status};
 
 /// Bounds of a request head.
 const HEAD_LIMITS: HeadLimits = HeadLimits {
@@ -146,7 +146,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.proxy.catalog.is_ready() && !self.proxy.leaving.has_begun()
+        let now = self.proxy.clock.now();
+        self.proxy.catalog.is_ready(now) && !self.proxy.leaving.has_begun()
     }
 
     fn ready(&self) -> Reply {
@@ -179,6 +180,7 @@
             ready: self.is_ready(),
             leaving: self.proxy.leaving.has_begun(),
             revision: self.proxy.catalog.get().revision(),
+            members: self.members(),
             in_flight: self.proxy.in_flight.count(),
             connections: self.proxy.connections.count(),
             buffered_bytes: self.proxy.buffered.count(),
@@ -187,6 +189,16 @@
         }
     }
 
+    fn members(&self) -> Vec<MemberStatus> {
+        let catalog = self.proxy.catalog.get();
+        let members = catalog.members().iter();
+        let entries = members.map(|(member, phase)| MemberStatus {
+            host: member.host.clone(),
+            phase: *phase,
+        });
+        entries.collect()
+    }
+
     fn plans(&self) -> Reply {
         let catalog = self.proxy.catalog.get();
         let mut entries: Vec<PlanEntry<'_>> = catalog
@@ -248,7 +260,10 @@
                 changes: vec![change],
             })
             .await;
-        let accepted = matches!(edit, EditAnswer::Accepted { .. } | EditAnswer::Unknown);
+        let accepted = matches!(
+            edit,
+            EditAnswer::Accepted { .. } | EditAnswer::Pending { .. } | EditAnswer::Unknown
+        );
         let given = KeyGiven {
             key: accepted.then_some(key),
             hash,
@@ -261,6 +276,7 @@
 fn status_of(answer: &EditAnswer) -> StatusCode {
     match answer {
         EditAnswer::Accepted { .. } => StatusCode::OK,
+        EditAnswer::Pending { .. } => StatusCode::ACCEPTED,
         EditAnswer::Stale { .. } => StatusCode::CONFLICT,
         EditAnswer::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
         EditAnswer::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
--- a/src/operator/status.rs
+++ b/src/operator/status.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 
-use crate::{catalog::KeyHash, sync::EditAnswer};
+use crate::{catalog::KeyHash, membership::Phase, sync::EditAnswer};
 
 /// The status page.
 #[serde_as]
@@ -27,6 +27,8 @@
     pub leaving: bool,
     /// Revision in force.
     pub revision: u64,
+    /// Daemons whose confirmation counts.
+    pub members: Vec<MemberStatus>,
     /// Requests in flight.
     pub in_flight: usize,
     /// Open connections of callers.
@@ -39,6 +41,15 @@
     pub targets: serde_json::Value,
 }
 
+/// One daemon whose confirmation counts.
+#[derive(Debug, Clone, Serialize)]
+pub struct MemberStatus {
+    /// Name of its host.
+    pub host: String,
+    /// Stage of its entry or exit.
+    pub phase: Phase,
+}
+
 /// The answer to a request for a new key.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct KeyGiven {
