Bound the draining of the backlog, and make the shutdown test see the notice and the grace

Cause: with the idle grace or the notice taken out, shutdown_under_load_cuts_off_no_request still passed: the idle connection was used within the notice, and the late connection came at once. With a stricter test (late connection 500 ms behind the failing check, idle connection used once the listener has closed) both fail without their guard. That test then took 14.6 s, since connections every 20 ms kept the draining of the backlog alive without end.

Change: the backlog is drained for at most 200 ms.

Before: with either guard taken out, 2 passed. After: without the grace 'requests cut off', without the notice 'accepted within the notice'; with both guards 2 passed.

--- a/src/proxy/listener.rs
+++ b/src/proxy/listener.rs
@@ -15,6 +15,8 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
 /// Longest time without a further connection before the listener closes in a shutdown.
 const BACKLOG_TIMEOUT: Duration = Duration::from_millis(20);
+/// Longest time for which connections are accepted in a shutdown.
+const MAX_BACKLOG_TIME: Duration = Duration::from_millis(200);
 
 /// Accepts callers until the shutdown has begun and all that had connected are accepted.
 pub async fn listen_task(cx: Rc<ProxyContext>, listener: TcpListener) {
@@ -25,8 +27,13 @@
             () = shutdown.wait() => {}
         }
     }
+    let _ = timeout(MAX_BACKLOG_TIME, drain_backlog(&cx, &listener)).await;
+}
+
+/// Accepts what had connected before the shutdown.
+async fn drain_backlog(cx: &Rc<ProxyContext>, listener: &TcpListener) {
     while let Ok(Ok((stream, _))) = timeout(BACKLOG_TIMEOUT, listener.accept()).await {
-        take(&cx, Ok(stream)).await;
+        take(cx, Ok(stream)).await;
     }
 }
 
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -17,6 +17,8 @@
 
 /// Longest time for one step on a loaded machine.
 const STEP_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time from the failing check to a late connection, well within the notice.
+const LATE: Duration = Duration::from_millis(500);
 /// Clients that keep their connection.
 const KEPT_CLIENTS: usize = 12;
 /// Clients that open a connection for each request.
@@ -111,11 +113,14 @@
         env::eventually(STEP_TIMEOUT, told),
         "the check does not fail"
     );
+    thread::sleep(LATE);
     let mut late = load.connect().expect("accepted within the notice");
     assert!(!load.send(&mut late), "the answer closes");
     clients
         .into_iter()
         .for_each(|c| c.join().expect("a client"));
+    let closed = || Client::connect(load.caller_address, STEP_TIMEOUT).is_err();
+    assert!(env::eventually(STEP_TIMEOUT, closed), "still listening");
     assert!(
         !load.send(&mut idle),
         "the answer on an idle connection closes"
@@ -131,7 +136,7 @@
     opts.daemons = 2;
     opts.slots = 64;
     opts.work = Duration::from_millis(10);
-    opts.settings = json!({"limits": {"notice_ms": 1500, "idle_grace_ms": 20_000}});
+    opts.settings = json!({"limits": {"notice_ms": 3000, "idle_grace_ms": 20_000}});
     let mut cluster = env::start(opts);
     let key = env::workspace(&cluster, "parish", 100_000.0, 100_000);
     for i in 0..2 {
