--- a/examples/measure/edit.rs
+++ b/examples/measure/edit.rs
@@ -16,7 +16,9 @@
 /// Time between two edits while the cost of control is taken, that of 17,000 edits a day.
 const EDIT_INTERVAL: Duration = Duration::from_millis(5082);
 /// Share of the run's time that is spent on the cost of control, over all sizes.
-const COST_SHARE: f64 = 0.45;
+const COST_SHARE: f64 = 0.25;
+/// Time of an outage before its cost is taken, and for which it is taken.
+const OUTAGE_WINDOW: Duration = Duration::from_secs(5);
 /// Longest time for a fleet to come about, or an edit to spread.
 const PATIENCE: Duration = Duration::from_secs(30);
 /// Ticks of the kernel's processor time per second.
@@ -51,6 +53,7 @@
         control_cost(&cluster, Duration::from_secs_f64(window), report)?;
         time_edits(&cluster, opts.seed, report)?;
         time_withdrawal(&cluster, &key, report)?;
+        outage_cost(&cluster, report)?;
     }
     Ok(())
 }
@@ -145,6 +148,28 @@
     Ok(())
 }
 
+/// Takes the cost of control while the platform is out.
+fn outage_cost(cluster: &Cluster, report: &mut Report) -> io::Result<()> {
+    cluster.platform.set_faults(|f| f.down = true);
+    thread::sleep(OUTAGE_WINDOW);
+    let before = cost(cluster)?;
+    thread::sleep(OUTAGE_WINDOW);
+    let after = cost(cluster)?;
+    let daemons = cluster.daemons.len();
+    let per_daemon = (after.at - before.at).as_secs_f64() * daemons as f64;
+    let token = cluster.operator_token();
+    let serving = cluster
+        .daemons
+        .iter()
+        .filter(|d| d.status(token)["ready"] == true);
+    let share = serving.count() as f64 / daemons as f64;
+    let field = json!({"daemons": daemons});
+    let bytes = (after.bytes - before.bytes) / per_daemon;
+    report.figure("outage_control_bytes_per_s", bytes, "B/s", &field);
+    report.figure("outage_serving_share", share, "1", &field);
+    Ok(())
+}
+
 /// Changes a plan through daemon `via` and returns the revision.
 fn set_plan(cluster: &Cluster, via: usize, n: usize) -> io::Result<u64> {
     let change = json!({"set_plan":
