--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -6,7 +6,7 @@
 
 use crate::health::Profile;
 
-use super::LimitSettings;
+use super::{LimitSettings, LimiterKind};
 
 /// The settings of one daemon.
 #[derive(Debug, Clone, Deserialize)]
@@ -47,6 +47,9 @@
     /// What weighs most when targets are judged: `few_false_ejections` or `fast_detection`.
     #[serde(default)]
     pub profile: Profile,
+    /// How rates are counted, the same in all daemons of a fleet: `owned` or `static_split`.
+    #[serde(default)]
+    pub limiter: LimiterKind,
     /// Bounds of this daemon.
     #[serde(default)]
     pub limits: LimitSettings,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,16 +12,20 @@
     net::{ListenerOpts, TcpListener},
     LegacyDriver, RuntimeBuilder,
 };
+use rustc_hash::FxHashMap;
 
 use crate::{
     catalog::KeyHasher,
     claim::{claim_sweep_task, ClaimStore},
-    clock::{Clock, SystemClock},
+    clock::{BootTime, Clock, SystemClock},
     config::Settings,
-    health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
+    health::{
+        balancer_task, probe_task, Balancer, BalancerHandle, Member, Sequential, SuspicionExchange,
+        SuspicionHandler, SuspicionTask,
+    },
     hosts::host_list_task,
     lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
-    limit::{static_split_task, TaskLimiter},
+    limit::{LimitParts, LimitService},
     membership::Incarnation,
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
@@ -84,7 +88,7 @@
         metrics.clone(),
     ));
     let shutdown = Shutdown::default();
-    let steps = ShutdownSteps::default();
+    let mut steps = ShutdownSteps::default();
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
     let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
@@ -96,6 +100,7 @@
         Rc::new(PoisonHandler::new(poison.clone())),
     );
 
+    let (suspicion_tx, suspicion_rx) = mpsc::unbounded::channel();
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
     let state = Balancer::new(
@@ -109,15 +114,27 @@
         balancer.clone(),
         clock.clone(),
         metrics.clone(),
+        suspicion_tx.clone(),
     ));
     monoio::spawn(probe_task(balancer.clone()));
+    let suspicions = SuspicionTask {
+        exchange: exchange_of(&settings, clock.now()),
+        peers: peers.clone(),
+        balancer: balancer.clone(),
+        metrics: metrics.clone(),
+        clock: clock.clone(),
+        tx: suspicion_tx.clone(),
+        under_way: FxHashMap::default(),
+    };
+    monoio::spawn(suspicions.run(suspicion_rx));
+    router.set(
+        PeerKind::Suspicion,
+        Rc::new(SuspicionHandler { tx: suspicion_tx }),
+    );
 
     let (pool_tx, pool_rx) = mpsc::unbounded::channel();
     monoio::spawn(pool_task(pool_rx, clock.clone()));
 
-    let (limiter_tx, limiter_rx) = mpsc::unbounded::channel();
-    monoio::spawn(static_split_task(limiter_rx, clock.clone()));
-
     let (sync_tx, sync_rx) = mpsc::unbounded::channel();
     let catalog = CatalogView::default();
     let replica = Rc::new(Replica::new(ReplicaParts {
@@ -128,7 +145,7 @@
         serve_while_cut_off: settings.serve_withdrawn_keys_while_cut_off,
         table: platform.clone(),
         objects: platform.clone(),
-        peers,
+        peers: peers.clone(),
         view: catalog.clone(),
         clock: clock.clone(),
         metrics: metrics.clone(),
@@ -138,13 +155,25 @@
     let handler = ContactHandler::new(replica.clone());
     router.set(PeerKind::Heartbeat, Rc::new(handler));
     monoio::spawn(sync_task(replica, sync_rx));
+    let parts = LimitParts {
+        table: platform.clone(),
+        list: platform.clone(),
+        peers,
+        catalog: catalog.clone(),
+        clock: clock.clone(),
+        metrics: metrics.clone(),
+    };
+    let limit = LimitService::start(&settings, parts, &mut router)?;
+    if let Some(ownership) = limit.ownership {
+        steps.add("hand over slices", async move { ownership.release().await });
+    }
     let claims = ClaimStore::new(platform.clone());
     monoio::spawn(claim_sweep_task(platform.clone(), directory.clone()));
     monoio::spawn(host_list_task(
         platform,
         balancer.clone(),
         directory,
-        limiter_tx.clone(),
+        limit.tx,
         metrics.clone(),
     ));
     monoio::spawn(peer_server_task(
@@ -163,7 +192,7 @@
         limits: settings.limits.clone(),
         catalog,
         hasher: KeyHasher::new(&settings.key_secret),
-        limiter: Box::new(TaskLimiter::new(limiter_tx)),
+        limiter: limit.limiter,
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
         claims,
@@ -194,6 +223,14 @@
     Ok(())
 }
 
+fn exchange_of(settings: &Settings, now: BootTime) -> SuspicionExchange {
+    let own = Member {
+        host: Rc::from(settings.host.as_str()),
+        data_centre: Rc::from(settings.data_centre.as_str()),
+    };
+    SuspicionExchange::new(own, settings.profile.options().fleet_threshold, now)
+}
+
 /// Waits until nothing is in flight, or the limit has passed.
 async fn drain(proxy: &ProxyContext, limit: Duration) {
     let end = Instant::now() + limit;
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -3,7 +3,9 @@
 use bytes::Bytes;
 use http::{header, request, Version};
 
-use crate::{http::BodyKind, metrics::Counter, outcome::ErrorKind, retry::is_repeatable};
+use crate::{
+    http::BodyKind, limit::Grant, metrics::Counter, outcome::ErrorKind, retry::is_repeatable,
+};
 
 use super::{
     access_log::{log_answer, log_caller_gone, AnswerLine},
@@ -35,8 +37,8 @@
 impl Serving<'_> {
     /// Serves the request, and returns what becomes of the connection.
     pub(super) async fn run(&mut self, head: request::Parts, req: &ServedRequest<'_>) -> After {
-        let allowed = match self.check(&head).await {
-            Ok(allowed) => allowed,
+        let (allowed, grant) = match self.check(&head).await {
+            Ok(checked) => checked,
             Err(refusal) => return self.refuse(refusal, &head, req).await,
         };
         if !self.confirm_body(&head, req.kind).await {
@@ -49,16 +51,30 @@
             limits: &cx.limits,
             buffered: &cx.buffered,
         };
-        match receiver.receive(&mut self.conn.reader).await {
-            Ok(body) => self.dispatch(head, body, &allowed, req).await,
-            Err(kind) => self.refuse(kind.into(), &head, req).await,
+        let body = match receiver.receive(&mut self.conn.reader).await {
+            Ok(body) => body,
+            Err(kind) => return self.refuse(kind.into(), &head, req).await,
+        };
+        match self.confirm_grant(grant, &allowed).await {
+            Ok(()) => self.dispatch(head, body, &allowed, req).await,
+            Err(refusal) => self.refuse(refusal, &head, req).await,
         }
     }
 
-    async fn check(&self, head: &request::Parts) -> Result<Allowed, Refusal> {
+    async fn check(&self, head: &request::Parts) -> Result<(Allowed, Grant), Refusal> {
         let allowed = authorize(&self.conn.cx, head)?;
-        admit(&self.conn.cx, &allowed).await?;
-        Ok(allowed)
+        let grant = admit(&self.conn.cx, &allowed).await?;
+        Ok((allowed, grant))
+    }
+
+    /// Asks for admission again when the grant became void while the body came in.
+    async fn confirm_grant(&self, grant: Grant, allowed: &Allowed) -> Result<(), Refusal> {
+        let cx = &self.conn.cx;
+        if grant.is_valid(cx.clock.now()) {
+            return Ok(());
+        }
+        cx.metrics.count(Counter::GrantsLate);
+        admit(cx, allowed).await.map(|_| ())
     }
 
     /// Answers `Expect: 100-continue`; returns false when the connection failed.
