Measure owners against the static split

Cause: no figure told how many requests inside their rate are refused. Ruled out as a fault of the limiter: paths repeated between the loads of one fleet, so that refused requests were taken for ones that an earlier load ran.

--- a/examples/measure/rate.rs
+++ b/examples/measure/rate.rs
@@ -1,12 +1,104 @@
-//! Cases of the module `rate`.
+//! Requests refused inside their rate, and admitted over it: owners against the static split.
 
-use std::io;
+#[path = "../../tests/limit/load.rs"]
+mod load;
 
-use crate::{figure::Report, RunOptions};
+use std::{
+    io, thread,
+    time::{Duration, Instant},
+};
 
-/// Not measured yet.
-pub(crate) fn rate(_: &RunOptions, _: &mut Report) -> io::Result<()> {
-    Err(io::Error::other("not measured yet"))
+use serde_json::{json, Value};
+use standins::{Cluster, ClusterOptions};
+
+use crate::{figure::Report, fleet, RunOptions};
+
+use load::Load;
+
+const DAEMONS: usize = 6;
+/// Rate of the workspace, 1/s.
+const RATE: f64 = 60.0;
+/// Burst of the workspace.
+const BURST: u32 = 20;
+/// Time for a fleet to share its slices out.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Counts of daemons at which the table's load is measured.
+const TABLE_DAEMONS: [usize; 3] = [3, 12, 36];
+
+/// A fleet with one workspace, and how its rate is counted.
+struct Fleet {
+    cluster: Cluster,
+    key: String,
+    limiter: &'static str,
+    seed: u64,
+}
+
+impl Fleet {
+    fn start(limiter: &'static str, daemons: usize, seed: u64) -> io::Result<Self> {
+        let cluster = Cluster::start(ClusterOptions {
+            daemons,
+            slots: 64,
+            settings: json!({"limiter": limiter}),
+            ..fleet::options()?
+        })?;
+        thread::sleep(SETTLE);
+        let key = cluster.add_workspace("parish", RATE, BURST)?;
+        thread::sleep(Duration::from_secs(2));
+        Ok(Self {
+            cluster,
+            key,
+            limiter,
+            seed,
+        })
+    }
+
+    /// Sends `share` of the rate for `time` and reports what was refused and admitted.
+    fn measure(&self, report: &mut Report, state: &str, share: f64, time: Duration) {
+        let load = Load::start(&self.cluster, &self.key, RATE * share, self.seed);
+        thread::sleep(time);
+        let sent = load.finish();
+        let ran = load::runs(&self.cluster, &sent);
+        let refused = sent.iter().filter(|s| s.status == Some(429));
+        let unavailable = sent.iter().filter(|s| s.status == Some(503));
+        let unanswered = sent.iter().filter(|s| s.status.is_none());
+        let count = sent.len().max(1) as f64;
+        let more = json!({"limiter": self.limiter, "state": state, "load_share": share,
+            "sent": sent.len()});
+        let refused = (refused.count() + unavailable.count()) as f64 / count;
+        if share < 1.0 {
+            let name = match self.limiter {
+                "owned" => "wrongly_refused_share",
+                _ => "static_wrongly_refused_share",
+            };
+            report.figure(name, refused, "1", &more);
+        }
+        report.figure(
+            "unanswered_share",
+            unanswered.count() as f64 / count,
+            "1",
+            &more,
+        );
+        let plan = RATE * time.as_secs_f64();
+        let admitted = ran.len() as f64 / plan;
+        report.figure("admitted_share_of_rate", admitted, "1", &more);
+        let over = load::over_plan(&ran, RATE, f64::from(BURST));
+        let over = over.map_or(0.0, |o| o.ran as f64 - f64::from(BURST) - RATE * o.seconds);
+        report.figure("over_plan_requests", over, "1", &more);
+    }
+}
+
+/// Measures a healthy fleet, and one that just lost a daemon.
+pub(crate) fn rate(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
+    let part = Duration::from_secs_f64(opts.seconds as f64 / 16.0);
+    for limiter in ["owned", "static_split"] {
+        let mut fleet = Fleet::start(limiter, DAEMONS, opts.seed)?;
+        for share in [0.5, 0.9, 5.0] {
+            fleet.measure(report, "healthy", share, part);
+        }
+        fleet.cluster.daemons[0].kill();
+        fleet.measure(report, "one daemon killed", 0.5, part * 2);
+    }
+    Ok(())
 }
 
 /// Not measured yet.
@@ -14,7 +106,36 @@
     Err(io::Error::other("not measured yet"))
 }
 
-/// Not measured yet.
-pub(crate) fn outage(_: &RunOptions, _: &mut Report) -> io::Result<()> {
-    Err(io::Error::other("not measured yet"))
+/// Measures a fleet whose table is out, and the table's load in healthy fleets.
+pub(crate) fn outage(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
+    let part = Duration::from_secs_f64(opts.seconds as f64 / 10.0);
+    let fleet = Fleet::start("owned", DAEMONS, opts.seed)?;
+    fleet.cluster.platform.set_faults(|f| f.down = true);
+    thread::sleep(SETTLE);
+    for share in [0.5, 0.9, 5.0] {
+        fleet.measure(report, "outage", share, part);
+    }
+    drop(fleet);
+    for daemons in TABLE_DAEMONS {
+        let fleet = Fleet::start("owned", daemons, opts.seed)?;
+        let more = json!({"daemons": daemons});
+        measure_table(&fleet.cluster, report, part, &more);
+    }
+    Ok(())
+}
+
+fn measure_table(cluster: &Cluster, report: &mut Report, time: Duration, more: &Value) {
+    let begin = Instant::now();
+    let before = cluster.platform.stats();
+    thread::sleep(time);
+    let after = cluster.platform.stats();
+    let seconds = begin.elapsed().as_secs_f64();
+    let figures = [
+        ("table_writes_per_s", before.writes, after.writes),
+        ("table_reads_per_s", before.reads, after.reads),
+        ("table_bytes_per_s", before.bytes, after.bytes),
+    ];
+    for (name, before, after) in figures {
+        report.figure(name, (after - before) as f64 / seconds, "1/s", more);
+    }
 }
--- a/tests/limit/load.rs
+++ b/tests/limit/load.rs
@@ -4,7 +4,7 @@
     collections::BTreeSet,
     net::SocketAddr,
     sync::{
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
         Arc,
     },
     thread::{self, JoinHandle},
@@ -44,13 +44,24 @@
 impl Load {
     /// Sends about `rate` requests a second until [`Load::finish`].
     pub(crate) fn start(cluster: &Cluster, key: &str, rate: f64, seed: u64) -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let load = NEXT.fetch_add(1, Ordering::Relaxed);
         let stop = Arc::new(AtomicBool::new(false));
         let daemons: Vec<SocketAddr> = cluster.daemons.iter().map(|d| d.caller_address).collect();
         let gap = Duration::from_secs_f64(SENDERS as f64 / rate);
         let threads = (0..SENDERS).map(|i| {
             let (daemons, key, stop) = (daemons.clone(), key.to_owned(), stop.clone());
             let random = fastrand::Rng::with_seed(seed * 100 + i as u64);
-            thread::spawn(move || send_all(i, &daemons, &key, gap, random, &stop))
+            thread::spawn(move || {
+                send_all(
+                    &format!("/catalogue/{load}-{i}"),
+                    &daemons,
+                    &key,
+                    gap,
+                    random,
+                    &stop,
+                )
+            })
         });
         Self {
             threads: threads.collect(),
@@ -67,7 +78,7 @@
 }
 
 fn send_all(
-    i: usize,
+    prefix: &str,
     daemons: &[SocketAddr],
     key: &str,
     gap: Duration,
@@ -82,7 +93,7 @@
         thread::sleep(due.saturating_duration_since(Instant::now()));
         due = due.max(Instant::now() - gap) + gap.mul_f64(0.5 + random.f64());
         let daemon = daemons[random.usize(..daemons.len())];
-        let path = format!("/catalogue/{i}-{}", all.len());
+        let path = format!("{prefix}-{}", all.len());
         let sent = Instant::now();
         let reply = Client::connect(daemon, ANSWER_TIMEOUT)
             .and_then(|mut c| c.send("POST", &path, &headers, b""));
