--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -4,9 +4,12 @@
 
 mod capacity;
 mod counting_allocator;
+mod edit;
 mod figure;
 mod fleet;
 mod gray;
+mod gray_fleet;
+mod gray_scenario;
 mod outcomes;
 mod path;
 mod peer;
@@ -50,7 +53,7 @@
     ("path", path::path),
     ("peer", peer::peer),
     ("rate", rate::rate),
-    ("edit", rate::edit),
+    ("edit", edit::edit),
     ("outage", rate::outage),
     ("outcomes", outcomes::outcomes),
     ("silent", outcomes::silent),
--- a/examples/measure/rate.rs
+++ b/examples/measure/rate.rs
@@ -101,11 +101,6 @@
     Ok(())
 }
 
-/// Not measured yet.
-pub(crate) fn edit(_: &RunOptions, _: &mut Report) -> io::Result<()> {
-    Err(io::Error::other("not measured yet"))
-}
-
 /// Measures a fleet whose table is out, and the table's load in healthy fleets.
 pub(crate) fn outage(opts: &RunOptions, report: &mut Report) -> io::Result<()> {
     let part = Duration::from_secs_f64(opts.seconds as f64 / 10.0);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,13 +12,17 @@
     net::{ListenerOpts, TcpListener},
     LegacyDriver, RuntimeBuilder,
 };
+use rustc_hash::FxHashMap;
 
 use crate::{
     catalog::KeyHasher,
     claim::{claim_sweep_task, ClaimStore},
-    clock::{Clock, SystemClock},
+    clock::{BootTime, Clock, SystemClock},
     config::Settings,
-    health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
+    health::{
+        balancer_task, probe_task, Balancer, BalancerHandle, Member, Sequential, SuspicionExchange,
+        SuspicionHandler, SuspicionTask,
+    },
     hosts::host_list_task,
     lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
     limit::{LimitParts, LimitService},
@@ -96,6 +100,7 @@
         Rc::new(PoisonHandler::new(poison.clone())),
     );
 
+    let (suspicion_tx, suspicion_rx) = mpsc::unbounded::channel();
     let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
     let balancer = BalancerHandle::new(balancer_tx);
     let state = Balancer::new(
@@ -109,8 +114,23 @@
         balancer.clone(),
         clock.clone(),
         metrics.clone(),
+        suspicion_tx.clone(),
     ));
     monoio::spawn(probe_task(balancer.clone()));
+    let suspicions = SuspicionTask {
+        exchange: exchange_of(&settings, clock.now()),
+        peers: peers.clone(),
+        balancer: balancer.clone(),
+        metrics: metrics.clone(),
+        clock: clock.clone(),
+        tx: suspicion_tx.clone(),
+        under_way: FxHashMap::default(),
+    };
+    monoio::spawn(suspicions.run(suspicion_rx));
+    router.set(
+        PeerKind::Suspicion,
+        Rc::new(SuspicionHandler { tx: suspicion_tx }),
+    );
 
     let (pool_tx, pool_rx) = mpsc::unbounded::channel();
     monoio::spawn(pool_task(pool_rx, clock.clone()));
@@ -203,6 +223,14 @@
     Ok(())
 }
 
+fn exchange_of(settings: &Settings, now: BootTime) -> SuspicionExchange {
+    let own = Member {
+        host: Rc::from(settings.host.as_str()),
+        data_centre: Rc::from(settings.data_centre.as_str()),
+    };
+    SuspicionExchange::new(own, settings.profile.options().fleet_threshold, now)
+}
+
 /// Waits until nothing is in flight, or the limit has passed.
 async fn drain(proxy: &ProxyContext, limit: Duration) {
     let end = Instant::now() + limit;
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -2,6 +2,7 @@
 
 mod balancer;
 mod balancer_task;
+mod byte_budget;
 mod consecutive;
 mod decayed;
 mod detector;
@@ -12,26 +13,37 @@
 mod probe_only;
 mod probe_task;
 mod profile;
+mod scheduler;
 mod sequential;
 mod service;
+mod suspicion;
+mod suspicion_exchange;
+mod suspicion_task;
 mod target;
 mod verdict;
 mod work_counts;
 
 pub use balancer::{Balancer, Choice, PickError, PickRequest};
-pub use balancer_task::{balancer_task, BalancerHandle, BalancerMessage, PickOrder, Picked};
+pub use balancer_task::{balancer_task, BalancerHandle, BalancerMessage, Picked};
+pub use byte_budget::ByteBudget;
 pub use consecutive::Consecutive;
 pub use decayed::Decayed;
-pub use detector::{Detector, Observation, Standing, WorkResult};
-pub use evidence::{log_likelihood_ratio, Evidence, EVIDENCE_HALF_LIFE, FAULT_SHARES};
+pub use detector::{Detector, Judgement, Observation, Standing, WorkResult};
+pub use evidence::{log_likelihood_ratio, Evidence, EVIDENCE_HALF_LIFE, FAULT_SHARES, SLOW_WEIGHT};
 pub use fleet_evidence::{EvidenceReport, FleetEvidence};
-pub use flights::{Flights, Ticket};
+pub use flights::{Flights, Lateness, Ticket};
 pub use floor::{routing_set, Candidate};
 pub use probe_only::ProbeOnly;
 pub use probe_task::probe_task;
 pub use profile::{Profile, SequentialOptions};
+pub use scheduler::{Decided, PickOrder, Scheduler};
 pub use sequential::Sequential;
 pub use service::{Service, ServiceId};
+pub use suspicion::{Suspicion, SuspicionMessage, SuspicionReport};
+pub use suspicion_exchange::{
+    Member, Outgoing, Round, SuspicionExchange, BURST_BYTES, BYTES_PER_S, MESSAGE_BYTES,
+};
+pub use suspicion_task::{SuspicionEvent, SuspicionHandler, SuspicionTask};
 pub use target::{Target, TargetId, TargetState, RAMP};
 pub use verdict::Verdict;
 pub use work_counts::{WorkCounts, WorkTotals, BASELINE_HALF_LIFE};
