--- a/tests/health_peers.rs
+++ b/tests/health_peers.rs
@@ -70,6 +70,13 @@
             gap_ms: 10,
             alarms: false,
         },
+        Case {
+            name: "two daemons of two data centres, one target",
+            daemons: |d| d < 2,
+            targets: |t| t == 0,
+            gap_ms: 10,
+            alarms: false,
+        },
         Case {
             name: "one data centre, one target",
             daemons: |d| d % 3 == 0,
