Keep a false ejection at an abrupt common failure as a known red test

Cause: a search of 3,000 seeds found that a service which begins to fail half of its work at one moment can cost one healthy target an ejection (seed 250, profile fast_detection): the siblings' evidence has not grown yet when one of them has bad luck.

Ruled out: none of the seeds 0 to 19 that the landed test runs, so the fault is rare, not absent.

The loop of the older test moved into a function, with the same cases, seeds and bound.

--- a/tests/health.rs
+++ b/tests/health.rs
@@ -187,18 +187,7 @@
     ];
     for case in &cases {
         for (profile, seed) in PROFILES.iter().flat_map(|p| (0..20).map(move |s| (*p, s))) {
-            let mut bench = Bench::new(profile, 6, seed);
-            (0..100).for_each(|_| bench.round());
-            bench.targets.fill(case.all);
-            for round in 0..500 {
-                bench.round();
-                let out = bench.out();
-                assert_eq!(
-                    out, 0,
-                    "{}, {profile:?}, seed {seed}, round {round}",
-                    case.name
-                );
-            }
+            assert_none_out(case.name, case.all, profile, seed);
         }
     }
 }
@@ -377,3 +366,24 @@
         .tests(300)
         .quickcheck(property as fn(Vec<Work>, (u8, u8, u8, u8)) -> bool);
 }
+
+/// Lets healthy targets all behave like `all` at the same moment, and checks that none is out.
+fn assert_none_out(name: &str, all: Behaviour, profile: Profile, seed: u64) {
+    let mut bench = Bench::new(profile, 6, seed);
+    (0..100).for_each(|_| bench.round());
+    bench.targets.fill(all);
+    for round in 0..500 {
+        bench.round();
+        let out = bench.out();
+        assert_eq!(out, 0, "{name}, {profile:?}, seed {seed}, round {round}");
+    }
+}
+
+#[test]
+fn abrupt_half_failure_of_a_service_ejects_none_at_seed_250() {
+    let all = Behaviour {
+        bad_share: 0.5,
+        ..HEALTHY
+    };
+    assert_none_out("service half fails", all, Profile::FastDetection, 250);
+}
