Take only recently used connections as signs of a death

Cause: a target whose own idle limit is below 10 s closes all idle connections in peace; the next lost connection then counted as its death, and was not held against it.

Ruled out: leaving out this sign (a target that is started again at once would never be seen as dead).

Change: only connections that were in use up to a second ago count.

--- a/examples/measure/outcomes.rs
+++ b/examples/measure/outcomes.rs
@@ -145,9 +145,8 @@
 
 /// Measures what a claim adds to the latency of a request, and its table writes.
 fn claim_latency(cluster: &Cluster, key: &str, report: &mut Report) -> io::Result<()> {
-    let plain = posts(cluster, key, false)?;
     let before = cluster.platform.stats().writes;
-    let claimed = posts(cluster, key, true)?;
+    let (plain, claimed) = posts(cluster, key)?;
     thread::sleep(Duration::from_millis(200));
     let writes = cluster.platform.stats().writes - before;
     for (name, quantile) in [("claim_p50_ms", 0.5), ("claim_p99_ms", 0.99)] {
@@ -159,11 +158,13 @@
     Ok(())
 }
 
-fn posts(cluster: &Cluster, key: &str, claimed: bool) -> io::Result<Histogram<u64>> {
-    let mut latencies = histogram()?;
+/// Sends plain and claimed requests in turn; returns the latencies of both.
+fn posts(cluster: &Cluster, key: &str) -> io::Result<(Histogram<u64>, Histogram<u64>)> {
+    let mut latencies = (histogram()?, histogram()?);
     let mut client = Client::connect(cluster.daemons[0].caller_address, PATIENCE)?;
     let bearer = format!("Bearer {key}");
-    for n in 0..CLAIMS {
+    for n in 0..2 * CLAIMS {
+        let claimed = n % 2 == 1;
         let name = n.to_string();
         let mut headers = vec![("authorization", bearer.as_str())];
         if claimed {
@@ -174,7 +175,12 @@
         if reply.status != 200 {
             return Err(io::Error::other(reply.text()));
         }
-        let _ = latencies.record(begin.elapsed().as_micros() as u64);
+        let taken = if claimed {
+            &mut latencies.1
+        } else {
+            &mut latencies.0
+        };
+        let _ = taken.record(begin.elapsed().as_micros() as u64);
     }
     Ok(latencies)
 }
--- a/src/pool/idle.rs
+++ b/src/pool/idle.rs
@@ -12,6 +12,8 @@
 const MAX_IDLE: Duration = Duration::from_secs(10);
 /// Longest time from the opening of a connection to its last request.
 const MAX_AGE: Duration = Duration::from_secs(300);
+/// Idle time up to which no server closes a connection for idleness.
+const RECENT_USE: Duration = Duration::from_secs(1);
 /// Most idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
@@ -67,11 +69,16 @@
         }
     }
 
-    /// Tells whether the other side closed all idle connections to `address`, of which there
-    /// must be some, while none of them was in use.
-    pub fn all_closed(&self, address: SocketAddr) -> bool {
-        let queue = self.by_address.get(&address);
-        queue.is_some_and(|q| !q.is_empty() && q.iter().all(|idle| !idle.conn.is_quiet()))
+    /// Tells whether the other side closed all connections to `address` that were in use a
+    /// moment ago, of which there must be some.
+    ///
+    /// Those that were idle for longer may have met the other side's own idle limit.
+    pub fn all_closed(&self, address: SocketAddr, now: BootTime) -> bool {
+        let queue = self.by_address.get(&address).into_iter().flatten();
+        let mut recent = queue
+            .filter(|idle| now.since(idle.since) <= RECENT_USE)
+            .peekable();
+        recent.peek().is_some() && recent.all(|idle| !idle.conn.is_quiet())
     }
 
     /// Closes connections that were idle for too long.
--- a/src/pool/task.rs
+++ b/src/pool/task.rs
@@ -17,7 +17,7 @@
     Take(SocketAddr, oneshot::Sender<Option<TargetConnection>>),
     /// Gives a connection back.
     Put(TargetConnection),
-    /// Asks whether the other side closed all idle connections.
+    /// Asks whether the other side closed all connections that were in use a moment ago.
     AllClosed(SocketAddr, oneshot::Sender<bool>),
     /// Closes connections to a target that were idle at a time already.
     DropUnproven(SocketAddr, BootTime),
@@ -42,8 +42,8 @@
         rx.await.ok().flatten()
     }
 
-    /// Tells whether the other side closed all idle connections to `address`, of which there
-    /// must be some.
+    /// Tells whether the other side closed all connections to `address` that were in use a
+    /// moment ago, of which there must be some.
     pub async fn all_closed(&self, address: SocketAddr) -> bool {
         let (reply, rx) = oneshot::channel();
         let _ = self.tx.send(PoolMessage::AllClosed(address, reply));
@@ -73,7 +73,7 @@
                 }
                 Some(PoolMessage::Put(conn)) => idle.put(conn, clock.now()),
                 Some(PoolMessage::AllClosed(address, reply)) => {
-                    let _ = reply.send(idle.all_closed(address));
+                    let _ = reply.send(idle.all_closed(address, clock.now()));
                 }
                 Some(PoolMessage::DropUnproven(address, since)) => {
                     idle.drop_unproven(address, since);
