--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -21,7 +21,7 @@
     health::{balancer_task, probe_task, Balancer, BalancerHandle, Sequential},
     hosts::host_list_task,
     lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
-    limit::{static_split_task, TaskLimiter},
+    limit::{LimitParts, LimitService},
     membership::Incarnation,
     metrics::{export_task, Metrics},
     operator::{operator_task, OperatorContext},
@@ -84,7 +84,7 @@
         metrics.clone(),
     ));
     let shutdown = Shutdown::default();
-    let steps = ShutdownSteps::default();
+    let mut steps = ShutdownSteps::default();
 
     let secrets = FleetSecrets::new(&settings.fleet_secrets);
     let directory = PeerDirectory::new(&settings.host, &settings.peer_addresses);
@@ -115,9 +115,6 @@
     let (pool_tx, pool_rx) = mpsc::unbounded::channel();
     monoio::spawn(pool_task(pool_rx, clock.clone()));
 
-    let (limiter_tx, limiter_rx) = mpsc::unbounded::channel();
-    monoio::spawn(static_split_task(limiter_rx, clock.clone()));
-
     let (sync_tx, sync_rx) = mpsc::unbounded::channel();
     let catalog = CatalogView::default();
     let replica = Rc::new(Replica::new(ReplicaParts {
@@ -128,7 +125,7 @@
         serve_while_cut_off: settings.serve_withdrawn_keys_while_cut_off,
         table: platform.clone(),
         objects: platform.clone(),
-        peers,
+        peers: peers.clone(),
         view: catalog.clone(),
         clock: clock.clone(),
         metrics: metrics.clone(),
@@ -138,13 +135,25 @@
     let handler = ContactHandler::new(replica.clone());
     router.set(PeerKind::Heartbeat, Rc::new(handler));
     monoio::spawn(sync_task(replica, sync_rx));
+    let parts = LimitParts {
+        table: platform.clone(),
+        list: platform.clone(),
+        peers,
+        catalog: catalog.clone(),
+        clock: clock.clone(),
+        metrics: metrics.clone(),
+    };
+    let limit = LimitService::start(&settings, parts, &mut router)?;
+    if let Some(ownership) = limit.ownership {
+        steps.add("hand over slices", async move { ownership.release().await });
+    }
     let claims = ClaimStore::new(platform.clone());
     monoio::spawn(claim_sweep_task(platform.clone(), directory.clone()));
     monoio::spawn(host_list_task(
         platform,
         balancer.clone(),
         directory,
-        limiter_tx.clone(),
+        limit.tx,
         metrics.clone(),
     ));
     monoio::spawn(peer_server_task(
@@ -163,7 +172,7 @@
         limits: settings.limits.clone(),
         catalog,
         hasher: KeyHasher::new(&settings.key_secret),
-        limiter: Box::new(TaskLimiter::new(limiter_tx)),
+        limiter: limit.limiter,
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
         claims,
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -44,6 +44,16 @@
     PeerAskBytes,
     /// Bytes of calls to the platform, heads included, as sent and received.
     PlatformBytes,
+    /// Tokens asked for at other daemons.
+    Asks,
+    /// Asks of other daemons that were answered.
+    AsksAnswered,
+    /// Asks that no daemon answered in time.
+    AsksUnanswered,
+    /// Grants that became void before their use.
+    GrantsLate,
+    /// Sessions of this daemon that another one fenced.
+    SessionsFenced,
     /// Targets ejected or put on trial.
     Ejections,
     /// Requests that waited for a target.
