--- a/tests/reconcile/mod.rs
+++ b/tests/reconcile/mod.rs
@@ -24,6 +24,8 @@
     pub(crate) repeatable: bool,
     /// The outcome; empty when there was no answer.
     pub(crate) outcome: String,
+    /// Reason of a refusal; empty when there was none.
+    pub(crate) reason: String,
     /// Identity of the arrival; empty when there was no answer.
     pub(crate) request_id: String,
     /// Path and request id named by the answer's body; none when it is not whole.
@@ -92,6 +94,7 @@
             claimed: key.is_some(),
             repeatable: method == "GET",
             outcome: header("chervillug-outcome"),
+            reason: reply.as_ref().map(reason_of).unwrap_or_default(),
             request_id: header("chervillug-request-id"),
             answered: reply.as_ref().ok().and_then(named),
         }
@@ -112,6 +115,13 @@
     }
 }
 
+fn reason_of(reply: &Reply) -> String {
+    reply.json()["reason"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned()
+}
+
 /// Returns the path and request id that a whole target's answer names.
 fn named(reply: &Reply) -> Option<(String, String)> {
     let body = reply.json();
