--- a/examples/measure/outcomes.rs
+++ b/examples/measure/outcomes.rs
@@ -92,7 +92,13 @@
     let count = |outcome: &str| told.iter().filter(|t| t.outcome == outcome).count();
     let unknown = count("unknown");
     let (answers, not_run) = (count("answer"), count("not-run"));
-    let field = json!({"arrivals": told.len(), "answers": answers, "not_run": not_run});
+    let held = told.iter().filter(|t| t.reason == "claim_held").count();
+    let field = json!({
+        "arrivals": told.len(),
+        "answers": answers,
+        "not_run": not_run,
+        "claim_held": held,
+    });
     report.figure("mismatches", found.len() as f64, "1", &field);
     report.figure("double_runs", double as f64, "1", &field);
     let share = unknown as f64 / told.len().max(1) as f64;
