--- a/examples/measure/outcomes.rs
+++ b/examples/measure/outcomes.rs
@@ -35,7 +35,7 @@
     let mut shape = fleet::options()?;
     shape.daemons = daemons;
     shape.services = vec![("catalogue".into(), targets)];
-    shape.settings = json!({"limits": {"deadline_ms": 1000}});
+    shape.settings = json!({"limiter": "static_split", "limits": {"deadline_ms": 1000}});
     let cluster = Cluster::start(shape)?;
     let key = cluster.add_workspace("parish", 1e6, 1_000_000)?;
     for i in 0..daemons {
@@ -92,7 +92,13 @@
     let count = |outcome: &str| told.iter().filter(|t| t.outcome == outcome).count();
     let unknown = count("unknown");
     let (answers, not_run) = (count("answer"), count("not-run"));
-    let field = json!({"arrivals": told.len(), "answers": answers, "not_run": not_run});
+    let held = told.iter().filter(|t| t.reason == "claim_held").count();
+    let field = json!({
+        "arrivals": told.len(),
+        "answers": answers,
+        "not_run": not_run,
+        "claim_held": held,
+    });
     report.figure("mismatches", found.len() as f64, "1", &field);
     report.figure("double_runs", double as f64, "1", &field);
     let share = unknown as f64 / told.len().max(1) as f64;
@@ -145,9 +151,8 @@
 
 /// Measures what a claim adds to the latency of a request, and its table writes.
 fn claim_latency(cluster: &Cluster, key: &str, report: &mut Report) -> io::Result<()> {
-    let plain = posts(cluster, key, false)?;
     let before = cluster.platform.stats().writes;
-    let claimed = posts(cluster, key, true)?;
+    let (plain, claimed) = posts(cluster, key)?;
     thread::sleep(Duration::from_millis(200));
     let writes = cluster.platform.stats().writes - before;
     for (name, quantile) in [("claim_p50_ms", 0.5), ("claim_p99_ms", 0.99)] {
@@ -159,11 +164,13 @@
     Ok(())
 }
 
-fn posts(cluster: &Cluster, key: &str, claimed: bool) -> io::Result<Histogram<u64>> {
-    let mut latencies = histogram()?;
+/// Sends plain and claimed requests in turn; returns the latencies of both.
+fn posts(cluster: &Cluster, key: &str) -> io::Result<(Histogram<u64>, Histogram<u64>)> {
+    let mut latencies = (histogram()?, histogram()?);
     let mut client = Client::connect(cluster.daemons[0].caller_address, PATIENCE)?;
     let bearer = format!("Bearer {key}");
-    for n in 0..CLAIMS {
+    for n in 0..2 * CLAIMS {
+        let claimed = n % 2 == 1;
         let name = n.to_string();
         let mut headers = vec![("authorization", bearer.as_str())];
         if claimed {
@@ -174,7 +181,12 @@
         if reply.status != 200 {
             return Err(io::Error::other(reply.text()));
         }
-        let _ = latencies.record(begin.elapsed().as_micros() as u64);
+        let taken = if claimed {
+            &mut latencies.1
+        } else {
+            &mut latencies.0
+        };
+        let _ = taken.record(begin.elapsed().as_micros() as u64);
     }
     Ok(latencies)
 }
