Free what a dead daemon kept as soon as its death is proven

Cause: after a crash 3/4 of each of its slices stayed unused for 4 h, although the host came back, or had left the platform's list. Besides, in a fleet without traffic nobody fenced a dead session for up to 60 renewals, since rows were read again only when a mark had changed.

Ruled out: shortening the long term, which would cut what an owner may use in an outage of the table.

Change: a process removes the session rows of earlier processes of its host, whose peer address it now holds. A fenced session of a host that was listed and then missing for 10 s is removed as well. A round reads on when a session ended that is still to be fenced or removed.

Conclusion: a restart costs a share for seconds, not hours.

--- a/src/limit/owner.rs
+++ b/src/limit/owner.rs
@@ -11,7 +11,7 @@
     },
 };
 
-use super::{Holdings, LeaseStep, Levels, SessionChange, SliceChange, Taken};
+use super::{Holdings, HostPresence, LeaseStep, Levels, SessionChange, SliceChange, Taken};
 
 /// Time for which slices without an owner are left to the hosts that the platform lists.
 const CLAIM_GRACE: Duration = Duration::from_secs(3);
@@ -36,6 +36,7 @@
     holdings: Holdings,
     rows: BTreeMap<SliceId, Versioned<SliceRow>>,
     started: Option<BootTime>,
+    presence: HostPresence,
     levels: BTreeMap<(SliceId, u64), Levels>,
 }
 
@@ -51,6 +52,7 @@
             holdings: Holdings::default(),
             rows: BTreeMap::default(),
             started: None,
+            presence: HostPresence::default(),
             levels: BTreeMap::default(),
         }
     }
@@ -154,6 +156,11 @@
         }
     }
 
+    /// Takes in the hosts that the platform lists, the leaving ones included.
+    pub fn observe_listed<'a>(&mut self, listed: impl Iterator<Item = &'a str>, now: BootTime) {
+        self.presence.observe(listed, now);
+    }
+
     /// Takes in all slice rows.
     pub fn observe_slices(&mut self, rows: Vec<(SliceId, Versioned<SliceRow>)>, now: BootTime) {
         self.rows = rows.into_iter().collect();
@@ -186,7 +193,7 @@
             return Vec::new();
         }
         let live = self.live(now);
-        let mut steps = Vec::new();
+        let mut steps = self.predecessor_steps();
         let first = live.iter().map(|c| c.host).min();
         if first == Some(self.session.host()) {
             steps.extend(self.session_steps(now));
@@ -294,6 +301,24 @@
             .collect()
     }
 
+    /// Tells whether a session ended that is still to be fenced or removed.
+    pub fn sees_ended_session(&self, now: BootTime) -> bool {
+        !self.session_steps(now).is_empty()
+    }
+
+    /// Removes the rows of earlier processes of this host, which releases whatever they kept.
+    ///
+    /// This process holds the host's peer address, so that none of them still runs.
+    fn predecessor_steps(&self) -> Vec<LeaseStep> {
+        let is_predecessor =
+            |id: &SessionId| id.host() == self.session.host() && *id != self.session;
+        let sessions = self.watch.sessions().filter(|(id, _)| is_predecessor(id));
+        let versions = sessions.filter_map(|(id, _)| Some((id, self.watch.find(id)?.1)));
+        versions
+            .map(|(id, version)| Self::forget_step(id, version))
+            .collect()
+    }
+
     /// Fences sessions whose short term is over, and removes those whose long term is.
     fn session_steps(&self, now: BootTime) -> Vec<LeaseStep> {
         let mut steps = Vec::new();
@@ -301,7 +326,8 @@
             let Some((_, version)) = self.watch.find(id) else {
                 continue;
             };
-            if row.fenced && self.watch.is_long_over(id, now) {
+            let dropped = self.presence.is_dropped(id.host(), now);
+            if row.fenced && (dropped || self.watch.is_long_over(id, now)) {
                 steps.push(Self::forget_step(id, version));
             } else if !row.fenced && self.watch.is_short_over(id, now) {
                 steps.push(LeaseStep::Session(SessionChange {
--- a/src/limit/ownership_task.rs
+++ b/src/limit/ownership_task.rs
@@ -174,7 +174,7 @@
     async fn round(&self, round: &mut Round) -> Result<(), PlatformError> {
         let marks = self.follow_sessions().await?;
         self.renew().await?;
-        round.must_read |= marks != round.marks;
+        round.must_read |= marks != round.marks || self.sees_ended_session();
         round.unread += 1;
         if !round.must_read && round.unread < FULL_READ_RENEWALS {
             return Ok(());
@@ -197,6 +197,7 @@
             .filter_map(|r| Some((SessionId::from_key(&r.key), versioned(r)?)))
             .collect();
         let now = self.clock.now();
+        self.observe_listed();
         let ended = self.owner.with(|o| {
             o.observe_sessions(&rows, now);
             if !o.has_ended() || self.released.get() {
@@ -216,6 +217,13 @@
         Ok(marks.collect())
     }
 
+    fn observe_listed(&self) {
+        let now = self.clock.now();
+        let peers = self.peers.directory().peers();
+        self.owner
+            .with(|o| o.observe_listed(peers.iter().map(|p| &*p.host), now));
+    }
+
     async fn renew(&self) -> Result<(), PlatformError> {
         if self.released.get() {
             return Ok(());
@@ -255,6 +263,12 @@
         self.owner.with(|o| o.steps(&self.slices, &candidates, now))
     }
 
+    /// Tells whether a session ended that is still to be fenced or removed.
+    fn sees_ended_session(&self) -> bool {
+        let now = self.clock.now();
+        self.owner.with(|o| o.sees_ended_session(now))
+    }
+
     /// Tells whether the next round should read the slices again.
     fn wants_steps(&self) -> bool {
         let now = self.clock.now();
--- a/tests/limit_fleet.rs
+++ b/tests/limit_fleet.rs
@@ -8,7 +8,7 @@
 #[path = "limit/load.rs"]
 mod load;
 
-use std::{thread, time::Duration};
+use std::{collections::BTreeSet, thread, time::Duration};
 
 use load::{Load, Sent};
 use standins::{Cluster, ClusterOptions};
@@ -111,3 +111,73 @@
     let sent = load.finish();
     assert_within_plan(&cluster, &sent, 5.0, 60.0);
 }
+
+/// Parts of a whole slice.
+const SLICE_PARTS: u64 = 1 << 20;
+
+/// Returns the rows of all slices.
+fn slice_rows(cluster: &Cluster) -> Vec<serde_json::Value> {
+    let keys = (0..256).flat_map(|p| (0..3).map(move |i| format!("{p:04}-{i}")));
+    keys.filter_map(|key| cluster.platform.row("limit_slices", &key))
+        .collect()
+}
+
+/// Returns the sessions of `host` that own slices.
+fn sessions_of(cluster: &Cluster, host: &str) -> BTreeSet<String> {
+    let rows = slice_rows(cluster);
+    let owners = rows.iter().filter_map(|row| row["owner"].as_str());
+    let prefix = format!("{host}/");
+    owners
+        .filter(|owner| owner.starts_with(&prefix))
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Tells whether every slice has an owner other than the `dead`, who may use all of it.
+fn all_slices_whole(cluster: &Cluster, dead: &BTreeSet<String>) -> bool {
+    slice_rows(cluster).iter().all(|row| is_whole(row, dead))
+}
+
+fn is_whole(row: &serde_json::Value, dead: &BTreeSet<String>) -> bool {
+    let portions = row["portions"].as_array().into_iter().flatten();
+    let ends = portions.filter_map(|p| Some((p["from"].as_u64()?, p["to"].as_u64()?)));
+    let parts: u64 = ends.map(|(from, to)| to - from).sum();
+    let owner = row["owner"].as_str().unwrap_or_default();
+    parts == SLICE_PARTS && row["residues"] == serde_json::json!([]) && !dead.contains(owner)
+}
+
+#[test]
+fn restarted_daemons_free_what_their_predecessors_kept() {
+    let mut cluster = env::start(fleet(3));
+    settled(&cluster);
+    let key = env::workspace(&cluster, "parish", 50.0, 20);
+    let load = Load::start(&cluster, &key, 150.0, 5);
+    let mut dead = BTreeSet::new();
+    for i in [0, 1, 2, 0] {
+        dead.extend(sessions_of(&cluster, &cluster.daemons[i].host));
+        cluster.daemons[i].restart().expect("the daemon starts");
+        assert!(cluster.daemons[i].wait_ready(Duration::from_secs(20)));
+    }
+    assert!(!dead.is_empty(), "the killed processes owned slices");
+    let whole = env::eventually(Duration::from_secs(30), || {
+        all_slices_whole(&cluster, &dead)
+    });
+    let sent = load.finish();
+    assert!(whole, "slices are still kept by killed processes");
+    assert_within_plan(&cluster, &sent, 50.0, 20.0);
+}
+
+#[test]
+fn host_that_the_list_dropped_frees_what_it_kept() {
+    let mut cluster = env::start(fleet(3));
+    settled(&cluster);
+    let host = cluster.daemons[0].host.clone();
+    let dead = sessions_of(&cluster, &host);
+    assert!(!dead.is_empty(), "the killed process owned slices");
+    cluster.daemons[0].kill();
+    cluster.platform.remove_host(&host);
+    let whole = env::eventually(Duration::from_secs(40), || {
+        all_slices_whole(&cluster, &dead)
+    });
+    assert!(whole, "slices are still kept by the dropped host");
+}
