Guard that an outage of the table changes no owner of a slice

Cause: after an outage all sessions stood still for longer than the short term. Had the first daemon to read again fenced the others, one host would own every slice with empty buckets.

Ruled out: the fault itself. A daemon counts its own session among those that stood still, so that it fences nobody before it read its own renewal, and by then the others have renewed.

Change: a test with 6 daemons and an outage of 8 s. No change of the code, so that it was not seen failing.

Conclusion: the guard stays, since the protection is implicit.

--- a/tests/limit_fleet.rs
+++ b/tests/limit_fleet.rs
@@ -112,6 +112,8 @@
     assert_within_plan(&cluster, &sent, 5.0, 60.0);
 }
 
+/// Time of an outage that outlasts the short term of leases.
+const OUTAGE: Duration = Duration::from_secs(8);
 /// Parts of a whole slice.
 const SLICE_PARTS: u64 = 1 << 20;
 
@@ -181,3 +183,24 @@
     });
     assert!(whole, "slices are still kept by the dropped host");
 }
+
+/// Returns the owner of every slice.
+fn owners(cluster: &Cluster) -> Vec<String> {
+    let rows = slice_rows(cluster);
+    let owners = rows.iter().filter_map(|row| row["owner"].as_str());
+    owners.map(str::to_owned).collect()
+}
+
+#[test]
+fn outage_of_the_table_changes_no_owner() {
+    let cluster = env::start(fleet(6));
+    settled(&cluster);
+    let before = owners(&cluster);
+    cluster.platform.set_faults(|f| f.down = true);
+    thread::sleep(OUTAGE);
+    cluster.platform.set_faults(|f| f.down = false);
+    thread::sleep(OUTAGE);
+    let after = owners(&cluster);
+    let kept = before.iter().zip(&after).filter(|(b, a)| b == a).count();
+    assert_eq!(kept, before.len(), "of {} slices", before.len());
+}
