Split the virtual fleet of the gray measurements

Cause: examples/measure/gray_fleet.rs had 503 lines: events, the fleet, and how it judges its targets.

Ruled out: sharing its event queue with other cases, since no other runs in virtual time.

Change: gray_fleet/{mod,event,detection}.rs, code moved as it was.

Conclusion: no behaviour changed.

--- a/examples/measure/gray_fleet.rs
+++ b/examples/measure/gray_fleet/mod.rs
@@ -2,6 +2,9 @@
 //!
 //! Only the daemons' own decision code runs here; there is no network, platform or clock.
 
+mod detection;
+mod event;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, VecDeque},
@@ -13,11 +16,12 @@
     clock::BootTime,
     health::{
         Balancer, Choice, Decided, Member, Observation, PickOrder, Scheduler, SuspicionExchange,
-        SuspicionMessage, TargetState, WorkResult,
+        TargetState, WorkResult,
     },
     platform::ListedHost,
 };
 
+use self::event::{Entry, Event};
 use crate::gray_scenario::{Fault, Outcome, Policy, Scenario};
 
 const SERVICE: &str = "service";
@@ -37,36 +41,6 @@
 const PERIOD_PART_S: f64 = 5.0;
 const WORKSPACE_SHARES: [f64; 8] = [0.3, 0.25, 0.2, 0.1, 0.05, 0.05, 0.03, 0.02];
 
-#[derive(Debug)]
-enum Event {
-    Arrive(usize),
-    Done(usize),
-    Deadline(usize),
-    Message(usize, usize, SuspicionMessage),
-    Tick,
-    Round,
-    Probe,
-}
-
-struct Entry(u64, u64, Event);
-
-impl PartialEq for Entry {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Entry {}
-impl PartialOrd for Entry {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Entry {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 struct Request {
     daemon: usize,
     workspace: usize,
@@ -417,87 +391,4 @@
         let decided = scheduler.release(choice.id, choice.ticket, now);
         self.decide(decided);
     }
-
-    fn tick(&mut self) {
-        self.schedule(TICK_S, Event::Tick);
-        let now = boot(self.now_s);
-        let begun = self.now_s >= self.scenario.onset_s;
-        if begun && self.scenario.policy == Policy::Informed && !self.faulty_left {
-            self.faulty_left = true;
-            self.list();
-        }
-        for i in 0..self.daemons.len() {
-            let decided = self.daemons[i].scheduler.tick(now);
-            self.decide(decided);
-            self.check_daemon(i, begun, now);
-        }
-        let all = self.daemons.iter().all(|d| d.stopped);
-        if all && self.outcome.detect_s.is_none() {
-            self.outcome.detect_s = Some(self.now_s - self.scenario.onset_s);
-        }
-    }
-
-    fn check_daemon(&mut self, i: usize, begun: bool, now: BootTime) {
-        let daemon = &mut self.daemons[i];
-        let balancer = &mut daemon.scheduler.balancer;
-        let Some(id) = balancer.find("target-0").map(|t| t.id) else {
-            return;
-        };
-        let suspicion = balancer.detector().standing(id, now).suspicion;
-        daemon.stopped |= begun && suspicion >= 1.0;
-        let live = self.scenario.site.targets - usize::from(self.faulty_left);
-        let routed = balancer.routing(SERVICE, now).len() as f64;
-        self.outcome.floor_violations += u64::from(routed < FLOOR * live as f64 - 1e-9);
-    }
-
-    fn round(&mut self) {
-        self.schedule(ROUND_S, Event::Round);
-        let now = boot(self.now_s);
-        for i in 0..self.daemons.len() {
-            let daemon = &mut self.daemons[i];
-            for suspicion in daemon.scheduler.balancer.take_suspicions() {
-                daemon.exchange.suspect(&suspicion);
-            }
-            let round = daemon.exchange.round(now);
-            for name in &round.alarms {
-                daemon.scheduler.balancer.advise(name, now);
-            }
-            for out in round.outgoing {
-                self.messages += 1;
-                let to = out.host.trim_start_matches("entry-").parse();
-                self.schedule(LINK_S, Event::Message(i, to.unwrap_or(0), out.msg));
-            }
-        }
-    }
-
-    fn receive(&mut self, from: usize, to: usize, msg: SuspicionMessage) {
-        let now = boot(self.now_s);
-        let daemon = &mut self.daemons[to];
-        match msg {
-            SuspicionMessage::Reports(reports) => {
-                for report in &reports {
-                    let host = format!("entry-{from}");
-                    daemon.exchange.report(&host, report, now);
-                }
-            }
-            SuspicionMessage::Alarm(names) => {
-                for name in &names {
-                    daemon.scheduler.balancer.advise(name, now);
-                }
-            }
-        }
-    }
-
-    fn probe(&mut self) {
-        self.schedule(PROBE_S, Event::Probe);
-        let now = boot(self.now_s);
-        let silent = self.scenario.fault == Fault::Silent && self.is_faulty(0);
-        for daemon in &mut self.daemons {
-            let balancer = &mut daemon.scheduler.balancer;
-            for (id, address) in balancer.probes(now) {
-                let healthy = !(silent && address.port() == 9000);
-                balancer.probed(id, healthy, None, now);
-            }
-        }
-    }
 }
