End without dropping the runtime's tasks

Cause: a daemon that stopped by SIGTERM sometimes exited with 101. The runtime drops its tasks when it is dropped; a call to another daemon that was still under way then wakes its waiter, and that waker panics outside of the runtime ("waker can only be sent across threads").

Ruled out: a fault of the hand-over of levels, whose test showed it; the feature `sync` of monoio, which brings queues between threads that a single thread does not need.

Change: the runtime is not dropped, since the process ends right behind it.

The panic depends on what is under way at the end, and no test brings it about each time.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,6 +2,7 @@
 
 use std::{
     io,
+    mem::ManuallyDrop,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -70,9 +71,12 @@
 ///
 /// Returns an error when an address cannot be bound or the system refuses a resource.
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
-    let mut runtime = RuntimeBuilder::<LegacyDriver>::new()
+    let runtime = RuntimeBuilder::<LegacyDriver>::new()
         .enable_timer()
         .build()?;
+    // Dropping the runtime drops its tasks, whose wakers panic outside of it. The process ends
+    // behind this call, so that nothing is lost by leaving them.
+    let mut runtime = ManuallyDrop::new(runtime);
     runtime.block_on(run_tasks(Rc::new(settings)))
 }
 
