Fence sessions only after a whole term of usable writes

Cause: outage_of_the_table_changes_no_owner failed on a busy machine: 378 of 768 slices kept their owner. The conclusion that the protection was implicit was wrong. After an outage a daemon that renewed first could fence others whose own renewal came a moment later.

Ruled out: the test's own fault alone, which was real too: in one run it began with 640 slices. It now waits for all 768.

Change: a daemon fences others only after it has held its own lease in full, without a gap, for as long as the other's short term. So the other had the chance to renew. Fencing only gets later by this.

Conclusion: an outage moves no slice.

--- a/src/limit/owner/mod.rs
+++ b/src/limit/owner/mod.rs
@@ -39,6 +39,7 @@
     rows: BTreeMap<SliceId, Versioned<SliceRow>>,
     started: Option<BootTime>,
     presence: HostPresence,
+    full_since: Option<BootTime>,
     levels: BTreeMap<(SliceId, u64), Levels>,
 }
 
@@ -55,6 +56,7 @@
             rows: BTreeMap::default(),
             started: None,
             presence: HostPresence::default(),
+            full_since: None,
             levels: BTreeMap::default(),
         }
     }
@@ -121,6 +123,9 @@
 
     /// Takes in that the table committed a renewal.
     pub fn renewed(&mut self, renewal: &Renewal) {
+        if self.phase(renewal.sent) != LeasePhase::Full || self.full_since.is_none() {
+            self.full_since = Some(renewal.sent);
+        }
         self.lease.renewed(renewal);
     }
 
--- a/src/limit/owner/sessions.rs
+++ b/src/limit/owner/sessions.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::BootTime,
-    lease::{Candidate, SessionId, SessionRow},
+    lease::{Candidate, SessionId, SessionRow, Terms},
 };
 
 use super::{
@@ -41,6 +41,13 @@
             .collect()
     }
 
+    /// Tells whether the table could be written for a whole short term of `row`, so that its
+    /// session had the chance to renew.
+    fn may_fence(&self, row: &SessionRow, now: BootTime) -> bool {
+        let needed = Terms::wait_for(row.short);
+        self.full_since.is_some_and(|at| now.since(at) >= needed)
+    }
+
     /// Tells whether a session ended that is still to be fenced or removed.
     pub fn sees_ended_session(&self, now: BootTime) -> bool {
         !self.session_steps(now).is_empty()
@@ -69,7 +76,7 @@
             let dropped = self.presence.is_dropped(id.host(), now);
             if row.fenced && (dropped || self.watch.is_long_over(id, now)) {
                 steps.push(Self::forget_step(id, version));
-            } else if !row.fenced && self.watch.is_short_over(id, now) {
+            } else if !row.fenced && self.may_fence(row, now) && self.watch.is_short_over(id, now) {
                 steps.push(LeaseStep::Session(SessionChange {
                     session: id.clone(),
                     version,
--- a/tests/limit_fleet.rs
+++ b/tests/limit_fleet.rs
@@ -114,6 +114,8 @@
 
 /// Time of an outage that outlasts the short term of leases.
 const OUTAGE: Duration = Duration::from_secs(8);
+/// Count of all slices.
+const SLICES: usize = 768;
 /// Parts of a whole slice.
 const SLICE_PARTS: u64 = 1 << 20;
 
@@ -195,6 +197,8 @@
 fn outage_of_the_table_changes_no_owner() {
     let cluster = env::start(fleet(6));
     settled(&cluster);
+    let claimed = env::eventually(Duration::from_secs(20), || owners(&cluster).len() == SLICES);
+    assert!(claimed, "not all slices have an owner");
     let before = owners(&cluster);
     cluster.platform.set_faults(|f| f.down = true);
     thread::sleep(OUTAGE);
