Cut daemons off from the platform while outcomes are reconciled

Cause: the reconciling test killed, silenced and lost answers, but cut nobody off.

Ruled out: cuts between daemons, which outcomes do not depend on but for notices of crashing requests.

Change: one more fault: a daemon cannot reach the platform until the next change of faults.

Cuts between data centres are not run.

--- a/tests/reconcile/disturb.rs
+++ b/tests/reconcile/disturb.rs
@@ -13,10 +13,10 @@
 /// Faults that are on at a time.
 const FAULTS_AT_ONCE: usize = 4;
 
-/// Switches one fault on, or kills a target or a daemon.
+/// Switches one fault on, cuts a daemon off from the platform, or kills a target or a daemon.
 fn disturb_once(cluster: &mut Cluster, random: &mut fastrand::Rng) {
     let target = &cluster.targets[random.usize(0..cluster.targets.len())];
-    match random.u8(0..8) {
+    match random.u8(0..9) {
         0 => target.set_faults(|f| f.die_after_run = true),
         1 => target.set_faults(|f| f.die_in_body = true),
         2 => target.set_faults(|f| f.shed = true),
@@ -27,12 +27,18 @@
             let i = random.usize(0..cluster.daemons.len());
             cluster.daemons[i].restart().expect("the daemon starts");
         }
-        _ => cluster.platform.set_faults(|f| f.lose_write_answers = 3),
+        7 => cluster.platform.set_faults(|f| f.lose_write_answers = 3),
+        _ => {
+            let i = random.usize(0..cluster.daemons.len());
+            let host = cluster.daemons[i].host.clone();
+            cluster.platform.set_faults(|f| f.cut_off.push(host));
+        }
     }
 }
 
 /// Ends the faults, and starts killed targets again; connections that are silent stay so.
 fn mend(cluster: &Cluster) {
+    cluster.platform.set_faults(|f| f.cut_off.clear());
     for target in &cluster.targets {
         target.set_faults(|f| {
             *f = TargetFaults {
