Split the search over members from its state

Change: tests/membership/state.rs holds the state and what must never hold in one. Code moved as it was.

Conclusion: no property or bound changed.

--- a/tests/membership_model.rs
+++ b/tests/membership_model.rs
@@ -4,22 +4,18 @@
 //! [`serve_until`]. Every message and every read may happen or not, at any time, which covers
 //! outages, cuts in one or both directions and pauses; answers may be late.
 
-use std::{cell::Cell, time::Duration, time::Instant};
+#[path = "membership/state.rs"]
+mod state;
+
+use std::{cell::Cell, time::Instant};
 
 use chervillug::{
-    clock::BootTime,
-    membership::{
-        serve_until, Contact, ContactReport, Incarnation, Member, Members, Phase, FRESH_LIMIT,
-    },
+    membership::{Contact, ContactReport, FRESH_LIMIT},
     revision::{adoption, Adoption, Confirmation, Confirmed},
 };
 use pathfinding::directed::bfs::bfs;
 
-const HOSTS: usize = 3;
-/// Reads of the table besides those of commits.
-const READS: u32 = 1;
-/// Ticks in which a proof of holding the newest revision lapses.
-const TICKS_PER_LIMIT: u32 = 2;
+use state::{incarnation, name, Answer, Change, Gathering, Host, State, HOSTS, TICKS_PER_LIMIT};
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Variant {
@@ -36,177 +32,11 @@
     HearsHigher,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Change {
-    Lists,
-    /// The host of this number removes all others from the members.
-    RemoveOthers(usize),
-    Settle(u64),
-}
-
-/// An answer under way.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Answer {
-    to: usize,
-    report: (Incarnation, u64, Vec<u16>),
-    asked: BootTime,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Host {
-    incarnation: Incarnation,
-    revision: Option<u64>,
-    contact: Contact,
-    table_read: Option<BootTime>,
-}
-
-/// Confirmations that one host gathers for one revision.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Gathering {
-    by: usize,
-    revision: u64,
-    confirmation: Confirmation,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct State {
-    tick: u32,
-    log: Vec<Change>,
-    hosts: Vec<Host>,
-    /// An answer that is late; all others arrive at once.
-    late: Option<Answer>,
-    asks_left: u32,
-    reads_left: u32,
-    gathering: Option<Gathering>,
-    /// Newest accepted revision, and when it was accepted.
-    accepted: Option<(u64, u32)>,
-    lists_left: u32,
-    members_left: u32,
-    restarts_left: u32,
-    fallen: bool,
-}
-
 struct Search {
     variant: Variant,
     ticks: u32,
 }
 
-fn time_of(tick: u32) -> BootTime {
-    BootTime::from_duration(Duration::from_secs(1000) + FRESH_LIMIT * tick / TICKS_PER_LIMIT)
-}
-
-fn incarnation(host: usize, run: u8) -> Incarnation {
-    Incarnation([host as u8, run, 0, 0, 0, 0, 0, 0])
-}
-
-fn member(host: usize) -> Member {
-    Member {
-        incarnation: incarnation(host, 0),
-        host: name(host),
-        address: ([127, 0, 0, 1], 1).into(),
-    }
-}
-
-fn name(host: usize) -> String {
-    format!("entry-{host}")
-}
-
-impl State {
-    fn new([lists, members, restarts, asks]: [u32; 4]) -> Self {
-        let host = |i| Host {
-            incarnation: incarnation(i, 0),
-            revision: Some(0),
-            contact: Contact::default(),
-            table_read: None,
-        };
-        Self {
-            tick: 0,
-            log: Vec::new(),
-            hosts: (0..HOSTS).map(host).collect(),
-            late: None,
-            asks_left: asks,
-            reads_left: READS,
-            gathering: None,
-            accepted: None,
-            lists_left: lists,
-            members_left: members,
-            restarts_left: restarts,
-            fallen: false,
-        }
-    }
-
-    fn now(&self) -> BootTime {
-        time_of(self.tick)
-    }
-
-    fn head(&self) -> u64 {
-        self.log.len() as u64
-    }
-
-    fn members_at(&self, revision: u64) -> Members {
-        let mut members = Members::default();
-        for i in 0..HOSTS {
-            members.restore(&member(i), Phase::Settled, 0);
-        }
-        for (at, change) in self.log.iter().take(revision as usize).enumerate() {
-            match change {
-                Change::Lists => {}
-                Change::RemoveOthers(keep) => (0..HOSTS)
-                    .filter(|i| i != keep)
-                    .for_each(|i| members.remove(incarnation(i, 0), at as u64 + 1)),
-                Change::Settle(began) => members.settle(*began),
-            }
-        }
-        members
-    }
-
-    fn serves(&self, h: usize) -> bool {
-        let host = &self.hosts[h];
-        let Some(revision) = host.revision else {
-            return false;
-        };
-        let members = self.members_at(revision);
-        let heard = host
-            .contact
-            .quorum_heard_at(host.incarnation, &members, self.now());
-        self.now() < serve_until(host.table_read, heard)
-    }
-
-    /// Drops what can no longer count, so that states that behave alike are equal.
-    fn forget_lapsed(&mut self) {
-        let now = self.now();
-        let is_fresh = |at: &BootTime| now < *at + FRESH_LIMIT;
-        self.late = self.late.take().filter(|a| is_fresh(&a.asked));
-        for h in 0..HOSTS {
-            let members = self.members_at(self.hosts[h].revision.unwrap_or(0));
-            let host = &mut self.hosts[h];
-            host.table_read = host.table_read.filter(is_fresh);
-            let old = std::mem::take(&mut host.contact);
-            for (m, _) in members.iter() {
-                if let Some(at) = old.heard_at(m.incarnation).filter(is_fresh) {
-                    let report = ContactReport {
-                        incarnation: m.incarnation,
-                        revision: 0,
-                        ages: Vec::new(),
-                    };
-                    host.contact.hear(&report, at, 0, &members);
-                }
-            }
-        }
-    }
-
-    /// Tells whether a host serves without an edit that was accepted longer ago than the limit, or
-    /// fell to a lower revision.
-    fn is_violation(&self) -> bool {
-        let Some((accepted, at)) = self.accepted else {
-            return self.fallen;
-        };
-        let late = self.tick >= at + TICKS_PER_LIMIT;
-        let behind = |h: usize| self.hosts[h].revision < Some(accepted) && self.serves(h);
-        self.fallen || (late && (0..HOSTS).any(behind))
-    }
-}
-
 impl Search {
     fn adopt(&self, state: &mut State, h: usize, offered: u64) {
         let host = &mut state.hosts[h];
