Move the borders to the store out of the platform folder

Cause: src/platform/ held the product's own traits for tables, objects and hosts. The folder is to hold only what speaks the users' platform's language.

Ruled out: keeping the traits there beside the adapter; nothing outside may know the platform's names.

Change: the traits live in src/store/, the native HTTP client in src/native/. Code moved as it was.

Conclusion: no behaviour changed.

--- a/examples/measure/capacity.rs
+++ b/examples/measure/capacity.rs
@@ -10,7 +10,7 @@
     catalog::{Catalog, Change, Edit, EditId, KeyHasher, Plan, Route, RouteLookup},
     clock::BootTime,
     health::{Balancer, PickRequest, Profile, Sequential},
-    platform::ListedHost,
+    store::ListedHost,
 };
 use serde_json::json;
 
--- a/examples/measure/gray_fleet/mod.rs
+++ b/examples/measure/gray_fleet/mod.rs
@@ -18,7 +18,7 @@
         Balancer, Choice, Decided, Member, Observation, PickOrder, Scheduler, SuspicionExchange,
         TargetState, WorkResult,
     },
-    platform::ListedHost,
+    store::ListedHost,
 };
 
 use self::event::{Entry, Event};
--- a/examples/measure/peer.rs
+++ b/examples/measure/peer.rs
@@ -14,7 +14,7 @@
         peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerHandler, PeerKind,
         PeerRouter, PeerServer,
     },
-    platform::BoxFuture,
+    store::BoxFuture,
 };
 use hdrhistogram::Histogram;
 use monoio::{net::TcpListener, LegacyDriver, RuntimeBuilder};
--- a/src/claim/store.rs
+++ b/src/claim/store.rs
@@ -5,9 +5,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use crate::platform::{
-    Committed, PlatformError, Row, RowCheck, RowKey, RowWrite, Table, Transaction,
-};
+use crate::store::{Committed, PlatformError, Row, RowCheck, RowKey, RowWrite, Table, Transaction};
 
 use super::{
     ClaimAction, ClaimEvent, ClaimId, ClaimKey, ClaimMachine, ClaimRefusal, ClaimRow, ClaimState,
--- a/src/claim/sweep.rs
+++ b/src/claim/sweep.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     peer::PeerDirectory,
-    platform::{PlatformError, RowCheck, RowWrite, ScannedRow, Table, Transaction},
+    store::{PlatformError, RowCheck, RowWrite, ScannedRow, Table, Transaction},
 };
 
 use super::{
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -29,11 +29,11 @@
     limit::{LimitParts, LimitService},
     membership::Incarnation,
     metrics::{export_task, Metrics},
+    native::HttpPlatform,
     operator::{operator_task, OperatorContext},
     peer::{
         peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
     },
-    platform::HttpPlatform,
     poison::{PoisonHandler, PoisonWatch},
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, ProxyContext, ProxyParts},
--- a/src/health/balancer/listing.rs
+++ b/src/health/balancer/listing.rs
@@ -4,7 +4,7 @@
 
 use rustc_hash::FxHashSet;
 
-use crate::{clock::BootTime, platform::ListedHost};
+use crate::{clock::BootTime, store::ListedHost};
 
 use super::{
     super::{Flights, Service, ServiceId, Target, TargetId, TargetState},
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
-    platform::ListedHost,
+    store::ListedHost,
 };
 
 use super::{
--- a/src/health/suspicion_task.rs
+++ b/src/health/suspicion_task.rs
@@ -9,7 +9,7 @@
     clock::Clock,
     metrics::{Counter, Metrics},
     peer::{decode, encode, PeerClient, PeerHandler, PeerKind},
-    platform::BoxFuture,
+    store::BoxFuture,
 };
 
 use super::{
--- a/src/hosts/task.rs
+++ b/src/hosts/task.rs
@@ -9,7 +9,7 @@
     limit::LimiterMessage,
     metrics::{Counter, Metrics},
     peer::PeerDirectory,
-    platform::HostList,
+    store::HostList,
 };
 
 /// Time between two reads of the list.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,16 +20,17 @@
 pub mod logging;
 pub mod membership;
 pub mod metrics;
+pub mod native;
 pub mod operator;
 pub mod outcome;
 pub mod peer;
-pub mod platform;
 pub mod poison;
 pub mod pool;
 pub mod proxy;
 pub mod queue;
 pub mod retry;
 pub mod revision;
+pub mod store;
 pub mod sync;
 
 pub use command::run;
--- a/src/limit/handlers.rs
+++ b/src/limit/handlers.rs
@@ -7,7 +7,7 @@
     lease::{partition_of, SliceId},
     metrics::{Counter, Metrics},
     peer::{decode, encode, PeerHandler},
-    platform::BoxFuture,
+    store::BoxFuture,
     sync::CatalogView,
 };
 
--- a/src/limit/lease_step.rs
+++ b/src/limit/lease_step.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     lease::{SessionId, SessionRow, SliceId, SliceRow},
-    platform::{RowCheck, RowWrite, Transaction},
+    store::{RowCheck, RowWrite, Transaction},
 };
 
 /// Table of the sessions, one row a process.
--- a/src/limit/limiter.rs
+++ b/src/limit/limiter.rs
@@ -4,7 +4,7 @@
 
 use local_sync::{mpsc, oneshot};
 
-use crate::{catalog::Plan, platform::BoxFuture};
+use crate::{catalog::Plan, store::BoxFuture};
 
 use super::Admission;
 
--- a/src/limit/owned.rs
+++ b/src/limit/owned.rs
@@ -8,7 +8,7 @@
     lease::{first_choice, partition_of, Candidate, SliceId},
     metrics::{Counter, Metrics},
     peer::{Peer, PeerClient, PeerKind},
-    platform::BoxFuture,
+    store::BoxFuture,
 };
 
 use super::{
--- a/src/limit/ownership_task.rs
+++ b/src/limit/ownership_task.rs
@@ -11,7 +11,7 @@
     lease::{Candidate, SessionId, SliceId, Terms},
     metrics::{Counter, Metrics},
     peer::{PeerClient, PeerKind},
-    platform::{Committed, HostList, PlatformError, ScannedRow, Table, Transaction},
+    store::{Committed, HostList, PlatformError, ScannedRow, Table, Transaction},
 };
 
 use super::{
--- a/src/limit/service.rs
+++ b/src/limit/service.rs
@@ -14,7 +14,7 @@
     lease::{SessionId, SliceId},
     metrics::Metrics,
     peer::{PeerClient, PeerKind, PeerRouter},
-    platform::{HostList, Table},
+    store::{HostList, Table},
     sync::CatalogView,
 };
 
--- a/src/platform/http_platform.rs
+++ b/src/native/http_platform.rs
@@ -11,7 +11,7 @@
     metrics::{Counter, Metrics},
 };
 
-use super::{
+use crate::store::{
     BoxFuture, Committed, HostList, ListedHost, ObjectStore, PlatformError, Row, RowKey,
     ScannedRow, Table, Transaction,
 };
--- a/src/peer/directory.rs
+++ b/src/peer/directory.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use crate::platform::ListedHost;
+use crate::store::ListedHost;
 
 /// Time for which the list counts as read lately.
 const LIST_FRESH: Duration = Duration::from_secs(5);
--- a/src/peer/handler.rs
+++ b/src/peer/handler.rs
@@ -5,7 +5,7 @@
 use rustc_hash::FxHashMap;
 use serde::{de::DeserializeOwned, Serialize};
 
-use crate::platform::BoxFuture;
+use crate::store::BoxFuture;
 
 use super::{Envelope, PeerKind};
 
--- a/src/poison/handler.rs
+++ b/src/poison/handler.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     peer::{decode, encode, PeerHandler},
-    platform::BoxFuture,
+    store::BoxFuture,
 };
 
 use super::{PoisonNotice, PoisonWatch};
--- a/src/sync/commit.rs
+++ b/src/sync/commit.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     catalog::{Catalog, Change, Edit, EditId},
-    platform::{Committed, PlatformError, RowCheck, Table, Transaction},
     revision::{Commit, CommitEnd, CommitEvent, CommitStep, Guard, HeadSeen},
+    store::{Committed, PlatformError, RowCheck, Table, Transaction},
 };
 
 use super::{
--- a/src/sync/load.rs
+++ b/src/sync/load.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     catalog::{Catalog, Edit},
-    platform::{PlatformError, RowKey, Table},
+    store::{PlatformError, RowKey, Table},
 };
 
 use super::rows::{
--- a/src/sync/peer_handlers.rs
+++ b/src/sync/peer_handlers.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     peer::{decode, encode, PeerHandler},
-    platform::BoxFuture,
+    store::BoxFuture,
 };
 
 use super::{
--- a/src/sync/replica.rs
+++ b/src/sync/replica.rs
@@ -16,8 +16,8 @@
     membership::{serve_until, Contact, ContactReport, Incarnation, Member},
     metrics::{Counter, Metrics},
     peer::{PeerClient, PeerError, PeerKind},
-    platform::{ObjectStore, PlatformError, Table},
     revision::{adoption, Adoption},
+    store::{ObjectStore, PlatformError, Table},
 };
 
 use super::{
--- a/src/sync/rows.rs
+++ b/src/sync/rows.rs
@@ -6,7 +6,7 @@
 use crate::{
     catalog::{Change, Edit, EditId, KeyHash, Plan, Route},
     membership::{Incarnation, Member, Phase},
-    platform::{RowKey, RowWrite, ScannedRow},
+    store::{RowKey, RowWrite, ScannedRow},
 };
 
 /// Table of the head row.
--- a/tests/floor.rs
+++ b/tests/floor.rs
@@ -8,7 +8,7 @@
         routing_set, Balancer, Candidate, Observation, PickRequest, Profile, Sequential, TargetId,
         TargetState, WorkResult,
     },
-    platform::ListedHost,
+    store::ListedHost,
 };
 use quickcheck::{quickcheck, Arbitrary, Gen};
 
--- a/tests/peer_port.rs
+++ b/tests/peer_port.rs
@@ -14,7 +14,7 @@
         decode, encode, peer_server_task, Envelope, FleetSecrets, Nonce, PeerClient, PeerDirectory,
         PeerError, PeerHandler, PeerKind, PeerRouter, PeerServer,
     },
-    platform::BoxFuture,
+    store::BoxFuture,
 };
 use hmac::{Hmac, Mac};
 use monoio::{
