--- a/examples/measure/capacity.rs
+++ b/examples/measure/capacity.rs
@@ -188,6 +188,7 @@
         service: Some(format!("service-{}", i % SERVICES)),
         slots: 4,
         leaving: false,
+        cold: false,
     }
 }
 
--- a/examples/measure/gray_fleet/mod.rs
+++ b/examples/measure/gray_fleet/mod.rs
@@ -173,6 +173,7 @@
                 service: Some(SERVICE.into()),
                 slots: site.slots,
                 leaving: i == 0 && self.faulty_left,
+                cold: false,
             })
             .collect();
         for daemon in &mut self.daemons {
--- a/src/claim/store.rs
+++ b/src/claim/store.rs
@@ -5,7 +5,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use crate::store::{Committed, PlatformError, Row, RowCheck, RowKey, RowWrite, Table, Transaction};
+use crate::store::{Committed, Row, RowCheck, RowKey, RowWrite, StoreError, Table, Transaction};
 
 use super::{
     ClaimAction, ClaimEvent, ClaimId, ClaimKey, ClaimMachine, ClaimRefusal, ClaimRow, ClaimState,
@@ -124,7 +124,7 @@
         log::warn!("request {}: claim not released", claim.row.request_id);
     }
 
-    async fn write(&self, claim: &Claim, version: u64) -> Result<Committed, PlatformError> {
+    async fn write(&self, claim: &Claim, version: u64) -> Result<Committed, StoreError> {
         let tx = Transaction {
             checks: vec![RowCheck {
                 table: CLAIMS,
@@ -136,7 +136,7 @@
         self.table.transact(&tx).await
     }
 
-    async fn read(&self, key: &ClaimKey) -> Result<Option<(ClaimRow, u64)>, PlatformError> {
+    async fn read(&self, key: &ClaimKey) -> Result<Option<(ClaimRow, u64)>, StoreError> {
         let key = RowKey {
             table: CLAIMS,
             key: key.as_str().to_owned(),
@@ -146,18 +146,18 @@
     }
 }
 
-fn parse(row: Row) -> Result<(ClaimRow, u64), PlatformError> {
+fn parse(row: Row) -> Result<(ClaimRow, u64), StoreError> {
     let version = row.version;
-    let row = serde_json::from_value(row.value).map_err(|_| PlatformError::BadAnswer)?;
+    let row = serde_json::from_value(row.value).map_err(|_| StoreError::BadAnswer)?;
     Ok((row, version))
 }
 
-fn write_event(written: Result<Committed, PlatformError>) -> ClaimEvent<'static> {
+fn write_event(written: Result<Committed, StoreError>) -> ClaimEvent<'static> {
     match written {
         Ok(Committed::Yes) => ClaimEvent::Stored,
         Ok(Committed::No) => ClaimEvent::Taken,
-        Err(PlatformError::Refused) => ClaimEvent::WriteRefused,
-        Err(PlatformError::NoAnswer | PlatformError::BadAnswer) => ClaimEvent::WriteLost,
+        Err(StoreError::Refused) => ClaimEvent::WriteRefused,
+        Err(StoreError::NoAnswer | StoreError::BadAnswer) => ClaimEvent::WriteLost,
     }
 }
 
--- a/src/claim/sweep.rs
+++ b/src/claim/sweep.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     peer::PeerDirectory,
-    store::{PlatformError, RowCheck, RowWrite, ScannedRow, Table, Transaction},
+    store::{RowCheck, RowWrite, ScannedRow, StoreError, Table, Transaction},
 };
 
 use super::{
@@ -33,7 +33,7 @@
     }
 }
 
-async fn sweep(table: &dyn Table) -> Result<(), PlatformError> {
+async fn sweep(table: &dyn Table) -> Result<(), StoreError> {
     let after = format!("{:08x}", fastrand::u32(..));
     let rows = table.scan(CLAIMS, &after, MAX_REMOVED).await?;
     let now_s = unix_now_s();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -27,6 +27,8 @@
 pub enum Command {
     /// Runs a daemon.
     Serve(ServeArgs),
+    /// Runs an entry daemon on the users' platform.
+    Front(FrontArgs),
     /// Checks a settings file.
     Check(CheckArgs),
     /// Edits the list of plans.
@@ -48,6 +50,15 @@
     pub settings: PathBuf,
 }
 
+/// Run an entry daemon on the users' platform until SIGTERM or SIGINT. Example: chervillug front --settings front.json
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "front")]
+pub struct FrontArgs {
+    /// settings file, JSON with comments; without it the file that the platform names
+    #[argh(option)]
+    pub settings: Option<PathBuf>,
+}
+
 /// Check a settings file and exit. Example: chervillug check --settings entry-1.json
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -35,6 +35,7 @@
 fn run_command(cli: &Cli) -> Result<ExitCode, ExitCode> {
     let code = match &cli.command {
         Command::Serve(args) => serve::serve(args),
+        Command::Front(args) => serve::front(args),
         Command::Check(args) => serve::check(args),
         Command::Plan(args) => OperatorCall::new(cli)?.plan(&args.command),
         Command::Access(args) => OperatorCall::new(cli)?.access(&args.command),
--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -1,11 +1,11 @@
 //! The subcommands `serve` and `check`.
 
 use crate::{
-    cli::{CheckArgs, ServeArgs},
+    cli::{CheckArgs, FrontArgs, ServeArgs},
     config,
     daemon::{self, DaemonError},
     exit_code::ExitCode,
-    logging,
+    logging, platform,
 };
 
 /// Runs a daemon until it is told to stop.
@@ -18,7 +18,28 @@
         }
     };
     logging::start(&settings.host);
-    match daemon::run(settings) {
+    exit_code(daemon::run(settings))
+}
+
+/// Runs an entry daemon on the users' platform until it is told to stop.
+pub(super) fn front(args: &FrontArgs) -> ExitCode {
+    let Some(path) = args.settings.clone().or_else(platform::settings_path) else {
+        eprintln!("no settings file: give --settings FILE");
+        return ExitCode::Usage;
+    };
+    let settings = match config::load_front(&path) {
+        Ok(settings) => settings,
+        Err(e) => {
+            eprintln!("{e}");
+            return ExitCode::Settings;
+        }
+    };
+    logging::start(&settings.host);
+    exit_code(daemon::run_front(settings))
+}
+
+fn exit_code(ended: Result<(), DaemonError>) -> ExitCode {
+    match ended {
         Ok(()) => ExitCode::Success,
         Err(DaemonError::Bind { address, kind }) => {
             log::error!("cannot bind {address}: {kind}");
--- a/src/config/load.rs
+++ b/src/config/load.rs
@@ -3,23 +3,16 @@
 use std::{
     fs,
     io::Read,
-    ops::RangeInclusive,
     path::{Path, PathBuf},
 };
 
 use json_comments::StripComments;
+use serde::de::DeserializeOwned;
 
-use super::{LimitSettings, Settings, SettingsError};
-
-/// Bounds of `head_bytes`; the head decoder panics on a header name of 64 KiB.
-const HEAD_BYTES: RangeInclusive<usize> = 1024..=60 * 1024;
-/// Fewest characters of a secret.
-const MIN_SECRET_LEN: usize = 16;
-
-struct Fault {
-    key: &'static str,
-    expected: &'static str,
-}
+use super::{
+    check::{check, check_limits, Fault},
+    FrontSettings, Settings, SettingsError,
+};
 
 /// Reads and checks the settings file at `path`.
 ///
@@ -27,13 +20,25 @@
 ///
 /// Returns the file, line and key of the first fault, and what was expected there.
 pub fn load(path: &Path) -> Result<Settings, SettingsError> {
-    let text = fs::read_to_string(path).map_err(|e| SettingsError {
+    parse(&read(path)?, path)
+}
+
+/// Reads and checks the settings file of an entry daemon at `path`.
+///
+/// # Errors
+///
+/// Returns the file, line and key of the first fault, and what was expected there.
+pub fn load_front(path: &Path) -> Result<FrontSettings, SettingsError> {
+    parse_front(&read(path)?, path)
+}
+
+fn read(path: &Path) -> Result<String, SettingsError> {
+    fs::read_to_string(path).map_err(|e| SettingsError {
         file: path.to_owned(),
         line: None,
         key: String::new(),
         expected: format!("cannot be read: {e}"),
-    })?;
-    parse(&text, path)
+    })
 }
 
 /// Parses and checks settings from `text`; `path` serves the error messages.
@@ -42,6 +47,25 @@
 ///
 /// Returns the file, line and key of the first fault, and what was expected there.
 pub fn parse(text: &str, path: &Path) -> Result<Settings, SettingsError> {
+    parse_as(text, path, check)
+}
+
+/// Parses and checks settings of an entry daemon from `text`; `path` serves the error messages.
+///
+/// # Errors
+///
+/// Returns the file, line and key of the first fault, and what was expected there.
+pub fn parse_front(text: &str, path: &Path) -> Result<FrontSettings, SettingsError> {
+    parse_as(text, path, |settings: &FrontSettings| {
+        settings.check().or_else(|| check_limits(&settings.limits))
+    })
+}
+
+fn parse_as<T: DeserializeOwned>(
+    text: &str,
+    path: &Path,
+    check: impl FnOnce(&T) -> Option<Fault>,
+) -> Result<T, SettingsError> {
     let file = PathBuf::from(path);
     let mut plain = String::new();
     if let Err(e) = StripComments::new(text.as_bytes()).read_to_string(&mut plain) {
@@ -53,7 +77,7 @@
         });
     }
     let mut json = serde_json::Deserializer::from_str(&plain);
-    let settings: Settings = match serde_path_to_error::deserialize(&mut json) {
+    let settings: T = match serde_path_to_error::deserialize(&mut json) {
         Ok(settings) => settings,
         Err(e) => {
             return Err(SettingsError {
@@ -75,73 +99,6 @@
     }
 }
 
-fn check(settings: &Settings) -> Option<Fault> {
-    let fault = |key, expected| Some(Fault { key, expected });
-    if !is_name(&settings.host) {
-        return fault("host", "expected 1 to 64 letters, digits, '-', '_' or '.'");
-    }
-    if !is_name(&settings.data_centre) {
-        return fault(
-            "data_centre",
-            "expected 1 to 64 letters, digits, '-', '_' or '.'",
-        );
-    }
-    if !are_secrets(&settings.fleet_secrets) {
-        return fault(
-            "fleet_secrets",
-            "expected one or more secrets of at least 16 characters",
-        );
-    }
-    if settings.key_secret.len() < MIN_SECRET_LEN {
-        return fault("key_secret", "expected at least 16 characters");
-    }
-    if !are_secrets(&settings.operator_tokens) {
-        return fault(
-            "operator_tokens",
-            "expected one or more tokens of at least 16 characters",
-        );
-    }
-    if !(0.0..=1.0).contains(&settings.floor) {
-        return fault("floor", "expected a share from 0 to 1");
-    }
-    check_limits(&settings.limits)
-}
-
-fn check_limits(limits: &LimitSettings) -> Option<Fault> {
-    let fault = |key, expected| Some(Fault { key, expected });
-    if limits.connections == 0 {
-        return fault("connections", "expected at least 1");
-    }
-    if limits.in_flight == 0 {
-        return fault("in_flight", "expected at least 1");
-    }
-    if !HEAD_BYTES.contains(&limits.head_bytes) {
-        return fault("head_bytes", "expected 1024 to 61440");
-    }
-    if limits.buffered_bytes < limits.buffered_body_bytes {
-        return fault("buffered_bytes", "expected at least buffered_body_bytes");
-    }
-    let durations = [
-        ("head_ms", limits.head_timeout),
-        ("idle_ms", limits.idle_timeout),
-        ("deadline_ms", limits.deadline),
-        ("connect_ms", limits.connect_timeout),
-        ("body_part_ms", limits.body_part_timeout),
-        ("shutdown_ms", limits.shutdown_timeout),
-    ];
-    let zero = durations.iter().find(|(_, time)| time.is_zero());
-    zero.and_then(|(key, _)| fault(key, "expected more than 0"))
-}
-
-fn is_name(text: &str) -> bool {
-    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    !text.is_empty() && text.len() <= 64 && text.chars().all(plain)
-}
-
-fn are_secrets(secrets: &[String]) -> bool {
-    !secrets.is_empty() && secrets.iter().all(|s| s.len() >= MIN_SECRET_LEN)
-}
-
 /// Returns the line, from 1, on which `key` stands.
 fn line_of(text: &str, key: &str) -> Option<usize> {
     let quoted = format!("\"{key}\"");
--- /dev/null
+++ b/src/daemon/front.rs
@@ -0,0 +1,223 @@
+//! An entry daemon on the users' platform: its tasks, from start to shutdown.
+
+use std::{io, rc::Rc, time::Duration};
+
+use local_sync::mpsc;
+
+use crate::{
+    catalog::KeyHasher,
+    clock::{Clock, SystemClock},
+    config::{FrontSettings, KEY_MARGIN},
+    follow::{
+        follow_table, join_fleet, ConfigurationSink, FollowOptions, JoinParts, MemberRow,
+        MemberSink, TargetSink, MEMBERS_TABLE,
+    },
+    lifecycle::{ready_task, wait_for_stop_signal, ReadyServer, Shutdown},
+    membership::Incarnation,
+    metrics::Metrics,
+    peer::{
+        peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
+    },
+    platform::{self, PlatformHeads, RowClient},
+    poison::{PoisonHandler, PoisonWatch},
+    pool::{pool_task, PoolHandle},
+    proxy::{listen_task, AccessPolicy, HeadFormat, ProxyContext, ProxyParts},
+    quota::{
+        LeaseParts, LeaseTask, LocalSlice, QuotaLimiter, QuotaParts, SliceOwners, SliceShare,
+        TokenHandler,
+    },
+    routing::{ConfigurationView, RoutingPolicy},
+    store::RowStore,
+};
+
+use super::{
+    health_parts::{start_health, HealthParts},
+    runtime::{bind, drain, run_on_thread},
+    DaemonError,
+};
+
+/// Longest wait of one call that follows the configuration, whose answer proves that keys are
+/// fresh; with the time limit of a call it stays below the operator's bound on withdrawn keys.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(2800);
+/// Longest wait of one call that follows targets or members; the store allows 30 s.
+const QUIET_WAIT: Duration = Duration::from_secs(25);
+/// Pause behind a change of targets in which further ones gather.
+const TARGET_GATHER: Duration = Duration::from_millis(150);
+/// Pause behind a change of members in which further ones gather.
+const MEMBER_GATHER: Duration = Duration::from_millis(1500);
+/// Part of the time for a shutdown in which requests may end.
+const DRAIN_SHARE: f64 = 0.9;
+
+/// Runs an entry daemon until SIGTERM or SIGINT, and returns when its work has ended.
+///
+/// # Errors
+///
+/// Returns an error when an address cannot be bound or the system refuses a resource.
+pub fn run_front(settings: FrontSettings) -> Result<(), DaemonError> {
+    run_on_thread(run_tasks(Rc::new(settings)))
+}
+
+async fn run_tasks(settings: Rc<FrontSettings>) -> Result<(), DaemonError> {
+    let caller_listener = bind(settings.caller_address)?;
+    let peer_listener = bind(settings.peer_address)?;
+    let ready_listener = bind(settings.ready_address)?;
+    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
+    let metrics = Rc::new(Metrics::default());
+    let store: Rc<dyn RowStore> = Rc::new(RowClient::new(settings.store_address, metrics.clone()));
+    let heads: Rc<dyn HeadFormat> = Rc::new(PlatformHeads);
+    let incarnation = Incarnation::random().ok_or(DaemonError::Io(io::ErrorKind::Other))?;
+    let shutdown = Shutdown::default();
+    let leaving = Shutdown::default();
+
+    let key_secret = format!("{:032x}", fastrand::u128(..));
+    let max_age = settings.key_withdrawal - KEY_MARGIN;
+    let view = ConfigurationView::new(KeyHasher::new(&key_secret), max_age);
+    let policy: Rc<dyn AccessPolicy> = Rc::new(RoutingPolicy::new(view.clone(), heads.clone()));
+    monoio::spawn(ready_task(
+        Rc::new(ReadyServer {
+            policy: policy.clone(),
+            leaving: leaving.clone(),
+            metrics: metrics.clone(),
+            clock: clock.clone(),
+        }),
+        ready_listener,
+    ));
+    let sink = ConfigurationSink::new(
+        view.clone(),
+        platform::CONFIGURATION_KEY,
+        platform::decode_configuration,
+    );
+    monoio::spawn(follow_table(
+        store.clone(),
+        FollowOptions {
+            table: platform::CONFIGURATION_TABLE,
+            wait: CONFIGURATION_WAIT,
+            gather: Duration::ZERO,
+        },
+        Rc::new(sink),
+        clock.clone(),
+    ));
+
+    let row = MemberRow {
+        data_centre: settings.data_centre.clone(),
+        address: settings.peer_address,
+        leaving: false,
+    };
+    let secret = join_fleet(&JoinParts {
+        store: &*store,
+        host: &settings.host,
+        row: &row,
+    })
+    .await;
+    let secrets = FleetSecrets::new(&[secret]);
+    let directory = PeerDirectory::new(&settings.host, &Default::default());
+    let peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
+    let mut router = PeerRouter::default();
+    let poison = PoisonWatch::new(peers.clone(), &settings.data_centre, clock.clone());
+    let handler = PoisonHandler::new(poison.clone());
+    router.set(PeerKind::Poison, Rc::new(handler));
+    let balancer = start_health(
+        HealthParts {
+            host: &settings.host,
+            data_centre: &settings.data_centre,
+            profile: settings.profile,
+            floor: settings.floor,
+            peers: peers.clone(),
+            heads: heads.clone(),
+            clock: clock.clone(),
+            metrics: metrics.clone(),
+        },
+        &mut router,
+    );
+    let sink = TargetSink::new(balancer.clone(), platform::decode_target, clock.clone());
+    monoio::spawn(follow_table(
+        store.clone(),
+        FollowOptions {
+            table: platform::TARGETS_TABLE,
+            wait: QUIET_WAIT,
+            gather: TARGET_GATHER,
+        },
+        Rc::new(sink),
+        clock.clone(),
+    ));
+
+    let owners = SliceOwners::default();
+    let slice = LocalSlice::new(SliceShare {
+        slices: settings.data_centres.len() as u32,
+        slack: settings.quota_slack,
+    });
+    let sink = MemberSink::new(directory.clone(), owners.clone());
+    monoio::spawn(follow_table(
+        store.clone(),
+        FollowOptions {
+            table: MEMBERS_TABLE,
+            wait: QUIET_WAIT,
+            gather: MEMBER_GATHER,
+        },
+        Rc::new(sink),
+        clock.clone(),
+    ));
+    let lease = LeaseTask::new(LeaseParts {
+        store,
+        slice: slice.clone(),
+        owners: owners.clone(),
+        directory,
+        data_centre: settings.data_centre.clone(),
+        incarnation,
+        clock: clock.clone(),
+    });
+    monoio::spawn(lease.run());
+    let handler = TokenHandler {
+        slice: slice.clone(),
+        view: view.clone(),
+        clock: clock.clone(),
+        metrics: metrics.clone(),
+    };
+    router.set(PeerKind::Ask, Rc::new(handler));
+    monoio::spawn(peer_server_task(
+        Rc::new(PeerServer {
+            secrets,
+            router,
+            metrics: metrics.clone(),
+        }),
+        peer_listener,
+    ));
+
+    let limiter = QuotaLimiter::new(QuotaParts {
+        slice,
+        owners,
+        peers,
+        data_centre: settings.data_centre.clone(),
+        clock: clock.clone(),
+        metrics: metrics.clone(),
+    });
+    let (pool_tx, pool_rx) = mpsc::unbounded::channel();
+    monoio::spawn(pool_task(pool_rx, clock.clone()));
+    let proxy = Rc::new(ProxyContext::new(ProxyParts {
+        limits: settings.limits.clone(),
+        policy,
+        heads,
+        limiter: Box::new(limiter),
+        balancer,
+        pool: PoolHandle::new(pool_tx),
+        claims: None,
+        poison,
+        metrics,
+        clock,
+        leaving,
+        shutdown: shutdown.clone(),
+    }));
+    monoio::spawn(proxy.pauses.clone().run());
+    monoio::spawn(listen_task(proxy.clone(), caller_listener));
+    log::info!("serving callers on {}", settings.caller_address);
+
+    wait_for_stop_signal().await?;
+    log::info!("shutting down");
+    proxy.leaving.begin();
+    monoio::time::sleep(settings.limits.notice).await;
+    shutdown.begin();
+    let left = settings.shutdown.mul_f64(DRAIN_SHARE);
+    drain(&proxy, left.saturating_sub(settings.limits.notice)).await;
+    log::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/src/daemon/health_parts.rs
@@ -0,0 +1,74 @@
+//! Start of the tasks that judge and choose targets.
+
+use std::rc::Rc;
+
+use local_sync::mpsc;
+use rustc_hash::FxHashMap;
+
+use crate::{
+    clock::Clock,
+    health::{
+        balancer_task, probe_task, Balancer, BalancerHandle, Member, Profile, Sequential,
+        SuspicionExchange, SuspicionHandler, SuspicionTask,
+    },
+    metrics::Metrics,
+    peer::{PeerClient, PeerKind, PeerRouter},
+    proxy::HeadFormat,
+};
+
+/// What the tasks that judge and choose targets need.
+pub(super) struct HealthParts<'a> {
+    /// Name of this host.
+    pub(super) host: &'a str,
+    /// Its data centre.
+    pub(super) data_centre: &'a str,
+    /// What weighs most when targets are judged.
+    pub(super) profile: Profile,
+    /// Smallest share of a service's live capacity that stays in use.
+    pub(super) floor: f64,
+    /// Calls other daemons.
+    pub(super) peers: PeerClient,
+    /// Reads what targets say of themselves.
+    pub(super) heads: Rc<dyn HeadFormat>,
+    /// Source of time.
+    pub(super) clock: Rc<dyn Clock>,
+    /// The counters.
+    pub(super) metrics: Rc<Metrics>,
+}
+
+/// Starts the tasks that judge and choose targets, and handles other daemons' suspicions in
+/// `router`.
+pub(super) fn start_health(parts: HealthParts<'_>, router: &mut PeerRouter) -> BalancerHandle {
+    let options = parts.profile.options();
+    let (suspicion_tx, suspicion_rx) = mpsc::unbounded::channel();
+    let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
+    let balancer = BalancerHandle::new(balancer_tx);
+    let detector = Box::new(Sequential::new(options));
+    let state = Balancer::new(detector, parts.floor, fastrand::u64(..));
+    monoio::spawn(balancer_task(
+        state,
+        balancer_rx,
+        balancer.clone(),
+        parts.clock.clone(),
+        parts.metrics.clone(),
+        suspicion_tx.clone(),
+    ));
+    monoio::spawn(probe_task(balancer.clone(), parts.heads));
+    let own = Member {
+        host: Rc::from(parts.host),
+        data_centre: Rc::from(parts.data_centre),
+    };
+    let suspicions = SuspicionTask {
+        exchange: SuspicionExchange::new(own, options.fleet_threshold, parts.clock.now()),
+        peers: parts.peers,
+        balancer: balancer.clone(),
+        metrics: parts.metrics,
+        clock: parts.clock,
+        tx: suspicion_tx.clone(),
+        under_way: FxHashMap::default(),
+    };
+    monoio::spawn(suspicions.run(suspicion_rx));
+    let handler = SuspicionHandler { tx: suspicion_tx };
+    router.set(PeerKind::Suspicion, Rc::new(handler));
+    balancer
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,31 @@
+//! Daemons: their tasks, from start to shutdown.
+
+mod front;
+mod health_parts;
+mod native;
+mod runtime;
+
+use std::{io, net::SocketAddr};
+
+pub use front::run_front;
+pub use native::run;
+
+/// Why a daemon ended with an error.
+#[derive(Debug)]
+pub enum DaemonError {
+    /// An address could not be bound.
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The reason.
+        kind: io::ErrorKind,
+    },
+    /// The system refused something else.
+    Io(io::ErrorKind),
+}
+
+impl From<io::Error> for DaemonError {
+    fn from(e: io::Error) -> Self {
+        Self::Io(e.kind())
+    }
+}
--- a/src/daemon.rs
+++ b/src/daemon/native.rs
@@ -1,69 +1,38 @@
-//! One daemon: its tasks, from start to shutdown.
+//! A daemon with chervillug's own interface: its tasks, from start to shutdown.
 
-use std::{
-    io,
-    mem::ManuallyDrop,
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{io, rc::Rc, time::Duration};
 
 use local_sync::mpsc;
-use monoio::{
-    net::{ListenerOpts, TcpListener},
-    LegacyDriver, RuntimeBuilder,
-};
-use rustc_hash::FxHashMap;
 
 use crate::{
     catalog::KeyHasher,
     claim::{claim_sweep_task, ClaimStore},
-    clock::{BootTime, Clock, SystemClock},
+    clock::{Clock, SystemClock},
     config::Settings,
-    health::{
-        balancer_task, probe_task, Balancer, BalancerHandle, Member, Sequential, SuspicionExchange,
-        SuspicionHandler, SuspicionTask,
-    },
     hosts::host_list_task,
     lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
     limit::{LimitParts, LimitService},
     membership::Incarnation,
     metrics::{export_task, Metrics},
-    native::HttpPlatform,
+    native::{CatalogPolicy, HttpPlatform, NativeHeads},
     operator::{operator_task, OperatorContext},
     peer::{
         peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
     },
     poison::{PoisonHandler, PoisonWatch},
     pool::{pool_task, PoolHandle},
-    proxy::{listen_task, ProxyContext, ProxyParts},
+    proxy::{listen_task, HeadFormat, ProxyContext, ProxyParts},
     sync::{sync_task, CatalogView, ContactHandler, Replica, ReplicaParts, RevisionHandler},
 };
 
+use super::{
+    health_parts::{start_health, HealthParts},
+    runtime::{bind, drain, run_on_thread},
+    DaemonError,
+};
+
 /// Longest time for one step behind the last request of a shutdown.
 const STEP_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time between two looks at the requests in flight.
-const DRAIN_INTERVAL: Duration = Duration::from_millis(10);
-
-/// Why a daemon ended with an error.
-#[derive(Debug)]
-pub enum DaemonError {
-    /// An address could not be bound.
-    Bind {
-        /// The address.
-        address: SocketAddr,
-        /// The reason.
-        kind: io::ErrorKind,
-    },
-    /// The system refused something else.
-    Io(io::ErrorKind),
-}
-
-impl From<io::Error> for DaemonError {
-    fn from(e: io::Error) -> Self {
-        Self::Io(e.kind())
-    }
-}
 
 /// Runs a daemon until SIGTERM or SIGINT, and returns when its work has ended.
 ///
@@ -71,13 +40,7 @@
 ///
 /// Returns an error when an address cannot be bound or the system refuses a resource.
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
-    let runtime = RuntimeBuilder::<LegacyDriver>::new()
-        .enable_timer()
-        .build()?;
-    // Dropping the runtime drops its tasks, whose wakers panic outside of it. The process ends
-    // behind this call, so that nothing is lost by leaving them.
-    let mut runtime = ManuallyDrop::new(runtime);
-    runtime.block_on(run_tasks(Rc::new(settings)))
+    run_on_thread(run_tasks(Rc::new(settings)))
 }
 
 async fn run_tasks(settings: Rc<Settings>) -> Result<(), DaemonError> {
@@ -91,6 +54,7 @@
         &settings.host,
         metrics.clone(),
     ));
+    let heads: Rc<dyn HeadFormat> = Rc::new(NativeHeads);
     let shutdown = Shutdown::default();
     let mut steps = ShutdownSteps::default();
 
@@ -104,36 +68,18 @@
         Rc::new(PoisonHandler::new(poison.clone())),
     );
 
-    let (suspicion_tx, suspicion_rx) = mpsc::unbounded::channel();
-    let (balancer_tx, balancer_rx) = mpsc::unbounded::channel();
-    let balancer = BalancerHandle::new(balancer_tx);
-    let state = Balancer::new(
-        Box::new(Sequential::new(settings.profile.options())),
-        settings.floor,
-        fastrand::u64(..),
-    );
-    monoio::spawn(balancer_task(
-        state,
-        balancer_rx,
-        balancer.clone(),
-        clock.clone(),
-        metrics.clone(),
-        suspicion_tx.clone(),
-    ));
-    monoio::spawn(probe_task(balancer.clone()));
-    let suspicions = SuspicionTask {
-        exchange: exchange_of(&settings, clock.now()),
-        peers: peers.clone(),
-        balancer: balancer.clone(),
-        metrics: metrics.clone(),
-        clock: clock.clone(),
-        tx: suspicion_tx.clone(),
-        under_way: FxHashMap::default(),
-    };
-    monoio::spawn(suspicions.run(suspicion_rx));
-    router.set(
-        PeerKind::Suspicion,
-        Rc::new(SuspicionHandler { tx: suspicion_tx }),
+    let balancer = start_health(
+        HealthParts {
+            host: &settings.host,
+            data_centre: &settings.data_centre,
+            profile: settings.profile,
+            floor: settings.floor,
+            peers: peers.clone(),
+            heads: heads.clone(),
+            clock: clock.clone(),
+            metrics: metrics.clone(),
+        },
+        &mut router,
     );
 
     let (pool_tx, pool_rx) = mpsc::unbounded::channel();
@@ -192,23 +138,27 @@
         monoio::spawn(export_task(metrics.clone(), address, settings.host.clone()));
     }
 
+    let hasher = KeyHasher::new(&settings.key_secret);
     let proxy = Rc::new(ProxyContext::new(ProxyParts {
         limits: settings.limits.clone(),
-        catalog,
-        hasher: KeyHasher::new(&settings.key_secret),
+        policy: Rc::new(CatalogPolicy::new(catalog.clone(), hasher.clone())),
+        heads,
         limiter: limit.limiter,
         balancer: balancer.clone(),
         pool: PoolHandle::new(pool_tx),
-        claims,
+        claims: Some(claims),
         poison,
         metrics,
         clock,
+        leaving: Shutdown::default(),
         shutdown: shutdown.clone(),
     }));
     monoio::spawn(operator_task(
         Rc::new(OperatorContext {
             settings: settings.clone(),
             proxy: proxy.clone(),
+            catalog,
+            hasher,
             balancer,
             sync: sync_tx,
         }),
@@ -227,34 +177,3 @@
     steps.run(STEP_TIMEOUT).await;
     Ok(())
 }
-
-fn exchange_of(settings: &Settings, now: BootTime) -> SuspicionExchange {
-    let own = Member {
-        host: Rc::from(settings.host.as_str()),
-        data_centre: Rc::from(settings.data_centre.as_str()),
-    };
-    SuspicionExchange::new(own, settings.profile.options().fleet_threshold, now)
-}
-
-/// Waits until nothing is in flight, or the limit has passed.
-async fn drain(proxy: &ProxyContext, limit: Duration) {
-    let end = Instant::now() + limit;
-    while proxy.in_flight.count() + proxy.connections.count() > 0 && Instant::now() < end {
-        monoio::time::sleep(DRAIN_INTERVAL).await;
-    }
-    let left = proxy.in_flight.count();
-    if left > 0 {
-        log::error!("shutdown limit passed with {left} requests in flight");
-    }
-}
-
-fn bind(address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    let opts = ListenerOpts::new()
-        .reuse_port(false)
-        .reuse_addr(true)
-        .backlog(1024);
-    TcpListener::bind_with_config(address, &opts).map_err(|e| DaemonError::Bind {
-        address,
-        kind: e.kind(),
-    })
-}
--- /dev/null
+++ b/src/follow/configuration_sink.rs
@@ -0,0 +1,59 @@
+//! Taking over configurations from the store.
+
+use crate::{
+    clock::BootTime,
+    routing::{Configuration, ConfigurationView},
+    store::StoredRow,
+};
+
+use super::table_follower::{Answered, TableSink};
+
+/// Decodes a configuration, or tells what is wrong with it.
+type DecodeConfiguration = fn(&[u8]) -> Result<Configuration, String>;
+
+/// Takes over the configuration that stands under one key.
+pub struct ConfigurationSink {
+    view: ConfigurationView,
+    key: &'static str,
+    decode: DecodeConfiguration,
+}
+
+impl ConfigurationSink {
+    /// Makes a sink that takes the row `key` over into `view`.
+    pub fn new(view: ConfigurationView, key: &'static str, decode: DecodeConfiguration) -> Self {
+        Self { view, key, decode }
+    }
+
+    fn take(&self, row: &StoredRow) {
+        let Some(value) = row.value.as_ref().filter(|_| row.key == self.key) else {
+            return;
+        };
+        match (self.decode)(value) {
+            Ok(cfg) => {
+                let held = self.view.version();
+                let taken = self.view.update(&cfg);
+                log::info!(version = cfg.version, held = held, row = row.version, taken = taken;
+                    "configuration read");
+            }
+            Err(e) => {
+                let held = self.view.version();
+                log::warn!(row = row.version, held = held, reason = e.as_str();
+                    "configuration skipped");
+            }
+        }
+    }
+}
+
+impl TableSink for ConfigurationSink {
+    fn replace(&self, rows: Vec<StoredRow>, answered: &Answered) {
+        self.apply(rows, answered);
+    }
+
+    fn apply(&self, rows: Vec<StoredRow>, answered: &Answered) {
+        rows.iter().for_each(|row| self.take(row));
+        self.view
+            .prove(|f| f.record(answered.sent, answered.received, answered.store_time));
+    }
+
+    fn lost(&self, _: BootTime) {}
+}
--- /dev/null
+++ b/src/follow/join.rs
@@ -0,0 +1,78 @@
+//! Joining the fleet through the store.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use monoio::time::sleep;
+
+use crate::store::{RowPut, RowStore, StoreError, Written};
+
+use super::MemberRow;
+
+/// Table of what the fleet shares.
+const FLEET_TABLE: &str = "fleet";
+/// Key of the secret that daemons prove to each other.
+const SECRET_KEY: &str = "secret";
+/// Longest pause behind a call that failed, so that a fleet does not call together.
+const MAX_RETRY: Duration = Duration::from_millis(800);
+
+/// What joining needs.
+pub struct JoinParts<'a> {
+    /// The store.
+    pub store: &'a dyn RowStore,
+    /// Name of this host.
+    pub host: &'a str,
+    /// The row by which other daemons find this one.
+    pub row: &'a MemberRow,
+}
+
+/// Registers this daemon, and returns the secret of the fleet; the first daemon of a fleet makes
+/// it. Calls the store until it answers.
+pub async fn join_fleet(parts: &JoinParts<'_>) -> String {
+    loop {
+        match try_join(parts).await {
+            Ok(Some(secret)) => return secret,
+            Ok(None) => {}
+            Err(e) => {
+                let reason = e.to_string();
+                log::warn!(reason = reason.as_str(); "fleet not joined yet");
+                sleep(MAX_RETRY.mul_f64(0.25 + 0.75 * fastrand::f64())).await;
+            }
+        }
+    }
+}
+
+/// Tries once; none when another daemon wrote the secret meanwhile.
+async fn try_join(parts: &JoinParts<'_>) -> Result<Option<String>, StoreError> {
+    let read = parts.store.read(FLEET_TABLE, SECRET_KEY).await?;
+    let row = read.rows.into_iter().find(|r| r.key == SECRET_KEY);
+    let known = row.and_then(|r| r.value);
+    let known = known.and_then(|v| String::from_utf8(v.to_vec()).ok());
+    let member = RowPut {
+        table: super::MEMBERS_TABLE,
+        key: parts.host.to_owned(),
+        expected: None,
+        value: Bytes::from(serde_json::to_vec(parts.row).map_err(|_| StoreError::Refused)?),
+    };
+    if let Some(secret) = known {
+        parts.store.write(&[member]).await?;
+        return Ok(Some(secret));
+    }
+    let secret = new_secret()?;
+    let put = RowPut {
+        table: FLEET_TABLE,
+        key: SECRET_KEY.to_owned(),
+        expected: Some(0),
+        value: Bytes::from(secret.clone()),
+    };
+    match parts.store.write(&[put, member]).await? {
+        Written::Yes { .. } => Ok(Some(secret)),
+        Written::Conflict => Ok(None),
+    }
+}
+
+fn new_secret() -> Result<String, StoreError> {
+    let mut bytes = [0; 16];
+    getrandom::fill(&mut bytes).map_err(|_| StoreError::Refused)?;
+    Ok(format!("{:032x}", u128::from_le_bytes(bytes)))
+}
--- /dev/null
+++ b/src/follow/member_table.rs
@@ -0,0 +1,19 @@
+//! The rows by which daemons find each other.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Table of the daemons of the fleet.
+pub const MEMBERS_TABLE: &str = "members";
+
+/// The row of one daemon, whose key is the name of its host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRow {
+    /// Data centre of the host.
+    pub data_centre: String,
+    /// Address on which other daemons reach it.
+    pub address: SocketAddr,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/src/follow/target_sink.rs
@@ -0,0 +1,125 @@
+//! Taking over the list of targets from the store.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use crate::{
+    clock::{BootTime, Clock},
+    health::{BalancerHandle, BalancerMessage},
+    store::{ListedHost, StoredRow},
+};
+
+use super::{
+    table_follower::{Answered, TableSink},
+    TargetList,
+};
+
+/// Time between two looks at entries that were missing when the store returned.
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Decodes the entry of a target, or tells what is wrong with it.
+type DecodeTarget = fn(&str, &[u8]) -> Result<ListedHost, String>;
+
+/// Keeps the list of targets and tells the balancer of each change.
+pub struct TargetSink {
+    list: Rc<RefCell<TargetList>>,
+    balancer: BalancerHandle,
+    decode: DecodeTarget,
+    clock: Rc<dyn Clock>,
+}
+
+impl TargetSink {
+    /// Makes a sink that tells `balancer`.
+    pub fn new(balancer: BalancerHandle, decode: DecodeTarget, clock: Rc<dyn Clock>) -> Self {
+        Self {
+            list: Rc::default(),
+            balancer,
+            decode,
+            clock,
+        }
+    }
+
+    fn decode(&self, row: &StoredRow) -> Option<ListedHost> {
+        let value = row.value.as_ref()?;
+        match (self.decode)(&row.key, value) {
+            Ok(host) => Some(host),
+            Err(e) => {
+                log::warn!(target_name = row.key.as_str(), row = row.version, reason = e.as_str();
+                    "entry of a target skipped");
+                None
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let hosts = self.list.borrow().hosts();
+        self.balancer
+            .send(BalancerMessage::SetTargets(Rc::new(hosts)));
+        if self.list.borrow().has_missing() {
+            monoio::spawn(expire_task(
+                self.list.clone(),
+                self.balancer.clone(),
+                self.clock.clone(),
+            ));
+        }
+    }
+
+    fn take(&self, row: &StoredRow, now: BootTime) {
+        let (key, version) = (row.key.as_str(), row.version);
+        let host = self.decode(row);
+        let mut list = self.list.borrow_mut();
+        match host {
+            Some(host) => {
+                log::info!(target_name = key, row = version, leaving = host.leaving;
+                    "target listed");
+                list.put(host);
+            }
+            None => {
+                log::info!(target_name = key, row = version; "target no longer listed");
+                list.remove(key, now);
+            }
+        }
+    }
+}
+
+impl TableSink for TargetSink {
+    fn replace(&self, rows: Vec<StoredRow>, answered: &Answered) {
+        let hosts: Vec<ListedHost> = rows.iter().filter_map(|r| self.decode(r)).collect();
+        log::info!(targets = hosts.len(); "targets read");
+        {
+            let mut list = self.list.borrow_mut();
+            list.store_answers(answered.received);
+            list.replace(hosts, answered.received);
+        }
+        self.publish();
+    }
+
+    fn apply(&self, rows: Vec<StoredRow>, answered: &Answered) {
+        self.list.borrow_mut().store_answers(answered.received);
+        if rows.is_empty() {
+            return;
+        }
+        for row in &rows {
+            self.take(row, answered.received);
+        }
+        self.publish();
+    }
+
+    fn lost(&self, now: BootTime) {
+        self.list.borrow_mut().store_lost(now);
+    }
+}
+
+/// Drops entries that do not come back, until none is missing.
+async fn expire_task(
+    list: Rc<RefCell<TargetList>>,
+    balancer: BalancerHandle,
+    clock: Rc<dyn Clock>,
+) {
+    while list.borrow().has_missing() {
+        monoio::time::sleep(EXPIRE_INTERVAL).await;
+        if list.borrow_mut().expire(clock.now()) {
+            let hosts = list.borrow().hosts();
+            balancer.send(BalancerMessage::SetTargets(Rc::new(hosts)));
+        }
+    }
+}
--- a/src/health/balancer/evidence.rs
+++ b/src/health/balancer/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::clock::BootTime;
+use crate::{clock::BootTime, proxy::TargetReport};
 
 use super::{
     super::{Lateness, Observation, Suspicion, Target, TargetId, TargetState, Ticket, WorkResult},
@@ -108,7 +108,17 @@
         self.judge(id, &Observation { result, latency }, now);
     }
 
-    /// Takes note of what a target said of itself.
+    /// Takes note of what a target said of itself in an answer.
+    pub fn take_report(&mut self, id: TargetId, report: TargetReport, now: BootTime) {
+        if let (Some(load), Some(target)) = (report.load, self.targets.get_mut(&id)) {
+            target.report_load(load, now);
+        }
+        if let Some(state) = report.state {
+            self.report_state(id, state, None, now);
+        }
+    }
+
+    /// Takes note of what a target said of its state.
     pub fn report_state(
         &mut self,
         id: TargetId,
--- a/src/health/balancer/listing.rs
+++ b/src/health/balancer/listing.rs
@@ -20,7 +20,7 @@
         let mut listed = FxHashSet::default();
         for host in hosts {
             if let Some(service) = &host.service {
-                listed.insert(self.upsert(host, service, ramp_from));
+                listed.insert(self.upsert(host, service, ramp_from, now));
             }
         }
         let gone = self.targets.keys().filter(|id| !listed.contains(id));
@@ -43,7 +43,13 @@
         }
     }
 
-    fn upsert(&mut self, host: &ListedHost, service: &str, ramp: Option<BootTime>) -> TargetId {
+    fn upsert(
+        &mut self,
+        host: &ListedHost,
+        service: &str,
+        ramp: Option<BootTime>,
+        now: BootTime,
+    ) -> TargetId {
         let service = self.service_id(service);
         let known = self.by_name.get(host.name.as_str()).copied();
         if let Some(target) = known.and_then(|id| self.targets.get_mut(&id)) {
@@ -58,7 +64,7 @@
                 return self.by_name[host.name.as_str()];
             }
         }
-        self.insert(host, service, ramp)
+        self.insert(host, service, ramp, now)
     }
 
     fn insert(
@@ -66,6 +72,7 @@
         host: &ListedHost,
         service: ServiceId,
         ramp_from: Option<BootTime>,
+        now: BootTime,
     ) -> TargetId {
         let id = TargetId(self.next_id);
         self.next_id += 1;
@@ -80,7 +87,7 @@
             state: TargetState::Serving,
             flights: Flights::default(),
             bound: f64::from(slots),
-            ramp_from,
+            ramp_from: ramp_from.or(host.cold.then_some(now)),
             load: 0.0,
             load_at: BootTime::default(),
         };
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -8,6 +8,7 @@
 use crate::{
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
+    proxy::TargetReport,
     store::ListedHost,
 };
 
@@ -35,7 +36,7 @@
     /// Tells of one piece of work.
     Observe(TargetId, Ticket, Observation),
     /// Tells what a target said of itself.
-    ReportState(TargetId, TargetState, Option<f64>),
+    Report(TargetId, TargetReport),
     /// Tells that several daemons together suspect the target of this name.
     Advise(String),
     /// Asks for the targets to probe.
@@ -88,9 +89,10 @@
     }
 
     /// Tells what the target said of itself.
-    pub fn report_state(&self, state: TargetState, load: Option<f64>) {
-        self.handle
-            .send(BalancerMessage::ReportState(self.id, state, load));
+    pub fn report(&self, report: TargetReport) {
+        if report.state.is_some() || report.load.is_some() {
+            self.handle.send(BalancerMessage::Report(self.id, report));
+        }
     }
 }
 
@@ -200,9 +202,7 @@
                 self.answer(decided);
             }
             BalancerMessage::Observe(id, ticket, obs) => balancer.observe(id, ticket, &obs, now),
-            BalancerMessage::ReportState(id, state, load) => {
-                balancer.report_state(id, state, load, now);
-            }
+            BalancerMessage::Report(id, report) => balancer.take_report(id, report, now),
             BalancerMessage::Advise(name) => balancer.advise(&name, now),
             BalancerMessage::Probes(reply) => {
                 let _ = reply.send(balancer.probes(now));
--- a/src/health/probe_task.rs
+++ b/src/health/probe_task.rs
@@ -1,13 +1,13 @@
 //! The task that probes targets.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::Method;
 
 use crate::{
     http::{call, CallRequest},
-    proxy::target_state,
+    proxy::HeadFormat,
 };
 
 use super::{BalancerHandle, BalancerMessage, TargetId};
@@ -22,13 +22,13 @@
 const PROBE_PATH: &str = "/healthz";
 
 /// Probes the targets that the balancer names, again and again.
-pub async fn probe_task(balancer: BalancerHandle) {
+pub async fn probe_task(balancer: BalancerHandle, heads: Rc<dyn HeadFormat>) {
     loop {
         monoio::time::sleep(LOOK_INTERVAL).await;
         let probes = balancer.probes().await;
         let running: Vec<_> = probes
             .into_iter()
-            .map(|(id, address)| monoio::spawn(probe(balancer.clone(), id, address)))
+            .map(|(id, address)| monoio::spawn(probe(balancer.clone(), heads.clone(), id, address)))
             .collect();
         for probe in running {
             probe.await;
@@ -36,7 +36,12 @@
     }
 }
 
-async fn probe(balancer: BalancerHandle, id: TargetId, address: SocketAddr) {
+async fn probe(
+    balancer: BalancerHandle,
+    heads: Rc<dyn HeadFormat>,
+    id: TargetId,
+    address: SocketAddr,
+) {
     let req = CallRequest {
         method: Method::GET,
         path: PROBE_PATH,
@@ -47,6 +52,6 @@
     };
     let answer = call(address, &req).await;
     let healthy = answer.as_ref().is_ok_and(|a| a.status.is_success());
-    let state = answer.ok().and_then(|a| target_state(&a.headers));
+    let state = answer.ok().and_then(|a| heads.report(&a.headers).state);
     balancer.send(BalancerMessage::Probed { id, healthy, state });
 }
--- a/src/hosts/task.rs
+++ b/src/hosts/task.rs
@@ -32,7 +32,7 @@
                 balancer.send(BalancerMessage::SetTargets(Rc::new(hosts)));
             }
             Err(e) => {
-                metrics.count(Counter::PlatformErrors);
+                metrics.count(Counter::StoreErrors);
                 log::warn!("host list: {e}");
             }
         }
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -2,12 +2,14 @@
 
 mod in_flight;
 mod pause_watch;
+mod ready_server;
 mod shutdown;
 mod shutdown_steps;
 mod signals;
 
 pub use in_flight::{InFlight, InFlightGuard};
 pub use pause_watch::PauseWatch;
+pub use ready_server::{ready_task, ReadyServer};
 pub use shutdown::Shutdown;
 pub use shutdown_steps::ShutdownSteps;
 pub use signals::wait_for_stop_signal;
--- a/src/limit/ownership_task.rs
+++ b/src/limit/ownership_task.rs
@@ -11,7 +11,7 @@
     lease::{Candidate, SessionId, SliceId, Terms},
     metrics::{Counter, Metrics},
     peer::{PeerClient, PeerKind},
-    store::{Committed, HostList, PlatformError, ScannedRow, Table, Transaction},
+    store::{Committed, HostList, ScannedRow, StoreError, Table, Transaction},
 };
 
 use super::{
@@ -64,7 +64,7 @@
     while !cx.released.get() {
         if let Err(e) = cx.round(&mut round).await {
             log::debug!("ownership: {e}");
-            cx.metrics.count(Counter::PlatformErrors);
+            cx.metrics.count(Counter::StoreErrors);
         }
         let period = Terms::period(cx.daemons());
         monoio::time::sleep(MIN_ROUND).await;
@@ -171,7 +171,7 @@
         hosts
     }
 
-    async fn round(&self, round: &mut Round) -> Result<(), PlatformError> {
+    async fn round(&self, round: &mut Round) -> Result<(), StoreError> {
         let marks = self.follow_sessions().await?;
         self.renew().await?;
         round.must_read |= marks != round.marks || self.sees_ended_session();
@@ -189,7 +189,7 @@
         Ok(())
     }
 
-    async fn follow_sessions(&self) -> Result<SessionMarks, PlatformError> {
+    async fn follow_sessions(&self) -> Result<SessionMarks, StoreError> {
         let rows: Vec<(SessionId, Versioned<_>)> = self
             .scan(SESSIONS)
             .await?
@@ -224,7 +224,7 @@
             .with(|o| o.observe_listed(peers.iter().map(|p| &*p.host), now));
     }
 
-    async fn renew(&self) -> Result<(), PlatformError> {
+    async fn renew(&self) -> Result<(), StoreError> {
         if self.released.get() {
             return Ok(());
         }
@@ -239,7 +239,7 @@
         Ok(())
     }
 
-    async fn follow_slices(&self) -> Result<(), PlatformError> {
+    async fn follow_slices(&self) -> Result<(), StoreError> {
         let rows = self.scan(SLICE_ROWS).await?;
         let rows = rows
             .into_iter()
@@ -299,7 +299,7 @@
         }
     }
 
-    async fn scan(&self, table: &'static str) -> Result<Vec<ScannedRow>, PlatformError> {
+    async fn scan(&self, table: &'static str) -> Result<Vec<ScannedRow>, StoreError> {
         let mut rows: Vec<ScannedRow> = Vec::new();
         loop {
             let after = rows.last().map_or("", |r| r.key.as_str()).to_owned();
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -22,8 +22,10 @@
     TargetConnections,
     /// Edits applied.
     EditsApplied,
+    /// Calls to the store.
+    StoreCalls,
     /// Failed calls to the platform.
-    PlatformErrors,
+    StoreErrors,
     /// Messages of strangers, or replayed ones, on the peer port.
     PeerUnauthenticated,
     /// Messages over the size limit on the peer port.
--- a/src/native/http_platform.rs
+++ b/src/native/http_platform.rs
@@ -12,8 +12,8 @@
 };
 
 use crate::store::{
-    BoxFuture, Committed, HostList, ListedHost, ObjectStore, PlatformError, Row, RowKey,
-    ScannedRow, Table, Transaction,
+    BoxFuture, Committed, HostList, ListedHost, ObjectStore, Row, RowKey, ScannedRow, StoreError,
+    Table, Transaction,
 };
 
 /// Longest time for one call.
@@ -86,7 +86,7 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
+    ) -> Result<(StatusCode, Bytes), StoreError> {
         let req = CallRequest {
             method,
             path,
@@ -100,7 +100,7 @@
                 self.metrics.add(Counter::PlatformBytes, res.transferred);
                 Ok((res.status, res.body))
             }
-            Err(_) => Err(PlatformError::NoAnswer),
+            Err(_) => Err(StoreError::NoAnswer),
         }
     }
 
@@ -108,23 +108,20 @@
         &self,
         path: &str,
         body: &impl Serialize,
-    ) -> Result<T, PlatformError> {
-        let body = serde_json::to_vec(body).map_err(|_| PlatformError::Refused)?;
+    ) -> Result<T, StoreError> {
+        let body = serde_json::to_vec(body).map_err(|_| StoreError::Refused)?;
         let (status, answer) = self
             .send(Method::POST, path, Bytes::from(body), CALL_TIMEOUT)
             .await?;
         if status.is_client_error() {
-            return Err(PlatformError::Refused);
+            return Err(StoreError::Refused);
         }
-        serde_json::from_slice(&answer).map_err(|_| PlatformError::BadAnswer)
+        serde_json::from_slice(&answer).map_err(|_| StoreError::BadAnswer)
     }
 }
 
 impl Table for HttpPlatform {
-    fn transact<'a>(
-        &'a self,
-        tx: &'a Transaction,
-    ) -> BoxFuture<'a, Result<Committed, PlatformError>> {
+    fn transact<'a>(&'a self, tx: &'a Transaction) -> BoxFuture<'a, Result<Committed, StoreError>> {
         Box::pin(async move {
             let answer: TransactAnswer = self.post("/v1/transact", tx).await?;
             Ok(if answer.committed {
@@ -138,11 +135,11 @@
     fn read<'a>(
         &'a self,
         keys: &'a [RowKey],
-    ) -> BoxFuture<'a, Result<Vec<Option<Row>>, PlatformError>> {
+    ) -> BoxFuture<'a, Result<Vec<Option<Row>>, StoreError>> {
         Box::pin(async move {
             let answer: ReadAnswer = self.post("/v1/read", &keys).await?;
             if answer.rows.len() != keys.len() {
-                return Err(PlatformError::BadAnswer);
+                return Err(StoreError::BadAnswer);
             }
             Ok(answer.rows)
         })
@@ -153,7 +150,7 @@
         table: &'static str,
         after: &'a str,
         limit: usize,
-    ) -> BoxFuture<'a, Result<Vec<ScannedRow>, PlatformError>> {
+    ) -> BoxFuture<'a, Result<Vec<ScannedRow>, StoreError>> {
         Box::pin(async move {
             let scan = ScanCall {
                 table,
@@ -167,18 +164,18 @@
 }
 
 impl ObjectStore for HttpPlatform {
-    fn put<'a>(&'a self, name: &'a str, body: Bytes) -> BoxFuture<'a, Result<(), PlatformError>> {
+    fn put<'a>(&'a self, name: &'a str, body: Bytes) -> BoxFuture<'a, Result<(), StoreError>> {
         Box::pin(async move {
             let path = format!("/v1/objects/{name}");
             let (status, _) = self.send(Method::PUT, &path, body, OBJECT_TIMEOUT).await?;
             if status != StatusCode::OK {
-                return Err(PlatformError::Refused);
+                return Err(StoreError::Refused);
             }
             Ok(())
         })
     }
 
-    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<Option<Bytes>, PlatformError>> {
+    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<Option<Bytes>, StoreError>> {
         Box::pin(async move {
             let path = format!("/v1/objects/{name}");
             let (status, body) = self
@@ -187,14 +184,14 @@
             match status {
                 StatusCode::OK => Ok(Some(body)),
                 StatusCode::NOT_FOUND => Ok(None),
-                _ => Err(PlatformError::Refused),
+                _ => Err(StoreError::Refused),
             }
         })
     }
 }
 
 impl HostList for HttpPlatform {
-    fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, PlatformError>> {
+    fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, StoreError>> {
         Box::pin(async move {
             let known = self.hosts.borrow().version;
             let path = match known {
@@ -205,7 +202,7 @@
                 .send(Method::GET, &path, Bytes::new(), CALL_TIMEOUT)
                 .await?;
             let answer: HostsAnswer =
-                serde_json::from_slice(&body).map_err(|_| PlatformError::BadAnswer)?;
+                serde_json::from_slice(&body).map_err(|_| StoreError::BadAnswer)?;
             let mut known = self.hosts.borrow_mut();
             if let Some(hosts) = answer.hosts {
                 known.version = answer.version;
--- /dev/null
+++ b/src/native/policy.rs
@@ -0,0 +1,87 @@
+//! What chervillug's own lists allow.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::request;
+
+use crate::{
+    catalog::{KeyHasher, RouteLookup},
+    clock::BootTime,
+    outcome::ErrorKind,
+    proxy::{check_form, check_path, exposes_key, AccessPolicy, Allowed, HeadFormat, Identity},
+    retry::is_repeatable,
+    sync::CatalogView,
+};
+
+use super::heads::{repeatable_mark, NativeHeads};
+
+/// Most targets that one request is sent to.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// What the lists in force at this daemon allow.
+pub struct CatalogPolicy {
+    catalog: CatalogView,
+    hasher: KeyHasher,
+}
+
+impl CatalogPolicy {
+    /// Makes a policy of the lists in `catalog`, whose keys were hashed by `hasher`.
+    pub fn new(catalog: CatalogView, hasher: KeyHasher) -> Self {
+        Self { catalog, hasher }
+    }
+}
+
+impl AccessPolicy for CatalogPolicy {
+    fn authorize(&self, head: &request::Parts, now: BootTime) -> Result<Allowed, ErrorKind> {
+        check_form(head)?;
+        check_path(head.uri.path())?;
+        let key = NativeHeads.key(&head.headers);
+        let key = key.ok_or(ErrorKind::KeyMissing)?;
+        let catalog = self.catalog.get();
+        if !self.catalog.is_ready(now) {
+            return Err(ErrorKind::NotReady);
+        }
+        let hash = self.hasher.hash(key);
+        let workspace = catalog.workspace_of(&hash).ok_or(ErrorKind::KeyUnknown)?;
+        if exposes_key(head, key) {
+            return Err(ErrorKind::KeyExposed);
+        }
+        let plan = catalog.plan_of(workspace).ok_or(ErrorKind::PlanMissing)?;
+        let RouteLookup::Open(route) = catalog.route(&plan.plan, head.uri.path()) else {
+            return Err(ErrorKind::RouteClosed);
+        };
+        let mark = repeatable_mark(&head.headers);
+        Ok(Allowed {
+            identity: Some(Identity {
+                key: Bytes::copy_from_slice(key),
+                hash,
+                workspace: workspace.clone(),
+                plan: plan.clone(),
+            }),
+            service: Rc::from(route.service.as_str()),
+            repeatable: is_repeatable(&head.method, route.repeatable, mark),
+            max_attempts: MAX_ATTEMPTS,
+            timeout: None,
+            rank: 0,
+        })
+    }
+
+    fn confirm(&self, allowed: &Allowed, now: BootTime) -> Result<(), ErrorKind> {
+        if !self.catalog.is_ready(now) {
+            return Err(ErrorKind::NotReady);
+        }
+        let Some(identity) = &allowed.identity else {
+            return Ok(());
+        };
+        let catalog = self.catalog.get();
+        if catalog.workspace_of(&identity.hash) != Some(&identity.workspace) {
+            return Err(ErrorKind::KeyUnknown);
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self, now: BootTime) -> bool {
+        self.catalog.is_ready(now)
+    }
+}
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -10,7 +10,7 @@
 use subtle::ConstantTimeEq;
 
 use crate::{
-    catalog::{Change, Route},
+    catalog::{Change, KeyHasher, Route},
     config::Settings,
     health::BalancerHandle,
     http::{
@@ -18,7 +18,7 @@
         HttpReader, HttpWriter,
     },
     proxy::ProxyContext,
-    sync::{EditAnswer, EditRequest, SyncMessage},
+    sync::{CatalogView, EditAnswer, EditRequest, SyncMessage},
 };
 
 use super::{key_material::new_key, KeyGiven, MemberStatus, Status};
@@ -37,6 +37,10 @@
     pub settings: Rc<Settings>,
     /// What the callers' side shares.
     pub proxy: Rc<ProxyContext>,
+    /// The lists and keys.
+    pub catalog: CatalogView,
+    /// Hashes callers' keys.
+    pub hasher: KeyHasher,
     /// Chooses targets.
     pub balancer: BalancerHandle,
     /// Takes edits.
@@ -147,7 +151,7 @@
 
     fn is_ready(&self) -> bool {
         let now = self.proxy.clock.now();
-        self.proxy.catalog.is_ready(now) && !self.proxy.leaving.has_begun()
+        self.proxy.policy.is_ready(now) && !self.proxy.leaving.has_begun()
     }
 
     fn ready(&self) -> Reply {
@@ -179,7 +183,7 @@
             uptime: self.proxy.clock.now().since(self.proxy.started),
             ready: self.is_ready(),
             leaving: self.proxy.leaving.has_begun(),
-            revision: self.proxy.catalog.get().revision(),
+            revision: self.catalog.get().revision(),
             members: self.members(),
             in_flight: self.proxy.in_flight.count(),
             connections: self.proxy.connections.count(),
@@ -190,7 +194,7 @@
     }
 
     fn members(&self) -> Vec<MemberStatus> {
-        let catalog = self.proxy.catalog.get();
+        let catalog = self.catalog.get();
         let members = catalog.members().iter();
         let entries = members.map(|(member, phase)| MemberStatus {
             host: member.host.clone(),
@@ -200,7 +204,7 @@
     }
 
     fn plans(&self) -> Reply {
-        let catalog = self.proxy.catalog.get();
+        let catalog = self.catalog.get();
         let mut entries: Vec<PlanEntry<'_>> = catalog
             .plans()
             .map(|(workspace, plan)| PlanEntry {
@@ -215,7 +219,7 @@
     }
 
     fn access(&self) -> Reply {
-        let catalog = self.proxy.catalog.get();
+        let catalog = self.catalog.get();
         let mut entries: Vec<AccessEntry<'_>> = catalog
             .access()
             .map(|(plan, routes)| AccessEntry { plan, routes })
@@ -225,7 +229,7 @@
     }
 
     fn keys(&self) -> Reply {
-        let catalog = self.proxy.catalog.get();
+        let catalog = self.catalog.get();
         let mut entries: Vec<KeyEntry<'_>> = catalog
             .keys()
             .map(|(hash, workspace)| KeyEntry {
@@ -249,7 +253,7 @@
         let Some(key) = new_key() else {
             return error(StatusCode::INTERNAL_SERVER_ERROR, "no randomness");
         };
-        let hash = self.proxy.hasher.hash(key.as_bytes());
+        let hash = self.hasher.hash(key.as_bytes());
         let change = Change::GiveKey {
             hash,
             workspace: req.workspace,
--- /dev/null
+++ b/src/platform/configuration.rs
@@ -0,0 +1,179 @@
+//! The operator's configuration as it stands in the store.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::Deserialize;
+use serde_with::{serde_as, DurationSecondsWithFrac};
+
+use crate::{
+    catalog::Plan,
+    routing::{
+        CallerBounds, Configuration, HostRoute, KeyHolder, ServiceSettings, WeightedService,
+    },
+};
+
+/// Rate from which a workspace is limited; at or below it has no limit.
+const NO_LIMIT: f64 = 0.0;
+
+#[derive(Deserialize)]
+struct ConfigurationRow {
+    /// Version as hexadecimal digits.
+    version: String,
+    routes: BTreeMap<String, RouteField>,
+    services: BTreeMap<String, ServiceField>,
+    #[serde(default)]
+    limits: LimitsField,
+    tenants: Option<BTreeMap<String, TenantField>>,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RouteField {
+    host: String,
+    prefix: String,
+    /// `safe` or `unsafe`: whether requests may run more than once.
+    r#type: String,
+    /// Longest time that a caller is kept waiting, not a time limit of a target.
+    #[serde(default)]
+    #[serde_as(as = "Option<DurationSecondsWithFrac<f64>>")]
+    timeout_s: Option<Duration>,
+    #[serde(default)]
+    priority: u32,
+    /// The only service; absent where `backends` stands.
+    backend: Option<String>,
+    backends: Option<Vec<BackendField>>,
+    /// Most targets that one request may be sent to.
+    attempts: Option<u32>,
+    /// Whether requests need no key.
+    #[serde(default)]
+    anonymous: bool,
+}
+
+#[derive(Deserialize)]
+struct BackendField {
+    /// Name of a service.
+    backend: String,
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceField {
+    health_path: String,
+}
+
+#[serde_as]
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct LimitsField {
+    max_header_bytes: Option<usize>,
+    max_body_bytes: Option<u64>,
+    /// Time for a head to arrive whole.
+    #[serde_as(as = "Option<DurationSecondsWithFrac<f64>>")]
+    header_timeout_s: Option<Duration>,
+    #[serde_as(as = "Option<DurationSecondsWithFrac<f64>>")]
+    idle_timeout_s: Option<Duration>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct TenantField {
+    #[serde(default)]
+    api_keys: Vec<String>,
+    priority: Option<u32>,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+/// Decodes the operator's configuration.
+///
+/// # Errors
+///
+/// Returns what is wrong with a configuration that cannot be used.
+pub fn decode_configuration(body: &[u8]) -> Result<Configuration, String> {
+    let row: ConfigurationRow = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let version = u64::from_str_radix(&row.version, 16)
+        .map_err(|_| format!("version {}: expected hexadecimal digits", row.version))?;
+    let routes = row.routes.into_iter().map(|(name, route)| {
+        let known = |service: &str| row.services.contains_key(service);
+        decode_route(route, known).map_err(|e| format!("route {name}: {e}"))
+    });
+    let routes = routes.collect::<Result<Vec<_>, _>>()?;
+    let services = row.services.into_iter().map(|(name, s)| ServiceSettings {
+        name,
+        probe_path: s.health_path,
+    });
+    let services = services.collect();
+    let holders = row.tenants.map(|tenants| {
+        let holders = tenants.into_iter().map(|(name, t)| decode_holder(name, t));
+        holders.collect()
+    });
+    Ok(Configuration {
+        version,
+        routes,
+        services,
+        key_holders: holders,
+        bounds: CallerBounds {
+            head_bytes: row.limits.max_header_bytes,
+            head_timeout: row.limits.header_timeout_s,
+            body_bytes: row.limits.max_body_bytes,
+            idle_timeout: row.limits.idle_timeout_s,
+        },
+    })
+}
+
+fn decode_route(route: RouteField, known: impl Fn(&str) -> bool) -> Result<HostRoute, String> {
+    let services = match (route.backend, route.backends) {
+        (_, Some(parts)) => parts
+            .into_iter()
+            .map(|p| WeightedService {
+                service: p.backend,
+                weight: p.weight,
+            })
+            .collect(),
+        (Some(service), None) => vec![WeightedService {
+            service,
+            weight: 1.0,
+        }],
+        (None, None) => Vec::new(),
+    };
+    let unknown = services.iter().find(|s| !known(&s.service));
+    if let Some(unknown) = unknown {
+        return Err(format!("service {} is not configured", unknown.service));
+    }
+    if services.is_empty() {
+        return Err("expected at least one service".to_owned());
+    }
+    let repeatable = match route.r#type.as_str() {
+        "safe" => true,
+        "unsafe" => false,
+        other => return Err(format!("type {other}: expected safe or unsafe")),
+    };
+    Ok(HostRoute {
+        host: route.host.to_ascii_lowercase(),
+        prefix: route.prefix,
+        services,
+        repeatable,
+        max_attempts: route.attempts.unwrap_or(1).max(1),
+        timeout: route.timeout_s.filter(|t| !t.is_zero()),
+        rank: route.priority,
+        open: route.anonymous,
+    })
+}
+
+fn decode_holder(name: String, tenant: TenantField) -> KeyHolder {
+    let rate_per_s = tenant.rate_per_s.max(NO_LIMIT);
+    KeyHolder {
+        plan: Plan {
+            plan: name.clone(),
+            rate_per_s,
+            burst: tenant.burst.max(0.0) as u32,
+        },
+        workspace: name,
+        keys: tenant.api_keys,
+        rank: tenant.priority,
+    }
+}
--- /dev/null
+++ b/src/platform/head_form.rs
@@ -0,0 +1,117 @@
+//! The form of heads towards callers and targets on the platform.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{header, request, response, HeaderMap, HeaderName, HeaderValue};
+
+use crate::{
+    outcome::{problem_response, ErrorKind},
+    proxy::{
+        credentials, strip_hop_by_hop, valid_value, HeadFormat, ResponseClass, Sender, TargetReport,
+    },
+};
+
+/// Identity of a request, which the caller gives and the target echoes.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// Time that the caller waits from now, ms.
+const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// Identity of the only target that may run the request.
+const TARGET: HeaderName = HeaderName::from_static("x-target-instance");
+/// Workspace of the key.
+const WORKSPACE: HeaderName = HeaderName::from_static("x-tenant");
+/// A target's word that it did not run the request.
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-executed");
+/// Proof of a target that the answer is its own.
+const SIGNATURE: HeaderName = HeaderName::from_static("x-server-signature");
+/// Running requests, waiting requests and slots of a target, separated by commas.
+const LOAD: HeaderName = HeaderName::from_static("x-server-load");
+
+/// The form of heads towards callers and targets on the platform.
+pub struct PlatformHeads;
+
+impl HeadFormat for PlatformHeads {
+    fn key<'a>(&self, headers: &'a HeaderMap) -> Option<&'a [u8]> {
+        credentials(headers, "token")
+    }
+
+    fn time_allowed(&self, headers: &HeaderMap) -> Option<Duration> {
+        let value = headers.get(DEADLINE_MS)?.to_str().ok()?;
+        let ms: f64 = value.trim().parse().ok()?;
+        Duration::try_from_secs_f64(ms / 1000.0).ok()
+    }
+
+    fn request_id<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str> {
+        headers.get(REQUEST_ID)?.to_str().ok()
+    }
+
+    fn prepare_for_target(&self, head: &mut request::Parts, sender: &Sender<'_>) {
+        strip_hop_by_hop(&mut head.headers);
+        for name in [header::AUTHORIZATION, header::EXPECT, TARGET, WORKSPACE] {
+            head.headers.remove(name);
+        }
+        if let Some(workspace) = sender.workspace {
+            head.headers.insert(WORKSPACE, valid_value(workspace));
+        }
+    }
+
+    fn address(&self, headers: &mut HeaderMap, target: &str, left: Duration) {
+        headers.insert(TARGET, valid_value(target));
+        headers.insert(DEADLINE_MS, HeaderValue::from(left.as_millis() as u64));
+    }
+
+    fn classify(&self, head: &response::Parts, request_id: &str) -> ResponseClass {
+        if head.status == http::StatusCode::MISDIRECTED_REQUEST {
+            return ResponseClass::WrongTarget;
+        }
+        if head.headers.contains_key(NOT_RUN) {
+            return ResponseClass::NotRun;
+        }
+        let echo = head.headers.get(REQUEST_ID);
+        let is_own = echo.is_some_and(|v| v.as_bytes() == request_id.as_bytes());
+        let encoded = head.headers.contains_key(header::CONTENT_ENCODING);
+        if !is_own || encoded || !head.headers.contains_key(SIGNATURE) {
+            return ResponseClass::Invalid;
+        }
+        ResponseClass::Answer
+    }
+
+    fn report(&self, headers: &HeaderMap) -> TargetReport {
+        let load = headers.get(LOAD).and_then(|v| v.to_str().ok());
+        TargetReport {
+            state: None,
+            load: load.and_then(share_of_slots),
+        }
+    }
+
+    fn prepare_for_caller(&self, head: &mut response::Parts, _: &str) {
+        strip_hop_by_hop(&mut head.headers);
+        head.headers.remove(LOAD);
+    }
+
+    fn refusal(
+        &self,
+        kind: ErrorKind,
+        request_id: &str,
+        retry_after: Option<Duration>,
+    ) -> (response::Parts, Bytes) {
+        let (mut head, body) = problem_response(kind, request_id, retry_after);
+        head.headers.insert(REQUEST_ID, valid_value(request_id));
+        if let Some(wait) = retry_after {
+            let text = format!("{:.3}", wait.as_secs_f64());
+            let value = valid_value(&text);
+            head.headers.insert(header::RETRY_AFTER, value);
+        }
+        (head, body)
+    }
+}
+
+/// Returns the requests that a target has as a share of its slots.
+fn share_of_slots(text: &str) -> Option<f64> {
+    let mut numbers = text.split(',').map(|n| n.trim().parse::<f64>());
+    let running = numbers.next()?.ok()?;
+    let waiting = numbers.next()?.ok()?;
+    let slots = numbers.next()?.ok()?;
+    let share = (running + waiting) / slots;
+    (share.is_finite() && share >= 0.0).then_some(share)
+}
--- /dev/null
+++ b/src/platform/row_client.rs
@@ -0,0 +1,224 @@
+//! The client of the platform's store.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use serde_with::{base64::Base64, serde_as, DurationSecondsWithFrac};
+
+use crate::{
+    http::{call, CallRequest},
+    metrics::{Counter, Metrics},
+    store::{BoxFuture, FeedRead, RowPut, RowStore, RowsRead, StoreError, StoredRow, Written},
+};
+
+/// Longest time for one call, besides the time that it asks the store to wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Most bytes of one answer: 1 MB of rows in base64 and JSON.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+/// Part of all tables in which the rows stand.
+const PART: &str = "";
+
+/// The client of the platform's store.
+pub struct RowClient {
+    address: SocketAddr,
+    metrics: Rc<Metrics>,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+struct RowField {
+    key: String,
+    #[serde_as(as = "Option<Base64>")]
+    #[serde(default)]
+    value: Option<Vec<u8>>,
+    #[serde(default)]
+    ver: u64,
+    #[serde(default)]
+    removed: bool,
+}
+
+#[serde_as]
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RowsAnswer {
+    rows: Vec<RowField>,
+    ver: u64,
+    /// The store's steady clock, not the time of day.
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
+    now_s: Duration,
+    #[serde(default)]
+    truncated: bool,
+}
+
+#[derive(Deserialize)]
+struct WriteAnswer {
+    ver: u64,
+}
+
+#[derive(Serialize)]
+struct RowName<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+    ver: u64,
+}
+
+#[serde_as]
+#[derive(Serialize)]
+struct RowValue<'a> {
+    table: &'a str,
+    part: &'a str,
+    key: &'a str,
+    #[serde_as(as = "Base64")]
+    value: &'a [u8],
+}
+
+#[derive(Serialize)]
+struct WriteCall<'a> {
+    expect: Vec<RowName<'a>>,
+    puts: Vec<RowValue<'a>>,
+    deletes: [RowName<'a>; 0],
+}
+
+impl RowClient {
+    /// Makes a client of the store at `address`.
+    pub fn new(address: SocketAddr, metrics: Rc<Metrics>) -> Self {
+        Self { address, metrics }
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let json = [("content-type", "application/json")];
+        let headers: &[(&str, &str)] = if body.is_empty() { &[] } else { &json };
+        let req = CallRequest {
+            method,
+            path,
+            headers,
+            body,
+            timeout,
+            max_response_bytes: MAX_ANSWER_BYTES,
+        };
+        self.metrics.count(Counter::StoreCalls);
+        match call(self.address, &req).await {
+            Ok(res) => {
+                self.metrics.add(Counter::PlatformBytes, res.transferred);
+                Ok((res.status, res.body))
+            }
+            Err(e) => {
+                log::debug!("store: {} {path}: {e}", req.method);
+                Err(StoreError::NoAnswer)
+            }
+        }
+    }
+
+    async fn read_rows(&self, path: &str, wait: Duration) -> Result<FeedRead, StoreError> {
+        let limit = wait + CALL_TIMEOUT;
+        let (status, body) = self.send(Method::GET, path, Bytes::new(), limit).await?;
+        match status {
+            StatusCode::OK => Ok(FeedRead::Changed(decode::<RowsAnswer>(&body)?.into())),
+            StatusCode::GONE => Ok(FeedRead::HistoryGone),
+            _ => Err(StoreError::Refused),
+        }
+    }
+}
+
+impl From<RowsAnswer> for RowsRead {
+    fn from(answer: RowsAnswer) -> Self {
+        let rows = answer.rows.into_iter().map(|row| StoredRow {
+            key: row.key,
+            value: row.value.filter(|_| !row.removed).map(Bytes::from),
+            version: row.ver,
+        });
+        Self {
+            rows: rows.collect(),
+            version: answer.ver,
+            store_time: answer.now_s,
+            truncated: answer.truncated,
+        }
+    }
+}
+
+impl RowStore for RowClient {
+    fn read<'a>(
+        &'a self,
+        table: &'a str,
+        from: &'a str,
+    ) -> BoxFuture<'a, Result<RowsRead, StoreError>> {
+        Box::pin(async move {
+            let path = format!("/rows-get?table={table}&part={PART}&from={from}");
+            match self.read_rows(&path, Duration::ZERO).await? {
+                FeedRead::Changed(rows) => Ok(rows),
+                FeedRead::HistoryGone => Err(StoreError::BadAnswer),
+            }
+        })
+    }
+
+    fn follow<'a>(
+        &'a self,
+        table: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<FeedRead, StoreError>> {
+        Box::pin(async move {
+            let wait_ms = wait.as_millis();
+            let path = format!("/rows-feed?table={table}&after={after}&waitMs={wait_ms}");
+            self.read_rows(&path, wait).await
+        })
+    }
+
+    fn write<'a>(&'a self, puts: &'a [RowPut]) -> BoxFuture<'a, Result<Written, StoreError>> {
+        Box::pin(async move {
+            let expect = puts.iter().filter_map(|put| {
+                let ver = put.expected?;
+                Some(row_name(put, ver))
+            });
+            let call = WriteCall {
+                expect: expect.collect(),
+                puts: puts.iter().map(row_value).collect(),
+                deletes: [],
+            };
+            let body = serde_json::to_vec(&call).map_err(|_| StoreError::Refused)?;
+            let (method, body) = (Method::POST, Bytes::from(body));
+            let (status, body) = self.send(method, "/rows-tx", body, CALL_TIMEOUT).await?;
+            match status {
+                StatusCode::OK => Ok(Written::Yes {
+                    version: decode::<WriteAnswer>(&body)?.ver,
+                }),
+                StatusCode::PRECONDITION_FAILED => Ok(Written::Conflict),
+                _ => Err(StoreError::Refused),
+            }
+        })
+    }
+}
+
+fn row_name<'a>(put: &'a RowPut, ver: u64) -> RowName<'a> {
+    RowName {
+        table: put.table,
+        part: PART,
+        key: &put.key,
+        ver,
+    }
+}
+
+fn row_value(put: &RowPut) -> RowValue<'_> {
+    RowValue {
+        table: put.table,
+        part: PART,
+        key: &put.key,
+        value: &put.value,
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|e| {
+        log::warn!("store: unreadable answer: {e}");
+        StoreError::BadAnswer
+    })
+}
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -17,13 +17,13 @@
         HttpWriter,
     },
     metrics::Counter,
-    outcome::{problem_response, ErrorKind},
+    outcome::ErrorKind,
 };
 
 use super::{
     access_log::log_refusal,
     admit::Refusal,
-    headers::{add_first_run, add_outcome},
+    idempotency::add_first_run,
     serve::{ServedRequest, Serving},
     ProxyContext,
 };
@@ -122,7 +122,7 @@
         }
         let shutdown = self.cx.shutdown.clone();
         let grace = self.cx.limits.idle_grace;
-        let next = timeout(self.cx.limits.idle_timeout, self.reader.wait_for_message());
+        let next = timeout(self.cx.caller_limits().idle, self.reader.wait_for_message());
         let expired = async {
             shutdown.wait().await;
             sleep(grace).await;
@@ -135,13 +135,16 @@
     }
 
     async fn serve_request(&mut self) -> After {
-        let id = self.cx.next_request_id();
-        let limits = self.cx.head_limits();
+        let mut id = self.cx.next_request_id();
+        let limits = self.cx.caller_limits().head;
         let head = match self.reader.read_request_head(&limits).await {
             Ok(head) => head,
             Err(e) => return self.refuse_head(&e, &id).await,
         };
         self.cx.metrics.count(Counter::Requests);
+        if let Some(named) = self.cx.heads.request_id(&head.headers) {
+            id = named.to_owned();
+        }
         let Ok(kind) = request_body_kind(&head) else {
             return self.refuse_unread(ErrorKind::BadRequest, &id).await;
         };
@@ -184,7 +187,8 @@
 
     /// Tells the caller why its request got no target's answer.
     pub(super) async fn tell(&mut self, refusal: Refusal, form: &RefusalForm<'_>) -> After {
-        let (head, body) = problem_response(refusal.kind, form.request_id, refusal.retry_after);
+        let heads = &self.cx.heads;
+        let (head, body) = heads.refusal(refusal.kind, form.request_id, refusal.retry_after);
         self.send_problem(refusal.kind, head, &body, form).await
     }
 
@@ -195,7 +199,7 @@
         first: &FirstRun,
         form: &RefusalForm<'_>,
     ) -> After {
-        let (mut head, body) = problem_response(kind, form.request_id, None);
+        let (mut head, body) = self.cx.heads.refusal(kind, form.request_id, None);
         add_first_run(&mut head, first);
         self.send_problem(kind, head, &body, form).await
     }
@@ -209,7 +213,6 @@
     ) -> After {
         self.cx.metrics.count_refusal(kind);
         log_refusal(form.request_id, kind);
-        add_outcome(&mut head, kind.answer().outcome, form.request_id);
         if !form.keep_alive {
             let close = HeaderValue::from_static("close");
             head.headers.insert(header::CONNECTION, close);
--- a/src/proxy/claimed.rs
+++ b/src/proxy/claimed.rs
@@ -7,14 +7,14 @@
 use monoio::time::timeout;
 
 use crate::{
-    claim::{Claim, ClaimKey, ClaimRefusal, RequestDigest, MAX_KEY_BYTES},
+    claim::{Claim, ClaimKey, ClaimRefusal, ClaimStore, RequestDigest, MAX_KEY_BYTES},
     http::HttpReader,
     outcome::ErrorKind,
 };
 
 use super::{
     dispatch::{Dispatch, DispatchError, TargetAnswer},
-    headers::IDEMPOTENCY_KEY,
+    idempotency::IDEMPOTENCY_KEY,
     request_body::RequestBody,
 };
 
@@ -35,16 +35,17 @@
         caller: &mut HttpReader,
     ) -> Result<TargetAnswer, DispatchError> {
         self.check_poison(head, body)?;
-        let claim = match self.claim_key(head)? {
-            Some(key) => Some(self.claim(key, digest_of(head, body)).await?),
-            None => None,
+        let claim = match (&self.cx.claims, self.claim_key(head)?) {
+            (Some(store), Some(key)) => Some(self.claim(store, key, digest_of(head, body)).await?),
+            _ => None,
         };
         let end = self.run(head, body, caller).await;
         if end.result.is_ok() {
             self.clear_suspicion(head, body);
         }
-        if let Some(claim) = claim {
-            self.end_claim(claim, &end.result, end.may_have_run).await;
+        if let (Some(store), Some(claim)) = (&self.cx.claims, claim) {
+            self.end_claim(store, claim, &end.result, end.may_have_run)
+                .await;
         }
         end.result
     }
@@ -61,12 +62,17 @@
         if values.next().is_some() || key.is_empty() || key.len() > MAX_KEY_BYTES {
             return Err(DispatchError::Failed(ErrorKind::BadRequest));
         }
-        Ok(Some(ClaimKey::new(self.workspace(), self.service(), key)))
+        Ok(Some(ClaimKey::new(&self.workspace(), self.service(), key)))
     }
 
     /// Claims the run; a claim that is given too late for the deadline is released again.
-    async fn claim(&self, key: ClaimKey, digest: RequestDigest) -> Result<Claim, DispatchError> {
-        let store = self.cx.claims.clone();
+    async fn claim(
+        &self,
+        store: &ClaimStore,
+        key: ClaimKey,
+        digest: RequestDigest,
+    ) -> Result<Claim, DispatchError> {
+        let store = store.clone();
         let request_id = self.request_id.to_owned();
         let (tx, rx) = oneshot::channel();
         monoio::spawn(async move {
@@ -89,11 +95,12 @@
     /// finds the claim released. A claim whose request may have run without an answer stays.
     async fn end_claim(
         &self,
+        store: &ClaimStore,
         claim: Claim,
         result: &Result<TargetAnswer, DispatchError>,
         may_have_run: bool,
     ) {
-        let store = self.cx.claims.clone();
+        let store = store.clone();
         let in_flight = self.cx.in_flight.enter();
         if let Ok(answer) = result {
             let status = answer.head.status.as_u16();
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -3,7 +3,6 @@
 use std::{cell::RefCell, rc::Rc};
 
 use crate::{
-    catalog::KeyHasher,
     claim::ClaimStore,
     clock::{BootTime, Clock},
     config::LimitSettings,
@@ -14,10 +13,14 @@
     metrics::Metrics,
     poison::PoisonWatch,
     pool::PoolHandle,
-    sync::CatalogView,
 };
 
-use super::{request_id::RequestIds, service_states::ServiceStates};
+use super::{
+    access_policy::{AccessPolicy, CallerLimits},
+    head_format::HeadFormat,
+    request_id::RequestIds,
+    service_states::ServiceStates,
+};
 
 /// Most connections that are open only to be told that there is no room.
 const MAX_REFUSED_CONNECTIONS: usize = 256;
@@ -26,18 +29,18 @@
 pub struct ProxyContext {
     /// Bounds of this daemon.
     pub limits: LimitSettings,
-    /// The lists and keys.
-    pub catalog: CatalogView,
-    /// Hashes callers' keys.
-    pub hasher: KeyHasher,
+    /// Decides what the lists allow.
+    pub policy: Rc<dyn AccessPolicy>,
+    /// Reads and writes the heads of callers and targets.
+    pub heads: Rc<dyn HeadFormat>,
     /// Counts rates.
     pub limiter: Box<dyn Limiter>,
     /// Chooses targets.
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
-    /// Claims of requests that must not run twice.
-    pub claims: ClaimStore,
+    /// Claims of requests that must not run twice; none where callers send no request twice.
+    pub claims: Option<ClaimStore>,
     /// Watches for requests that crash targets.
     pub poison: PoisonWatch,
     /// The counters.
@@ -68,24 +71,26 @@
 pub struct ProxyParts {
     /// Bounds of this daemon.
     pub limits: LimitSettings,
-    /// The lists and keys.
-    pub catalog: CatalogView,
-    /// Hashes callers' keys.
-    pub hasher: KeyHasher,
+    /// Decides what the lists allow.
+    pub policy: Rc<dyn AccessPolicy>,
+    /// Reads and writes the heads of callers and targets.
+    pub heads: Rc<dyn HeadFormat>,
     /// Counts rates.
     pub limiter: Box<dyn Limiter>,
     /// Chooses targets.
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
     pub pool: PoolHandle,
-    /// Claims of requests that must not run twice.
-    pub claims: ClaimStore,
+    /// Claims of requests that must not run twice; none where callers send no request twice.
+    pub claims: Option<ClaimStore>,
     /// Watches for requests that crash targets.
     pub poison: PoisonWatch,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
     pub clock: Rc<dyn Clock>,
+    /// The signal that the balancer is to send no new callers.
+    pub leaving: Shutdown,
     /// The signal of a shutdown.
     pub shutdown: Shutdown,
 }
@@ -99,8 +104,8 @@
             refused_connections: InFlight::new(MAX_REFUSED_CONNECTIONS),
             buffered: InFlight::new(parts.limits.buffered_bytes),
             limits: parts.limits,
-            catalog: parts.catalog,
-            hasher: parts.hasher,
+            policy: parts.policy,
+            heads: parts.heads,
             limiter: parts.limiter,
             balancer: parts.balancer,
             pool: parts.pool,
@@ -110,7 +115,7 @@
             pauses: PauseWatch::new(parts.clock.clone()),
             started: parts.clock.now(),
             clock: parts.clock,
-            leaving: Shutdown::default(),
+            leaving: parts.leaving,
             shutdown: parts.shutdown,
             services: ServiceStates::default(),
             request_ids: RefCell::new(RequestIds::default()),
@@ -122,11 +127,15 @@
         self.request_ids.borrow_mut().next()
     }
 
-    /// Returns the bounds of message heads.
-    pub fn head_limits(&self) -> HeadLimits {
-        HeadLimits {
-            max_bytes: self.limits.head_bytes,
-            timeout: self.limits.head_timeout,
-        }
+    /// Returns the bounds on what callers may send.
+    pub fn caller_limits(&self) -> CallerLimits {
+        self.policy.caller_limits(CallerLimits {
+            head: HeadLimits {
+                max_bytes: self.limits.head_bytes,
+                timeout: self.limits.head_timeout,
+            },
+            body_bytes: u64::MAX,
+            idle: self.limits.idle_timeout,
+        })
     }
 }
--- a/src/proxy/crash.rs
+++ b/src/proxy/crash.rs
@@ -11,7 +11,7 @@
 
 use super::{
     dispatch::{Dispatch, DispatchError},
-    headers::IDEMPOTENCY_KEY,
+    idempotency::IDEMPOTENCY_KEY,
     request_body::RequestBody,
     ProxyContext,
 };
@@ -45,7 +45,7 @@
         let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
         let key = head.headers.get(IDEMPOTENCY_KEY).map(|v| v.as_bytes());
         let content = body.whole().or(key).unwrap_or_default();
-        Fingerprint::new(self.workspace(), head.method.as_str(), path, content)
+        Fingerprint::new(&self.workspace(), head.method.as_str(), path, content)
     }
 
     /// Refuses a request that crashes targets.
--- a/src/proxy/deadline.rs
+++ b/src/proxy/deadline.rs
@@ -2,12 +2,8 @@
 
 use std::time::Duration;
 
-use http::HeaderMap;
-
 use crate::clock::BootTime;
 
-use super::headers::DEADLINE_MS;
-
 /// The time by which a request must have an answer.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Deadline {
@@ -15,15 +11,11 @@
 }
 
 impl Deadline {
-    /// Returns the deadline that the caller names, but at most `max` from now.
-    pub(super) fn of_request(headers: &HeaderMap, max: Duration, now: BootTime) -> Self {
-        let named = headers
-            .get(DEADLINE_MS)
-            .and_then(|v| v.to_str().ok())
-            .and_then(|v| v.parse().ok())
-            .map(Duration::from_millis);
+    /// Returns the deadline after the shortest of `times`, which start now.
+    pub(super) fn earliest(times: &[Option<Duration>], now: BootTime) -> Self {
+        let shortest = times.iter().flatten().min();
         Self {
-            at: now + named.unwrap_or(max).min(max),
+            at: now + shortest.copied().unwrap_or_default(),
         }
     }
 
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use http::{request, response, HeaderValue};
+use http::{request, response};
 
 use crate::{
     claim::FirstRun,
@@ -17,18 +17,10 @@
 };
 
 use super::{
-    attempt::Attempt,
-    crash::target_died,
-    deadline::Deadline,
-    headers::{is_shed, target_load, target_state, DEADLINE_MS},
-    request_body::RequestBody,
-    standing::Standing,
-    ProxyContext,
+    attempt::Attempt, crash::target_died, deadline::Deadline, head_format::ResponseClass,
+    request_body::RequestBody, standing::Standing, ProxyContext,
 };
 
-/// Most attempts for one request.
-const MAX_ATTEMPTS: u32 = 3;
-
 /// A request that may be sent to targets.
 pub(super) struct Dispatch<'a> {
     /// What all connections share.
@@ -79,8 +71,8 @@
     }
 
     /// Returns the workspace of the caller.
-    pub(super) fn workspace(&self) -> &Rc<str> {
-        &self.standing.allowed.workspace
+    pub(super) fn workspace(&self) -> Rc<str> {
+        self.standing.allowed.workspace()
     }
 
     /// Sends the request to targets until one answers.
@@ -93,7 +85,7 @@
         let facts = RequestFacts {
             repeatable: self.repeatable,
             replayable: body.is_replayable(),
-            max_attempts: MAX_ATTEMPTS,
+            max_attempts: self.standing.allowed.max_attempts,
         };
         let mut run = Run {
             dispatch: self,
@@ -179,10 +171,11 @@
     }
 
     fn order(&self) -> PickOrder {
+        let identity = self.dispatch.standing.allowed.identity.as_ref();
         PickOrder {
             service: self.dispatch.service().clone(),
-            workspace: self.dispatch.workspace().clone(),
-            rate_per_s: self.dispatch.standing.allowed.plan.rate_per_s,
+            workspace: self.dispatch.workspace(),
+            rate_per_s: identity.map_or(0.0, |i| i.plan.rate_per_s),
             repeatable: self.dispatch.repeatable,
             deadline: self.dispatch.deadline.at(),
             avoid: self.tried.clone(),
@@ -220,8 +213,10 @@
         }
         let next = self.step(Event::Written);
         let left = self.dispatch.deadline.left(self.cx.clock.now());
-        let value = HeaderValue::from(left.as_millis() as u64);
-        self.head.headers.insert(DEADLINE_MS, value);
+        if let Some(exchange) = &self.exchange {
+            let (headers, target) = (&mut self.head.headers, &exchange.picked.name);
+            self.cx.heads.address(headers, target, left);
+        }
         self.cx.metrics.count(Counter::Attempts);
         let Some(attempt) = self.attempt() else {
             return self.step(Event::CallerGone);
@@ -292,12 +287,19 @@
         let Some(exchange) = &self.exchange else {
             return self.step(Event::CallerGone);
         };
-        if let Some(state) = target_state(&head.headers) {
-            exchange.picked.report_state(state, target_load(&head));
-        }
-        if is_shed(&head) {
-            self.observe(WorkResult::Shed);
-            return self.step(Event::Failed(Failure::Shed));
+        let heads = &self.cx.heads;
+        exchange.picked.report(heads.report(&head.headers));
+        match heads.classify(&head, self.dispatch.request_id) {
+            ResponseClass::Answer => {}
+            ResponseClass::NotRun => {
+                self.observe(WorkResult::Shed);
+                return self.step(Event::Failed(Failure::Shed));
+            }
+            ResponseClass::WrongTarget => return self.step(Event::Failed(Failure::Shed)),
+            ResponseClass::Invalid => {
+                self.observe(WorkResult::Lost);
+                return self.step(Event::Failed(Failure::Malformed));
+            }
         }
         let now = self.cx.clock.now();
         let latency = now.since(exchange.started);
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -8,15 +8,10 @@
     config::LimitSettings,
     http::{encode_response_head, response_body_kind, BodyDecoder, BodyKind, Framing, HttpWriter},
     metrics::Counter,
-    outcome::Outcome,
     pool::TargetConnection,
 };
 
-use super::{
-    dispatch::TargetAnswer,
-    headers::{add_outcome, prepare_for_caller},
-    ProxyContext,
-};
+use super::{dispatch::TargetAnswer, ProxyContext};
 
 /// What the caller's request asks of its answer.
 pub(super) struct AnswerForm<'a> {
@@ -63,8 +58,7 @@
     let reusable = form.target_reusable && kind != BodyKind::UntilClose && allows_reuse(&head);
     let framing = caller_framing(kind, form, &head);
     let keep_alive = form.keep_alive && !(framing == Framing::None && kind != BodyKind::Empty);
-    prepare_for_caller(&mut head);
-    add_outcome(&mut head, Outcome::Answer, form.request_id);
+    cx.heads.prepare_for_caller(&mut head, form.request_id);
     if !keep_alive {
         head.headers
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -3,17 +3,16 @@
 use bytes::Bytes;
 use http::{header, request, Version};
 
-use crate::{
-    http::BodyKind, limit::Grant, metrics::Counter, outcome::ErrorKind, retry::is_repeatable,
-};
+use crate::{http::BodyKind, limit::Grant, metrics::Counter, outcome::ErrorKind};
 
 use super::{
     access_log::{log_answer, log_caller_gone, AnswerLine},
-    admit::{admit, authorize, Allowed, Refusal},
+    access_policy::Allowed,
+    admit::{admit, Refusal},
     caller::{After, CallerConnection, RefusalForm},
     deadline::Deadline,
     dispatch::{Dispatch, DispatchError},
-    headers::{prepare_for_target, repeatable_mark},
+    head_format::Sender,
     relay::{relay_answer, AnswerForm, Relayed},
     request_body::{BodyReceiver, ReceivedBody},
     standing::Standing,
@@ -48,7 +47,7 @@
         let cx = self.conn.cx.clone();
         let receiver = BodyReceiver {
             kind: req.kind,
-            key: &allowed.key,
+            key: allowed.key(),
             limits: &cx.limits,
             buffered: &cx.buffered,
         };
@@ -63,8 +62,9 @@
     }
 
     async fn check(&self, head: &request::Parts) -> Result<(Allowed, Grant), Refusal> {
-        let allowed = authorize(&self.conn.cx, head)?;
-        let grant = admit(&self.conn.cx, &allowed).await?;
+        let cx = &self.conn.cx;
+        let allowed = cx.policy.authorize(head, cx.clock.now())?;
+        let grant = admit(cx, &allowed).await?;
         Ok((allowed, grant))
     }
 
@@ -100,16 +100,22 @@
         let cx = self.conn.cx.clone();
         let started = cx.clock.now();
         let mut body = received.body;
-        let mark = repeatable_mark(&head.headers);
         let standing = Standing::new(&cx, allowed);
+        let named = cx.heads.time_allowed(&head.headers);
+        let times = [named, allowed.timeout, Some(cx.limits.deadline)];
+        let workspace = allowed.workspace();
         let dispatch = Dispatch {
             cx: &cx,
             standing: &standing,
             request_id: req.id,
-            repeatable: is_repeatable(&head.method, allowed.repeatable, mark),
-            deadline: Deadline::of_request(&head.headers, cx.limits.deadline, started),
+            repeatable: allowed.repeatable,
+            deadline: Deadline::earliest(&times, started),
+        };
+        let sender = Sender {
+            workspace: allowed.identity.as_ref().map(|i| &*i.workspace),
+            request_id: req.id,
         };
-        prepare_for_target(&mut head, &allowed.workspace, req.id);
+        cx.heads.prepare_for_target(&mut head, &sender);
         let outcome = dispatch
             .serve(&mut head, &mut body, &mut self.conn.reader)
             .await;
@@ -144,7 +150,7 @@
         let relayed = relay_answer(&cx, answer, &form, &mut self.conn.writer).await;
         log_answer(&AnswerLine {
             request_id: req.id,
-            workspace: &allowed.workspace,
+            workspace: &workspace,
             service: &allowed.service,
             method: &head.method,
             status,
--- a/src/proxy/standing.rs
+++ b/src/proxy/standing.rs
@@ -4,10 +4,7 @@
 
 use crate::outcome::ErrorKind;
 
-use super::{
-    admit::{admit, Allowed},
-    ProxyContext,
-};
+use super::{access_policy::Allowed, admit::admit, ProxyContext};
 
 /// An admitted request, which may be sent for as long as its key works and the daemon was not
 /// paused behind its admission.
@@ -42,14 +39,6 @@
     }
 
     fn check_key(&self, cx: &ProxyContext) -> Result<(), ErrorKind> {
-        if !cx.catalog.is_ready(cx.clock.now()) {
-            return Err(ErrorKind::NotReady);
-        }
-        let catalog = cx.catalog.get();
-        let workspace = catalog.workspace_of(&self.allowed.key_hash);
-        if workspace != Some(&self.allowed.workspace) {
-            return Err(ErrorKind::KeyUnknown);
-        }
-        Ok(())
+        cx.policy.confirm(self.allowed, cx.clock.now())
     }
 }
--- /dev/null
+++ b/src/quota/lease_task.rs
@@ -0,0 +1,214 @@
+//! The task that takes and renews the lease of the own data centre's slice.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use monoio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    clock::Clock,
+    follow::MEMBERS_TABLE,
+    membership::Incarnation,
+    peer::PeerDirectory,
+    store::{RowPut, RowStore, StoredRow, Written},
+};
+
+use super::{
+    slice_row::SLICES_TABLE, LocalSlice, OwnerRow, SliceHolder, SliceOwners, RENEW_INTERVAL,
+};
+
+/// Time behind the start of a daemon in which all others of a fresh fleet register.
+const SETTLE_TIME: Duration = Duration::from_millis(1500);
+/// Time between two readings of the lease by those who stand by.
+const WATCH_INTERVAL: Duration = Duration::from_secs(3);
+/// Pause behind a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Daemons of a data centre that stand by to take over its slice.
+const STANDBYS: usize = 2;
+
+/// What the task needs.
+pub struct LeaseParts {
+    /// The store.
+    pub store: Rc<dyn RowStore>,
+    /// The slice.
+    pub slice: LocalSlice,
+    /// The holders of all slices.
+    pub owners: SliceOwners,
+    /// The daemons of the fleet.
+    pub directory: PeerDirectory,
+    /// Data centre of this host.
+    pub data_centre: String,
+    /// This run of the daemon.
+    pub incarnation: Incarnation,
+    /// Source of time.
+    pub clock: Rc<dyn Clock>,
+}
+
+/// Takes and renews the lease of the own data centre's slice.
+pub struct LeaseTask {
+    parts: LeaseParts,
+}
+
+impl LeaseTask {
+    /// Makes the task of its parts.
+    pub fn new(parts: LeaseParts) -> Self {
+        Self { parts }
+    }
+
+    /// Runs until the daemon ends.
+    pub async fn run(self) {
+        sleep(SETTLE_TIME).await;
+        loop {
+            let pause = self.step().await;
+            sleep(pause).await;
+        }
+    }
+
+    /// Takes, renews or watches the lease once, and returns the time until the next step.
+    async fn step(&self) -> Duration {
+        let now = self.parts.clock.now();
+        let holder = self.parts.slice.with_lease(now, |l| l.is_holder());
+        if !holder && !self.stands_by() {
+            return WATCH_INTERVAL;
+        }
+        if !holder && !self.read().await {
+            return RETRY_PAUSE;
+        }
+        let now = self.parts.clock.now();
+        match self.parts.slice.with_lease(now, |l| l.writable(now)) {
+            Some(expected) => self.write(expected).await,
+            None => WATCH_INTERVAL,
+        }
+    }
+
+    /// Tells whether this daemon is among the first that may take the slice over.
+    fn stands_by(&self) -> bool {
+        let parts = &self.parts;
+        let own = parts.directory.own_host();
+        let holder = parts.owners.holder(&parts.data_centre);
+        if holder.as_deref() == Some(own) {
+            return true;
+        }
+        let score = |host: &str| xxh3_64_with_seed(host.as_bytes(), 0);
+        let peers = parts.directory.peers();
+        let others = peers.iter().filter(|p| {
+            *p.data_centre == *parts.data_centre
+                && Some(&*p.host) != holder.as_deref()
+                && !p.leaving
+        });
+        let before = others.filter(|p| score(&p.host) < score(own)).count();
+        before < STANDBYS
+    }
+
+    /// Reads the lease; tells whether it was read.
+    async fn read(&self) -> bool {
+        let parts = &self.parts;
+        let Ok(read) = parts.store.read(SLICES_TABLE, &parts.data_centre).await else {
+            return false;
+        };
+        let now = parts.clock.now();
+        let row = read.rows.iter().find(|r| r.key == parts.data_centre);
+        let version = row.map_or(0, |r| r.version);
+        let own_host = row.is_some_and(|r| self.is_own_host(r));
+        parts
+            .slice
+            .with_lease(now, |l| l.saw(version, own_host, now));
+        true
+    }
+
+    /// Tells whether an earlier run of this host's daemon wrote the row; it has ended, since this
+    /// one serves at its address.
+    fn is_own_host(&self, row: &StoredRow) -> bool {
+        let value = row.value.as_ref();
+        let holder = value.and_then(|v| serde_json::from_slice::<SliceHolder>(v).ok());
+        holder.is_some_and(|h| h.host == self.parts.directory.own_host())
+    }
+
+    async fn write(&self, expected: u64) -> Duration {
+        let parts = &self.parts;
+        let sent = parts.clock.now();
+        let written = parts.store.write(&self.puts(expected)).await;
+        let now = parts.clock.now();
+        let centre = parts.data_centre.as_str();
+        match written {
+            Ok(Written::Yes { version }) => {
+                let was_held = parts.slice.is_held(now);
+                parts.slice.with_lease(now, |l| l.written(version, sent));
+                if !was_held {
+                    log::info!(data_centre = centre, row = version; "slice taken");
+                }
+                parts.owners.set(centre, parts.directory.own_host());
+                RENEW_INTERVAL
+            }
+            Ok(Written::Conflict) => {
+                log::info!(data_centre = centre, expected = expected; "slice not taken");
+                parts.slice.with_lease(now, |l| l.lost());
+                WATCH_INTERVAL
+            }
+            Err(e) => {
+                let reason = e.to_string();
+                let held = parts.slice.is_held(now);
+                log::warn!(data_centre = centre, held = held, reason = reason.as_str();
+                    "slice not renewed");
+                self.read_back().await;
+                RETRY_PAUSE
+            }
+        }
+    }
+
+    /// Finds out whether a write without an answer took effect.
+    async fn read_back(&self) {
+        let parts = &self.parts;
+        let Ok(read) = parts.store.read(SLICES_TABLE, &parts.data_centre).await else {
+            return;
+        };
+        let now = parts.clock.now();
+        let row = read.rows.into_iter().find(|r| r.key == parts.data_centre);
+        let own = row.as_ref().is_some_and(|r| self.is_own_run(r));
+        parts.slice.with_lease(now, |l| match row {
+            // The write took effect; the term still counts from the last one that was answered.
+            Some(row) if own => l.follow_own(row.version),
+            Some(row) => l.saw(row.version, self.is_own_host(&row), now),
+            None => l.saw(0, false, now),
+        });
+    }
+
+    fn is_own_run(&self, row: &StoredRow) -> bool {
+        let value = row.value.as_ref();
+        let holder = value.and_then(|v| serde_json::from_slice::<SliceHolder>(v).ok());
+        holder.is_some_and(|h| h.incarnation == self.parts.incarnation)
+    }
+
+    /// Returns the writes that take or renew the lease; a new holder is named to all daemons.
+    fn puts(&self, expected: u64) -> Vec<RowPut> {
+        let parts = &self.parts;
+        let host = parts.directory.own_host();
+        let holder = SliceHolder {
+            host: host.to_owned(),
+            incarnation: parts.incarnation,
+        };
+        let mut puts = vec![RowPut {
+            table: SLICES_TABLE,
+            key: parts.data_centre.clone(),
+            expected: Some(expected),
+            value: json(&holder),
+        }];
+        if parts.owners.holder(&parts.data_centre).as_deref() != Some(host) {
+            let owner = OwnerRow {
+                host: host.to_owned(),
+            };
+            puts.push(RowPut {
+                table: MEMBERS_TABLE,
+                key: OwnerRow::key(&parts.data_centre),
+                expected: None,
+                value: json(&owner),
+            });
+        }
+        puts
+    }
+}
+
+fn json(value: &impl serde::Serialize) -> Bytes {
+    Bytes::from(serde_json::to_vec(value).unwrap_or_default())
+}
--- /dev/null
+++ b/src/quota/local.rs
@@ -0,0 +1,76 @@
+//! The slice of this daemon's data centre, while the daemon holds its lease.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use crate::{catalog::Plan, clock::BootTime};
+
+use super::{SliceBuckets, SliceLease, SliceShare};
+
+/// What became of the wish for one token.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// A token was taken.
+    Granted,
+    /// None is there; one is due after this time.
+    Exceeded(Duration),
+    /// The daemon does not hold the slice.
+    NotHolder,
+}
+
+struct State {
+    lease: SliceLease,
+    buckets: Option<SliceBuckets>,
+}
+
+/// The slice of this daemon's data centre: its lease and, while it is held, its buckets.
+#[derive(Clone)]
+pub struct LocalSlice {
+    state: Rc<RefCell<State>>,
+    share: SliceShare,
+}
+
+impl LocalSlice {
+    /// Makes a slice whose lease is not known.
+    pub fn new(share: SliceShare) -> Self {
+        let state = State {
+            lease: SliceLease::default(),
+            buckets: None,
+        };
+        Self {
+            state: Rc::new(RefCell::new(state)),
+            share,
+        }
+    }
+
+    /// Takes one token if the lease is held.
+    pub fn take(&self, workspace: &str, plan: &Plan, now: BootTime) -> Taken {
+        let mut state = self.state.borrow_mut();
+        if !state.lease.is_held(now) {
+            return Taken::NotHolder;
+        }
+        match state.buckets.as_mut().map(|b| b.take(workspace, plan, now)) {
+            Some(Ok(())) => Taken::Granted,
+            Some(Err(wait)) => Taken::Exceeded(wait),
+            None => Taken::NotHolder,
+        }
+    }
+
+    /// Looks at the lease, and changes it; empty buckets begin when it is newly held at `now`,
+    /// and end when it is lost.
+    pub fn with_lease<T>(&self, now: BootTime, f: impl FnOnce(&mut SliceLease) -> T) -> T {
+        let mut state = self.state.borrow_mut();
+        let held = state.lease.is_held(now);
+        let res = f(&mut state.lease);
+        if !state.lease.is_holder() {
+            state.buckets = None;
+        } else if !held || state.buckets.is_none() {
+            state.buckets = Some(SliceBuckets::new(self.share, now));
+        }
+        res
+    }
+
+    /// Tells whether the lease is held.
+    pub fn is_held(&self, now: BootTime) -> bool {
+        self.state.borrow().lease.is_held(now)
+    }
+}
--- /dev/null
+++ b/src/quota/mod.rs
@@ -0,0 +1,24 @@
+//! Rates of workspaces over the whole fleet, counted by slices that are leased in the store.
+//!
+//! Each data centre has one slice, which holds an equal part of every rate and burst. The daemon
+//! that holds the lease of a slice counts it; all others ask it for tokens.
+
+mod ask;
+mod lease_task;
+mod limiter;
+mod local;
+mod owners;
+mod share;
+mod slice_buckets;
+mod slice_lease;
+mod slice_row;
+
+pub use ask::{TokenAnswer, TokenHandler, TokenRequest};
+pub use lease_task::{LeaseParts, LeaseTask};
+pub use limiter::{QuotaLimiter, QuotaParts};
+pub use local::LocalSlice;
+pub use owners::{OwnerRow, SliceOwners};
+pub use share::SliceShare;
+pub use slice_buckets::SliceBuckets;
+pub use slice_lease::{SliceLease, LEASE_TERM, RENEW_INTERVAL};
+pub use slice_row::{SliceHolder, SLICES_TABLE};
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,15 @@
+//! Whole configurations: routes by host and prefix, their services, workspaces and keys.
+
+mod configuration;
+mod freshness;
+mod policy;
+mod route_table;
+mod view;
+
+pub use configuration::{
+    CallerBounds, Configuration, HostRoute, KeyHolder, ServiceSettings, WeightedService,
+};
+pub use freshness::Freshness;
+pub use policy::RoutingPolicy;
+pub use route_table::{RouteTable, Workspace};
+pub use view::ConfigurationView;
--- a/src/store/error.rs
+++ b/src/store/error.rs
@@ -1,10 +1,10 @@
-//! Errors of the platform's services.
+//! Errors of the store.
 
 use std::fmt;
 
-/// Why a call to the platform failed.
+/// Why a call to the store failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum PlatformError {
+pub enum StoreError {
     /// No answer arrived; a write may have taken effect.
     NoAnswer,
     /// The answer could not be understood; a write may have taken effect.
@@ -13,14 +13,14 @@
     Refused,
 }
 
-impl fmt::Display for PlatformError {
+impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::NoAnswer => "no answer from the platform",
-            Self::BadAnswer => "unreadable answer from the platform",
-            Self::Refused => "refused by the platform",
+            Self::NoAnswer => "no answer from the store",
+            Self::BadAnswer => "unreadable answer from the store",
+            Self::Refused => "refused by the store",
         })
     }
 }
 
-impl std::error::Error for PlatformError {}
+impl std::error::Error for StoreError {}
--- a/src/store/host_list.rs
+++ b/src/store/host_list.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use super::{BoxFuture, PlatformError};
+use super::{BoxFuture, StoreError};
 
 /// One host of the list.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
@@ -24,10 +24,13 @@
     /// Whether the host is about to leave.
     #[serde(default)]
     pub leaving: bool,
+    /// Whether a target started a moment ago and is still slow.
+    #[serde(default)]
+    pub cold: bool,
 }
 
 /// The platform's lagging list of live and leaving hosts.
 pub trait HostList {
     /// Reads the whole list.
-    fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, PlatformError>>;
+    fn hosts(&self) -> BoxFuture<'_, Result<Vec<ListedHost>, StoreError>>;
 }
--- a/src/store/object_store.rs
+++ b/src/store/object_store.rs
@@ -2,13 +2,13 @@
 
 use bytes::Bytes;
 
-use super::{BoxFuture, PlatformError};
+use super::{BoxFuture, StoreError};
 
 /// The object store.
 pub trait ObjectStore {
     /// Stores `body` under `name`.
-    fn put<'a>(&'a self, name: &'a str, body: Bytes) -> BoxFuture<'a, Result<(), PlatformError>>;
+    fn put<'a>(&'a self, name: &'a str, body: Bytes) -> BoxFuture<'a, Result<(), StoreError>>;
 
     /// Reads the object under `name`; none when there is none.
-    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<Option<Bytes>, PlatformError>>;
+    fn get<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<Option<Bytes>, StoreError>>;
 }
--- a/src/store/table.rs
+++ b/src/store/table.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use super::PlatformError;
+use super::StoreError;
 
 /// A future of a trait object's method.
 pub type BoxFuture<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
@@ -82,16 +82,13 @@
 /// The transactional table service.
 pub trait Table {
     /// Runs a transaction.
-    fn transact<'a>(
-        &'a self,
-        tx: &'a Transaction,
-    ) -> BoxFuture<'a, Result<Committed, PlatformError>>;
+    fn transact<'a>(&'a self, tx: &'a Transaction) -> BoxFuture<'a, Result<Committed, StoreError>>;
 
     /// Reads rows; absent ones are none, in the order of `keys`.
     fn read<'a>(
         &'a self,
         keys: &'a [RowKey],
-    ) -> BoxFuture<'a, Result<Vec<Option<Row>>, PlatformError>>;
+    ) -> BoxFuture<'a, Result<Vec<Option<Row>>, StoreError>>;
 
     /// Reads up to `limit` rows of a table in the order of keys, those behind `after`.
     fn scan<'a>(
@@ -99,5 +96,5 @@
         table: &'static str,
         after: &'a str,
         limit: usize,
-    ) -> BoxFuture<'a, Result<Vec<ScannedRow>, PlatformError>>;
+    ) -> BoxFuture<'a, Result<Vec<ScannedRow>, StoreError>>;
 }
--- a/src/sync/commit.rs
+++ b/src/sync/commit.rs
@@ -5,7 +5,7 @@
 use crate::{
     catalog::{Catalog, Change, Edit, EditId},
     revision::{Commit, CommitEnd, CommitEvent, CommitStep, Guard, HeadSeen},
-    store::{Committed, PlatformError, RowCheck, Table, Transaction},
+    store::{Committed, RowCheck, StoreError, Table, Transaction},
 };
 
 use super::{
@@ -168,12 +168,12 @@
     }
 }
 
-fn event_of_write(res: Result<Committed, PlatformError>) -> CommitEvent {
+fn event_of_write(res: Result<Committed, StoreError>) -> CommitEvent {
     match res {
         Ok(Committed::Yes) => CommitEvent::Written,
         Ok(Committed::No) => CommitEvent::ConditionFailed,
-        Err(PlatformError::Refused) => CommitEvent::WriteRefused,
-        Err(PlatformError::NoAnswer | PlatformError::BadAnswer) => CommitEvent::AnswerLost,
+        Err(StoreError::Refused) => CommitEvent::WriteRefused,
+        Err(StoreError::NoAnswer | StoreError::BadAnswer) => CommitEvent::AnswerLost,
     }
 }
 
--- a/src/sync/load.rs
+++ b/src/sync/load.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     catalog::{Catalog, Edit},
-    store::{PlatformError, RowKey, Table},
+    store::{RowKey, StoreError, Table},
 };
 
 use super::rows::{
@@ -22,12 +22,12 @@
 }
 
 /// Reads the newest revision; 0 when there was no edit yet.
-pub(super) async fn read_head(table: &dyn Table) -> Result<u64, PlatformError> {
+pub(super) async fn read_head(table: &dyn Table) -> Result<u64, StoreError> {
     Ok(read_head_row(table).await?.head.revision)
 }
 
 /// Reads the head row, that of revision 0 when there was no edit yet.
-pub(super) async fn read_head_row(table: &dyn Table) -> Result<HeadRow, PlatformError> {
+pub(super) async fn read_head_row(table: &dyn Table) -> Result<HeadRow, StoreError> {
     let rows = table.read(&[head_key()]).await?;
     let Some(row) = rows.into_iter().next().flatten() else {
         return Ok(HeadRow {
@@ -35,7 +35,7 @@
             version: 0,
         });
     };
-    let head = serde_json::from_value(row.value).map_err(|_| PlatformError::BadAnswer)?;
+    let head = serde_json::from_value(row.value).map_err(|_| StoreError::BadAnswer)?;
     Ok(HeadRow {
         head,
         version: row.version,
@@ -47,14 +47,14 @@
     table: &dyn Table,
     from: u64,
     to: u64,
-) -> Result<Vec<Edit>, PlatformError> {
+) -> Result<Vec<Edit>, StoreError> {
     let last = to.min(from + EDIT_ROWS);
     let keys: Vec<RowKey> = (from + 1..=last).map(edit_key).collect();
     let rows = table.read(&keys).await?;
     let mut edits = Vec::with_capacity(rows.len());
     for row in rows {
         let Some(row) = row else { break };
-        let edit = serde_json::from_value(row.value).map_err(|_| PlatformError::BadAnswer)?;
+        let edit = serde_json::from_value(row.value).map_err(|_| StoreError::BadAnswer)?;
         edits.push(edit);
     }
     Ok(edits)
@@ -64,7 +64,7 @@
 ///
 /// The scans may see rows of later edits. Since changes set whole rows, applying the edits of
 /// all revisions from before the scans leads to the exact state of the last one.
-pub(super) async fn load_catalog(table: &dyn Table) -> Result<Catalog, PlatformError> {
+pub(super) async fn load_catalog(table: &dyn Table) -> Result<Catalog, StoreError> {
     let mut catalog = Catalog::default();
     let base = read_head_row(table).await?.head;
     for name in [PLANS, ACCESS, KEYS, MEMBERS] {
@@ -76,7 +76,7 @@
     while catalog.revision() < head {
         let edits = read_edits(table, catalog.revision(), head).await?;
         if edits.is_empty() {
-            return Err(PlatformError::BadAnswer);
+            return Err(StoreError::BadAnswer);
         }
         for edit in &edits {
             catalog.apply(edit);
@@ -89,7 +89,7 @@
     table: &dyn Table,
     name: &'static str,
     catalog: &mut Catalog,
-) -> Result<(), PlatformError> {
+) -> Result<(), StoreError> {
     let mut after = String::new();
     loop {
         let rows = table.scan(name, &after, SCAN_ROWS).await?;
@@ -99,7 +99,7 @@
         after = last.key.clone();
         for row in rows {
             if name == MEMBERS {
-                let row = member_of_row(row).ok_or(PlatformError::BadAnswer)?;
+                let row = member_of_row(row).ok_or(StoreError::BadAnswer)?;
                 catalog.restore_member(&row.member, row.phase, row.changed_at);
                 continue;
             }
--- a/src/sync/replica.rs
+++ b/src/sync/replica.rs
@@ -17,7 +17,7 @@
     metrics::{Counter, Metrics},
     peer::{PeerClient, PeerError, PeerKind},
     revision::{adoption, Adoption},
-    store::{ObjectStore, PlatformError, Table},
+    store::{ObjectStore, StoreError, Table},
 };
 
 use super::{
@@ -134,18 +134,18 @@
     }
 
     /// Brings the catalog to the newest revision of the table, and notes when the read began.
-    pub(super) async fn catch_up(&self) -> Result<(), PlatformError> {
+    pub(super) async fn catch_up(&self) -> Result<(), StoreError> {
         if self.held().is_none() {
             self.load().await?;
         }
         let began = self.now();
         let head = timeout(HEAD_TIMEOUT, read_head(self.parts.table.as_ref())).await;
-        let head = head.map_err(|_| PlatformError::NoAnswer)??;
+        let head = head.map_err(|_| StoreError::NoAnswer)??;
         while let Some(held) = self.held().filter(|held| *held < head) {
             let edits = read_edits(self.parts.table.as_ref(), held, head).await?;
             self.adopt(&edits);
             if self.held() == Some(held) {
-                return Err(PlatformError::BadAnswer);
+                return Err(StoreError::BadAnswer);
             }
         }
         self.table_read.set(Some(began));
@@ -153,7 +153,7 @@
         Ok(())
     }
 
-    async fn load(&self) -> Result<(), PlatformError> {
+    async fn load(&self) -> Result<(), StoreError> {
         let table = self.parts.table.as_ref();
         let catalog = match self.snapshots.read_object(&self.parts).await {
             Some(catalog) => catalog,
--- a/src/sync/task.rs
+++ b/src/sync/task.rs
@@ -56,7 +56,7 @@
 async fn poll_task(replica: Rc<Replica>) {
     loop {
         if let Err(e) = replica.catch_up().await {
-            replica.parts.metrics.count(Counter::PlatformErrors);
+            replica.parts.metrics.count(Counter::StoreErrors);
             log::warn!("table service: {e}");
         }
         if replica.held().is_none() {
--- a/tests/floor.rs
+++ b/tests/floor.rs
@@ -94,6 +94,7 @@
                 service: Some(SERVICE.into()),
                 slots: u32::from(slots) + u32::from(n % 3),
                 leaving: leaving >> n & 1 == 1,
+                cold: false,
             })
             .collect();
         let earlier = std::mem::take(&mut self.known);
