Open a breaker in the whole fleet when a target breaks off work

Ruled out: lower thresholds of the detector; with 48 daemons each one sees too few requests of a target to tell in time, and one reset of a fresh connection says enough to wait a moment.

Change: health/breaker.rs holds a target back for 2 s behind a failure, longer when it fails again, below the floor only for as long as the failure is fresh; peer/broadcast.rs, split off the poison watch, tells the fleet.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -12,11 +12,13 @@
         follow_table, join_fleet, ConfigurationSink, FollowOptions, JoinParts, MemberRow,
         MemberSink, TargetSink, MEMBERS_TABLE,
     },
+    health::{FailureHandler, FailureTeller},
     lifecycle::{ready_task, wait_for_stop_signal, ReadyServer, Shutdown},
     membership::Incarnation,
     metrics::Metrics,
     peer::{
-        peer_server_task, FleetSecrets, PeerClient, PeerDirectory, PeerKind, PeerRouter, PeerServer,
+        peer_server_task, FleetBroadcast, FleetSecrets, PeerClient, PeerDirectory, PeerKind,
+        PeerRouter, PeerServer,
     },
     platform::{self, PlatformHeads, RowClient},
     poison::{PoisonHandler, PoisonWatch},
@@ -45,6 +47,8 @@
 const TARGET_GATHER: Duration = Duration::from_millis(150);
 /// Pause behind a change of members in which further ones gather.
 const MEMBER_GATHER: Duration = Duration::from_millis(1500);
+/// Longest time to tell the fleet of targets that break off work.
+const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Part of the time for a shutdown in which requests may end.
 const DRAIN_SHARE: f64 = 0.9;
 
@@ -129,6 +133,12 @@
         },
         &mut router,
     );
+    let broadcast = FleetBroadcast::new(peers.clone(), &settings.data_centre, NOTICE_TIMEOUT);
+    let handler = FailureHandler {
+        balancer: balancer.clone(),
+        broadcast: broadcast.clone(),
+    };
+    router.set(PeerKind::Failure, Rc::new(handler));
     let sink = TargetSink::new(balancer.clone(), platform::decode_target, clock.clone());
     monoio::spawn(follow_table(
         store.clone(),
@@ -202,6 +212,7 @@
         pool: PoolHandle::new(pool_tx),
         claims: None,
         poison,
+        failures: Some(FailureTeller::new(broadcast)),
         metrics,
         clock,
         leaving,
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -148,6 +148,7 @@
         pool: PoolHandle::new(pool_tx),
         claims: Some(claims),
         poison,
+        failures: None,
         metrics,
         clock,
         leaving: Shutdown::default(),
--- a/src/health/balancer/choice.rs
+++ b/src/health/balancer/choice.rs
@@ -68,8 +68,9 @@
             return Err(PickError::NoTarget);
         }
         let targets = &self.targets;
+        let closed = closed_set(&service.routing, targets, self.floor, now);
         let free = |id: &&TargetId| targets.get(id).is_some_and(|t| !t.is_full());
-        let all_free = || service.routing.iter().filter(free).copied();
+        let all_free = || closed.iter().filter(free).copied();
         let mut free: Vec<TargetId> = all_free().filter(|id| !avoid.contains(id)).collect();
         if free.is_empty() {
             free = all_free().collect();
@@ -139,6 +140,34 @@
     }
 }
 
+/// Returns the targets of `routing` whose breakers are closed.
+///
+/// One that failed moments ago stays out. The others whose breakers are open fill up what lacks
+/// to `floor`, those that close first; one target always stays.
+fn closed_set(
+    routing: &[TargetId],
+    targets: &FxHashMap<TargetId, Target>,
+    floor: f64,
+    now: BootTime,
+) -> Vec<TargetId> {
+    let found = routing.iter().filter_map(|id| targets.get(id));
+    let (mut open, closed): (Vec<&Target>, Vec<&Target>) =
+        found.partition(|t| t.breaker.is_open(now));
+    let capacity = |set: &[&Target]| set.iter().map(|t| f64::from(t.slots)).sum::<f64>();
+    let wanted = floor * (capacity(&open) + capacity(&closed));
+    let mut held = capacity(&closed);
+    let mut set: Vec<TargetId> = closed.iter().map(|t| t.id).collect();
+    open.sort_by_key(|t| (t.breaker.open_until(), t.id));
+    for target in open {
+        let spare = !target.breaker.failed_lately(now) && held < wanted;
+        if spare || set.is_empty() {
+            held += f64::from(target.slots);
+            set.push(target.id);
+        }
+    }
+    set
+}
+
 /// Draws a target; one with a smaller weight is accepted less often.
 fn draw_weighted<'a>(
     pool: &[TargetId],
--- a/src/health/balancer/evidence.rs
+++ b/src/health/balancer/evidence.rs
@@ -37,6 +37,22 @@
         }
     }
 
+    /// Opens the breaker of a target that broke off work.
+    pub fn trip(&mut self, id: TargetId, now: BootTime) {
+        if let Some(target) = self.targets.get_mut(&id) {
+            target.breaker.fail(now);
+        }
+    }
+
+    /// Opens the breakers of targets that broke off work of other daemons.
+    pub fn trip_by_name(&mut self, names: &[String], now: BootTime) {
+        for name in names {
+            if let Some(id) = self.by_name.get(name.as_str()).copied() {
+                self.trip(id, now);
+            }
+        }
+    }
+
     /// Tells the detector of one piece of work, and keeps what other daemons should know.
     fn judge(&mut self, id: TargetId, obs: &Observation, now: BootTime) {
         let judgement = self.detector.observe(id, obs, now);
--- a/src/health/balancer/listing.rs
+++ b/src/health/balancer/listing.rs
@@ -7,7 +7,7 @@
 use crate::{clock::BootTime, store::ListedHost};
 
 use super::{
-    super::{Flights, Service, ServiceId, Target, TargetId, TargetState},
+    super::{Breaker, Flights, Service, ServiceId, Target, TargetId, TargetState},
     Balancer,
 };
 
@@ -87,6 +87,7 @@
             state: TargetState::Serving,
             flights: Flights::default(),
             bound: f64::from(slots),
+            breaker: Breaker::default(),
             ramp_from: ramp_from.or(host.cold.then_some(now)),
             load: 0.0,
             load_at: BootTime::default(),
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -37,6 +37,10 @@
     Observe(TargetId, Ticket, Observation),
     /// Tells what a target said of itself.
     Report(TargetId, TargetReport),
+    /// Tells that a target broke off work.
+    Trip(TargetId),
+    /// Tells that the targets of these names broke off work of other daemons.
+    FailedElsewhere(Vec<String>),
     /// Tells that several daemons together suspect the target of this name.
     Advise(String),
     /// Asks for the targets to probe.
@@ -88,6 +92,11 @@
             .send(BalancerMessage::Observe(self.id, self.ticket, obs));
     }
 
+    /// Holds work of this daemon back from the target, which broke off some.
+    pub fn trip(&self) {
+        self.handle.send(BalancerMessage::Trip(self.id));
+    }
+
     /// Tells what the target said of itself.
     pub fn report(&self, report: TargetReport) {
         if report.state.is_some() || report.load.is_some() {
@@ -203,6 +212,8 @@
             }
             BalancerMessage::Observe(id, ticket, obs) => balancer.observe(id, ticket, &obs, now),
             BalancerMessage::Report(id, report) => balancer.take_report(id, report, now),
+            BalancerMessage::Trip(id) => balancer.trip(id, now),
+            BalancerMessage::FailedElsewhere(names) => balancer.trip_by_name(&names, now),
             BalancerMessage::Advise(name) => balancer.advise(&name, now),
             BalancerMessage::Probes(reply) => {
                 let _ = reply.send(balancer.probes(now));
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -2,11 +2,13 @@
 
 mod balancer;
 mod balancer_task;
+mod breaker;
 mod byte_budget;
 mod consecutive;
 mod decayed;
 mod detector;
 mod evidence;
+mod failure_notice;
 mod fleet_evidence;
 mod flights;
 mod floor;
@@ -25,11 +27,13 @@
 
 pub use balancer::{Balancer, Choice, PickError, PickRequest};
 pub use balancer_task::{balancer_task, BalancerHandle, BalancerMessage, Picked};
+pub use breaker::Breaker;
 pub use byte_budget::ByteBudget;
 pub use consecutive::Consecutive;
 pub use decayed::Decayed;
 pub use detector::{Detector, Judgement, Observation, Standing, WorkResult};
 pub use evidence::{log_likelihood_ratio, Evidence, EVIDENCE_HALF_LIFE, FAULT_SHARES, SLOW_WEIGHT};
+pub use failure_notice::{FailureHandler, FailureNotice, FailureTeller};
 pub use fleet_evidence::{EvidenceReport, FleetEvidence};
 pub use flights::{Flights, Lateness, Ticket};
 pub use floor::{routing_set, Candidate};
--- a/src/health/target.rs
+++ b/src/health/target.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::BootTime;
 
-use super::{Flights, ServiceId};
+use super::{Breaker, Flights, ServiceId};
 
 /// Time in which a cold target comes to its full share of work.
 pub const RAMP: Duration = Duration::from_secs(5);
@@ -53,6 +53,8 @@
     pub flights: Flights,
     /// Most requests of this daemon at a time, learned from shed answers.
     pub bound: f64,
+    /// Holds work back while the target breaks it off.
+    pub breaker: Breaker,
     pub(super) ramp_from: Option<BootTime>,
     pub(super) load: f64,
     pub(super) load_at: BootTime,
--- a/src/peer/envelope.rs
+++ b/src/peer/envelope.rs
@@ -23,6 +23,8 @@
     Suspicion,
     /// Requests that crash targets.
     Poison,
+    /// Targets that break off work.
+    Failure,
 }
 
 /// One message or reply: its kind and its MessagePack body, whose type the kind's handler knows.
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -4,6 +4,7 @@
 //! number and a message authentication code on each exchange keep out strangers and replays.
 
 mod auth;
+mod broadcast;
 mod client;
 mod connection;
 mod directory;
@@ -14,6 +15,7 @@
 mod server;
 
 pub use auth::{FleetSecrets, Nonce};
+pub use broadcast::FleetBroadcast;
 pub use client::PeerClient;
 pub use directory::{Peer, PeerDirectory};
 pub use envelope::{Envelope, PeerKind};
--- a/src/poison/watch.rs
+++ b/src/poison/watch.rs
@@ -1,23 +1,16 @@
 //! Watching for requests that crash targets, together with the other daemons.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
-
-use local_sync::oneshot;
-use monoio::time::timeout;
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use crate::{
     clock::Clock,
-    peer::{PeerClient, PeerKind},
+    peer::{FleetBroadcast, PeerClient, PeerKind},
 };
 
 use super::{Fingerprint, PoisonNotice, PoisonRegister, Verdict};
 
 /// Longest time to tell the other daemons.
 const TELL_TIMEOUT: Duration = Duration::from_millis(250);
-/// Most daemons of the own data centre that are told.
-const MAX_PEERS: usize = 256;
-/// Daemons of each other data centre that are told, and tell the rest of theirs.
-const RELAYS: usize = 2;
 /// Most notices that are under way at a time.
 const MAX_TELLING: usize = 8;
 
@@ -26,8 +19,7 @@
 pub struct PoisonWatch {
     register: Rc<RefCell<PoisonRegister>>,
     telling: Rc<RefCell<usize>>,
-    peers: PeerClient,
-    data_centre: Rc<str>,
+    broadcast: FleetBroadcast,
     clock: Rc<dyn Clock>,
 }
 
@@ -37,8 +29,7 @@
         Self {
             register: Rc::default(),
             telling: Rc::default(),
-            peers,
-            data_centre: Rc::from(data_centre),
+            broadcast: FleetBroadcast::new(peers, data_centre, TELL_TIMEOUT),
             clock,
         }
     }
@@ -97,7 +88,8 @@
                 relay: false,
                 ..notice.clone()
             };
-            self.tell(&notice, self.own_data_centre()).await;
+            let kind = PeerKind::Poison;
+            self.broadcast.tell_own_data_centre(kind, &notice).await;
         }
     }
 
@@ -111,56 +103,8 @@
             relay: true,
             ..notice.clone()
         };
-        let other = self.tell(&relayed, self.relays());
-        let own = self.tell(notice, self.own_data_centre());
-        monoio::join!(own, other);
+        let kind = PeerKind::Poison;
+        self.broadcast.tell_fleet(kind, notice, &relayed).await;
         *self.telling.borrow_mut() -= 1;
     }
-
-    fn own_data_centre(&self) -> Vec<Rc<str>> {
-        let directory = self.peers.directory().peers();
-        let own = directory
-            .iter()
-            .filter(|p| p.data_centre == self.data_centre);
-        own.take(MAX_PEERS).map(|p| p.host.clone()).collect()
-    }
-
-    fn relays(&self) -> Vec<Rc<str>> {
-        let directory = self.peers.directory().peers();
-        let mut by_centre: BTreeMap<Rc<str>, Vec<Rc<str>>> = BTreeMap::new();
-        for peer in directory.iter().filter(|p| !p.leaving) {
-            if peer.data_centre != self.data_centre {
-                let hosts = by_centre.entry(peer.data_centre.clone()).or_default();
-                hosts.push(peer.host.clone());
-            }
-        }
-        for hosts in by_centre.values_mut() {
-            fastrand::shuffle(hosts);
-            hosts.truncate(RELAYS);
-        }
-        by_centre.into_values().flatten().collect()
-    }
-
-    /// Tells `hosts` at the same time, and waits until each one answered or the limit passed.
-    async fn tell(&self, notice: &PoisonNotice, hosts: Vec<Rc<str>>) {
-        let mut told = Vec::new();
-        for host in hosts {
-            let (tx, rx) = oneshot::channel::<()>();
-            let (peers, notice) = (self.peers.clone(), notice.clone());
-            monoio::spawn(async move {
-                let kind = PeerKind::Poison;
-                let _ = peers
-                    .call::<_, ()>(&host, kind, &notice, TELL_TIMEOUT)
-                    .await;
-                let _ = tx.send(());
-            });
-            told.push(rx);
-        }
-        let all = async {
-            for rx in told {
-                let _ = rx.await;
-            }
-        };
-        let _ = timeout(TELL_TIMEOUT, all).await;
-    }
 }
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -6,7 +6,7 @@
     claim::ClaimStore,
     clock::{BootTime, Clock},
     config::LimitSettings,
-    health::BalancerHandle,
+    health::{BalancerHandle, FailureTeller},
     http::HeadLimits,
     lifecycle::{InFlight, PauseWatch, Shutdown},
     limit::Limiter,
@@ -43,6 +43,8 @@
     pub claims: Option<ClaimStore>,
     /// Watches for requests that crash targets.
     pub poison: PoisonWatch,
+    /// Tells the fleet of targets that break off work; none where daemons judge by themselves.
+    pub failures: Option<FailureTeller>,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -85,6 +87,8 @@
     pub claims: Option<ClaimStore>,
     /// Watches for requests that crash targets.
     pub poison: PoisonWatch,
+    /// Tells the fleet of targets that break off work; none where daemons judge by themselves.
+    pub failures: Option<FailureTeller>,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -111,6 +115,7 @@
             pool: parts.pool,
             claims: parts.claims,
             poison: parts.poison,
+            failures: parts.failures,
             metrics: parts.metrics,
             pauses: PauseWatch::new(parts.clock.clone()),
             started: parts.clock.now(),
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -8,7 +8,7 @@
     claim::FirstRun,
     clock::BootTime,
     health::{Observation, PickError, PickOrder, Picked, TargetId, WorkResult},
-    http::HttpReader,
+    http::{HttpError, HttpReader},
     metrics::Counter,
     outcome::ErrorKind,
     poison::Verdict,
@@ -203,7 +203,10 @@
                 exchange.conn = Some(conn);
                 self.step(Event::Connected { reused: false })
             }
-            Err(_) => self.failed(Event::Failed(Failure::Connect)).await,
+            Err(e) => {
+                self.trip(!matches!(e, HttpError::Timeout));
+                self.failed(Event::Failed(Failure::Connect)).await
+            }
         }
     }
 
@@ -282,6 +285,17 @@
         self.step(Event::BudgetGranted)
     }
 
+    /// Holds work back from the target, at all daemons when the fault is not the path's.
+    fn trip(&self, tell: bool) {
+        let (Some(failures), Some(exchange)) = (&self.cx.failures, &self.exchange) else {
+            return;
+        };
+        exchange.picked.trip();
+        if tell {
+            failures.tell(&exchange.picked.name);
+        }
+    }
+
     /// Judges the head of an answer.
     fn arrived(&mut self, head: response::Parts) -> Action {
         let Some(exchange) = &self.exchange else {
@@ -334,6 +348,10 @@
             return self.step(Event::CallerGone);
         };
         let picked = &exchange.picked;
+        let fresh = exchange.conn.as_ref().is_some_and(|conn| !conn.reused);
+        if fresh {
+            self.trip(true);
+        }
         if !target_died(self.cx, picked.address).await {
             self.drop_unproven();
             self.observe(WorkResult::Lost);
@@ -354,6 +372,7 @@
         self.drop_unproven();
         let conn = self.exchange.as_ref().and_then(|e| e.conn.as_ref());
         if conn.is_some_and(|conn| !conn.reused) {
+            self.trip(true);
             self.observe(WorkResult::Timeout);
         }
     }
