Bound retries over the fleet, share contact with the store, keep running at SIGHUP

(1) BUDGET: each daemon saved up ten retries a service, 480 in the fleet. (2) DRAIN: the call that follows targets waited 25 s on a connection that a cut had made silent. (3) SIGHUP ended the process.

Ruled out: short waits for targets too, which would double the store calls.

Change: (1) RetryTerms: 0.15 of answered requests and one saved up per daemon; a target that could not be connected costs no retry. (2) The task that follows the configuration, which calls most often, tells the others when the store answers again, and they call anew. (3) Signals takes over SIGHUP; a changed file is checked and logged.

--- a/src/command/serve.rs
+++ b/src/command/serve.rs
@@ -35,7 +35,7 @@
         }
     };
     logging::start(&settings.host);
-    exit_code(daemon::run_front(settings))
+    exit_code(daemon::run_front(settings, path))
 }
 
 fn exit_code(ended: Result<(), DaemonError>) -> ExitCode {
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -1,19 +1,24 @@
 //! An entry daemon on the users' platform: its tasks, from start to shutdown.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{
+    io,
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::Duration,
+};
 
 use local_sync::mpsc;
 
 use crate::{
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
-    config::{FrontSettings, KEY_MARGIN},
+    config::{self, FrontSettings, KEY_MARGIN},
     follow::{
         follow_table, join_fleet, ConfigurationSink, FollowOptions, JoinParts, MemberRow,
-        MemberSink, TargetSink, MEMBERS_TABLE,
+        MemberSink, StoreContact, TargetSink, MEMBERS_TABLE,
     },
     health::{FailureHandler, FailureTeller},
-    lifecycle::{ready_task, wait_for_stop_signal, ReadyServer, Shutdown},
+    lifecycle::{ready_task, ReadyServer, Shutdown, Signals},
     membership::Incarnation,
     metrics::Metrics,
     peer::{
@@ -28,6 +33,7 @@
         LeaseParts, LeaseTask, LocalSlice, QuotaLimiter, QuotaParts, SliceOwners, SliceShare,
         TokenHandler,
     },
+    retry::RetryTerms,
     routing::{ConfigurationView, RoutingPolicy},
     store::RowStore,
 };
@@ -40,15 +46,25 @@
 
 /// Longest wait of one call that follows the configuration, whose answer proves that keys are
 /// fresh; with the time limit of a call it stays below the operator's bound on withdrawn keys.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(2800);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(2400);
 /// Longest wait of one call that follows targets or members; the store allows 30 s.
 const QUIET_WAIT: Duration = Duration::from_secs(25);
-/// Pause behind a change of targets in which further ones gather.
-const TARGET_GATHER: Duration = Duration::from_millis(150);
+/// Pause behind a change of targets in which further ones gather; half of the time within which a
+/// leaving target must get no more work.
+const TARGET_GATHER: Duration = Duration::from_millis(1000);
 /// Pause behind a change of members in which further ones gather.
 const MEMBER_GATHER: Duration = Duration::from_millis(1500);
 /// Longest time to tell the fleet of targets that break off work.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How much retries of one daemon may add: the shares of all daemons stay below the operator's
+/// share of 0.2, and what they save up together below its slack of more than one per daemon.
+const RETRY_TERMS: RetryTerms = RetryTerms {
+    share: 0.15,
+    max_saved: 1.0,
+    floor_per_s: 0.0,
+};
+/// Pause behind a failure to read signals.
+const RELOAD_RETRY: Duration = Duration::from_secs(1);
 /// Part of the time for a shutdown in which requests may end.
 const DRAIN_SHARE: f64 = 0.9;
 
@@ -57,11 +73,31 @@
 /// # Errors
 ///
 /// Returns an error when an address cannot be bound or the system refuses a resource.
-pub fn run_front(settings: FrontSettings) -> Result<(), DaemonError> {
-    run_on_thread(run_tasks(Rc::new(settings)))
+pub fn run_front(settings: FrontSettings, file: PathBuf) -> Result<(), DaemonError> {
+    run_on_thread(run_tasks(Rc::new(settings), file))
+}
+
+/// Reads the settings file again at each reload signal, and tells what it finds; a file with a
+/// fault changes nothing.
+async fn reload_task(mut signals: Signals, file: PathBuf) {
+    while let Err(e) = next_reload(&mut signals, &file).await {
+        log::error!("reload signal: {e}");
+        monoio::time::sleep(RELOAD_RETRY).await;
+    }
+}
+
+async fn next_reload(signals: &mut Signals, file: &Path) -> io::Result<()> {
+    loop {
+        signals.next().await?;
+        match config::load_front(file) {
+            Ok(_) => log::info!("settings read again, in force from the next start"),
+            Err(e) => log::error!("settings unchanged: {e}"),
+        }
+    }
 }
 
-async fn run_tasks(settings: Rc<FrontSettings>) -> Result<(), DaemonError> {
+async fn run_tasks(settings: Rc<FrontSettings>, file: PathBuf) -> Result<(), DaemonError> {
+    monoio::spawn(reload_task(Signals::reload()?, file));
     let caller_listener = bind(settings.caller_address)?;
     let peer_listener = bind(settings.peer_address)?;
     let ready_listener = bind(settings.ready_address)?;
@@ -86,6 +122,7 @@
         }),
         ready_listener,
     ));
+    let contact = StoreContact::default();
     let sink = ConfigurationSink::new(
         view.clone(),
         platform::CONFIGURATION_KEY,
@@ -97,9 +134,11 @@
             table: platform::CONFIGURATION_TABLE,
             wait: CONFIGURATION_WAIT,
             gather: Duration::ZERO,
+            leads: true,
         },
         Rc::new(sink),
         clock.clone(),
+        contact.clone(),
     ));
 
     let row = MemberRow {
@@ -146,9 +185,11 @@
             table: platform::TARGETS_TABLE,
             wait: QUIET_WAIT,
             gather: TARGET_GATHER,
+            leads: false,
         },
         Rc::new(sink),
         clock.clone(),
+        contact.clone(),
     ));
 
     let owners = SliceOwners::default();
@@ -163,9 +204,11 @@
             table: MEMBERS_TABLE,
             wait: QUIET_WAIT,
             gather: MEMBER_GATHER,
+            leads: false,
         },
         Rc::new(sink),
         clock.clone(),
+        contact.clone(),
     ));
     let lease = LeaseTask::new(LeaseParts {
         store,
@@ -212,6 +255,7 @@
         pool: PoolHandle::new(pool_tx),
         claims: None,
         poison,
+        retry_terms: RETRY_TERMS,
         failures: Some(FailureTeller::new(broadcast)),
         metrics,
         clock,
@@ -222,7 +266,7 @@
     monoio::spawn(listen_task(proxy.clone(), caller_listener));
     log::info!("serving callers on {}", settings.caller_address);
 
-    wait_for_stop_signal().await?;
+    Signals::stop()?.next().await?;
     log::info!("shutting down");
     proxy.leaving.begin();
     monoio::time::sleep(settings.limits.notice).await;
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -10,7 +10,7 @@
     clock::{Clock, SystemClock},
     config::Settings,
     hosts::host_list_task,
-    lifecycle::{wait_for_stop_signal, Shutdown, ShutdownSteps},
+    lifecycle::{Shutdown, ShutdownSteps, Signals},
     limit::{LimitParts, LimitService},
     membership::Incarnation,
     metrics::{export_task, Metrics},
@@ -22,6 +22,7 @@
     poison::{PoisonHandler, PoisonWatch},
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, HeadFormat, ProxyContext, ProxyParts},
+    retry::RetryTerms,
     sync::{sync_task, CatalogView, ContactHandler, Replica, ReplicaParts, RevisionHandler},
 };
 
@@ -149,6 +150,7 @@
         claims: Some(claims),
         poison,
         failures: None,
+        retry_terms: RetryTerms::default(),
         metrics,
         clock,
         leaving: Shutdown::default(),
@@ -169,7 +171,7 @@
     monoio::spawn(listen_task(proxy.clone(), caller_listener));
     log::info!("serving callers on {}", settings.caller_address);
 
-    wait_for_stop_signal().await?;
+    Signals::stop()?.next().await?;
     log::info!("shutting down");
     proxy.leaving.begin();
     monoio::time::sleep(settings.limits.notice).await;
--- a/src/follow/table_follower.rs
+++ b/src/follow/table_follower.rs
@@ -9,6 +9,8 @@
     store::{FeedRead, RowStore, RowsRead, StoreError, StoredRow},
 };
 
+use super::StoreContact;
+
 /// Shortest pause behind a failed call.
 const MIN_RETRY: Duration = Duration::from_millis(200);
 /// Longest pause behind a failed call, so that a daemon is back soon after the store is.
@@ -23,6 +25,8 @@
     pub wait: Duration,
     /// Pause behind a change, in which further ones gather.
     pub gather: Duration,
+    /// Whether this table's task tells the others that contact with the store was regained.
+    pub leads: bool,
 }
 
 /// When an answer was called for and when it arrived.
@@ -54,6 +58,7 @@
     opts: FollowOptions,
     sink: Rc<dyn TableSink>,
     clock: Rc<dyn Clock>,
+    contact: StoreContact,
     failures: u32,
 }
 
@@ -63,12 +68,14 @@
     opts: FollowOptions,
     sink: Rc<dyn TableSink>,
     clock: Rc<dyn Clock>,
+    contact: StoreContact,
 ) {
     let mut follower = Follower {
         store,
         opts,
         sink,
         clock,
+        contact,
         failures: 0,
     };
     loop {
@@ -117,7 +124,12 @@
         loop {
             let sent = self.clock.now();
             let (table, wait) = (self.opts.table, self.opts.wait);
-            match self.store.follow(table, version, wait).await {
+            let seen = self.contact.regained();
+            let answer = monoio::select! {
+                answer = self.store.follow(table, version, wait) => answer,
+                () = self.other_regained(seen) => continue,
+            };
+            match answer {
                 Ok(FeedRead::Changed(read)) => {
                     self.note_success();
                     let answered = self.answered(sent, &read);
@@ -137,6 +149,14 @@
         }
     }
 
+    /// Waits until another task finds that contact with the store was regained.
+    async fn other_regained(&self, seen: u64) {
+        if self.opts.leads {
+            std::future::pending::<()>().await;
+        }
+        self.contact.regained_since(seen).await;
+    }
+
     fn answered(&self, sent: BootTime, read: &RowsRead) -> Answered {
         Answered {
             sent,
@@ -149,6 +169,9 @@
         if self.failures > 0 {
             let (table, failures) = (self.opts.table, self.failures);
             log::info!(table = table, failures = failures; "store regained");
+            if self.opts.leads {
+                self.contact.note_regained();
+            }
         }
         self.failures = 0;
     }
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -12,4 +12,4 @@
 pub use ready_server::{ready_task, ReadyServer};
 pub use shutdown::Shutdown;
 pub use shutdown_steps::ShutdownSteps;
-pub use signals::wait_for_stop_signal;
+pub use signals::Signals;
--- a/src/lifecycle/signals.rs
+++ b/src/lifecycle/signals.rs
@@ -1,24 +1,54 @@
-//! Stop signals of the operating system.
+//! Signals of the operating system.
 
 use std::{io, os::unix::net::UnixStream as StdUnixStream};
 
 use monoio::{io::AsyncReadRent, net::UnixStream};
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     low_level::pipe,
 };
 
-/// Waits for SIGTERM or SIGINT.
-///
-/// # Errors
-///
-/// Returns an error when the handlers cannot be set.
-pub async fn wait_for_stop_signal() -> io::Result<()> {
-    let (rx, tx) = StdUnixStream::pair()?;
-    rx.set_nonblocking(true)?;
-    pipe::register(SIGTERM, tx.try_clone()?)?;
-    pipe::register(SIGINT, tx)?;
-    let mut rx = UnixStream::from_std(rx)?;
-    let (res, _) = rx.read(vec![0; 1]).await;
-    res.map(|_| ())
+/// Signals of one kind, as they arrive.
+pub struct Signals {
+    rx: UnixStream,
+}
+
+impl Signals {
+    /// Takes over SIGTERM and SIGINT, which ask the process to stop.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the handlers cannot be set.
+    pub fn stop() -> io::Result<Self> {
+        Self::of(&[SIGTERM, SIGINT])
+    }
+
+    /// Takes over SIGHUP, which tells that the settings file has changed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the handler cannot be set.
+    pub fn reload() -> io::Result<Self> {
+        Self::of(&[SIGHUP])
+    }
+
+    fn of(signals: &[i32]) -> io::Result<Self> {
+        let (rx, tx) = StdUnixStream::pair()?;
+        rx.set_nonblocking(true)?;
+        for signal in signals {
+            pipe::register(*signal, tx.try_clone()?)?;
+        }
+        let rx = UnixStream::from_std(rx)?;
+        Ok(Self { rx })
+    }
+
+    /// Waits for the next signal.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the pipe behind the handlers fails.
+    pub async fn next(&mut self) -> io::Result<()> {
+        let (res, _) = self.rx.read(vec![0; 1]).await;
+        res.map(|_| ())
+    }
 }
--- a/src/platform/row_client.rs
+++ b/src/platform/row_client.rs
@@ -15,6 +15,10 @@
 
 /// Longest time for one call, besides the time that it asks the store to wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Longest time for the answer of a call that follows a table, behind the time that the store
+/// waits; with the wait for the configuration it stays below the 3 s in which a host may be slow
+/// to find a dead connection.
+const FOLLOW_SLACK: Duration = Duration::from_millis(500);
 /// Most bytes of one answer: 1 MB of rows in base64 and JSON.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Part of all tables in which the rows stand.
@@ -118,8 +122,7 @@
         }
     }
 
-    async fn read_rows(&self, path: &str, wait: Duration) -> Result<FeedRead, StoreError> {
-        let limit = wait + CALL_TIMEOUT;
+    async fn read_rows(&self, path: &str, limit: Duration) -> Result<FeedRead, StoreError> {
         let (status, body) = self.send(Method::GET, path, Bytes::new(), limit).await?;
         match status {
             StatusCode::OK => Ok(FeedRead::Changed(decode::<RowsAnswer>(&body)?.into())),
@@ -153,7 +156,7 @@
     ) -> BoxFuture<'a, Result<RowsRead, StoreError>> {
         Box::pin(async move {
             let path = format!("/rows-get?table={table}&part={PART}&from={from}");
-            match self.read_rows(&path, Duration::ZERO).await? {
+            match self.read_rows(&path, CALL_TIMEOUT).await? {
                 FeedRead::Changed(rows) => Ok(rows),
                 FeedRead::HistoryGone => Err(StoreError::BadAnswer),
             }
@@ -169,7 +172,7 @@
         Box::pin(async move {
             let wait_ms = wait.as_millis();
             let path = format!("/rows-feed?table={table}&after={after}&waitMs={wait_ms}");
-            self.read_rows(&path, wait).await
+            self.read_rows(&path, wait + FOLLOW_SLACK).await
         })
     }
 
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -13,6 +13,7 @@
     metrics::Metrics,
     poison::PoisonWatch,
     pool::PoolHandle,
+    retry::RetryTerms,
 };
 
 use super::{
@@ -79,6 +80,8 @@
     pub heads: Rc<dyn HeadFormat>,
     /// Counts rates.
     pub limiter: Box<dyn Limiter>,
+    /// How much retries may add to the load of a service.
+    pub retry_terms: RetryTerms,
     /// Chooses targets.
     pub balancer: BalancerHandle,
     /// Keeps idle connections.
@@ -122,7 +125,7 @@
             clock: parts.clock,
             leaving: parts.leaving,
             shutdown: parts.shutdown,
-            services: ServiceStates::default(),
+            services: ServiceStates::new(parts.retry_terms),
             request_ids: RefCell::new(RequestIds::default()),
         }
     }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -274,7 +274,10 @@
     fn ask_budget(&mut self, reason: RetryReason) -> Action {
         let now = self.cx.clock.now();
         let poisoned = self.dispatch.check_poison(self.head, self.body).is_err();
-        if poisoned || !self.cx.services.withdraw(self.dispatch.service(), now) {
+        // A target that could not be connected got nothing of the request.
+        let is_free = reason == RetryReason::ConnectFailed;
+        let granted = is_free || self.cx.services.withdraw(self.dispatch.service(), now);
+        if poisoned || !granted {
             self.cx.metrics.count_refused_retry(reason);
             return self.step(Event::BudgetRefused);
         }
--- a/src/proxy/service_states.rs
+++ b/src/proxy/service_states.rs
@@ -4,15 +4,26 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::{clock::BootTime, retry::ServiceState};
+use crate::{
+    clock::BootTime,
+    retry::{RetryTerms, ServiceState},
+};
 
 /// What retries need to know of each service.
-#[derive(Default)]
 pub(super) struct ServiceStates {
+    terms: RetryTerms,
     by_name: RefCell<FxHashMap<Rc<str>, ServiceState>>,
 }
 
 impl ServiceStates {
+    /// Makes states of services whose retries are bounded by `terms`.
+    pub(super) fn new(terms: RetryTerms) -> Self {
+        Self {
+            terms,
+            by_name: RefCell::default(),
+        }
+    }
+
     /// Takes note of an answer.
     pub(super) fn record_answer(&self, service: &str, latency: Duration, now: BootTime) {
         self.with(service, now, |state| state.record_answer(latency));
@@ -33,7 +44,7 @@
         if let Some(state) = by_name.get_mut(service) {
             return f(state);
         }
-        let mut state = ServiceState::new(now);
+        let mut state = ServiceState::new(self.terms, now);
         let res = f(&mut state);
         by_name.insert(Rc::from(service), state);
         res
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -16,7 +16,7 @@
 mod service_state;
 
 pub use action::{Action, ConnectionKind};
-pub use budget::RetryBudget;
+pub use budget::{RetryBudget, RetryTerms};
 pub use event::Event;
 pub use facts::RequestFacts;
 pub use failure::Failure;
--- a/src/retry/service_state.rs
+++ b/src/retry/service_state.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::BootTime;
 
-use super::{LatencyWindow, RetryBudget};
+use super::{LatencyWindow, RetryBudget, RetryTerms};
 
 /// What retries need to know of one service.
 #[derive(Debug, Clone, PartialEq)]
@@ -15,9 +15,9 @@
 
 impl ServiceState {
     /// Makes the state of a service of which nothing is known.
-    pub fn new(now: BootTime) -> Self {
+    pub fn new(terms: RetryTerms, now: BootTime) -> Self {
         Self {
-            budget: RetryBudget::new(now),
+            budget: RetryBudget::new(terms, now),
             latencies: LatencyWindow::default(),
         }
     }
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -5,7 +5,10 @@
 use chervillug::{
     clock::BootTime,
     outcome::{ErrorKind, Outcome},
-    retry::{Action, ConnectionKind, Event, Failure, RequestFacts, RequestMachine, RetryBudget},
+    retry::{
+        Action, ConnectionKind, Event, Failure, RequestFacts, RequestMachine, RetryBudget,
+        RetryTerms,
+    },
 };
 use quickcheck::{quickcheck, Arbitrary, Gen, TestResult};
 
@@ -216,7 +219,7 @@
 
     fn retries_stay_within_share_and_floor(answered: Vec<bool>, gap_ms: u8) -> bool {
         let mut now = BootTime::from_duration(Duration::from_secs(5));
-        let mut budget = RetryBudget::new(now);
+        let mut budget = RetryBudget::new(RetryTerms::default(), now);
         let (mut retries, mut paid, mut seconds) = (0.0, 0.0, 0.0);
         for ok in answered {
             now = now + Duration::from_millis(u64::from(gap_ms));
@@ -236,7 +239,7 @@
 fn service_that_is_wholly_down_gets_at_most_a_tenth_more_attempts() {
     const REQUESTS: u32 = 1000;
     let mut now = BootTime::from_duration(Duration::from_secs(5));
-    let mut budget = RetryBudget::new(now);
+    let mut budget = RetryBudget::new(RetryTerms::default(), now);
     let mut attempts = 0;
     for _ in 0..REQUESTS {
         now = now + Duration::from_millis(10);
