Prefer near targets and recent connections; take a slice back at once behind a restart

(2) two thirds of the requests crossed data centres. (3) each request that must not be repeated opened a connection.

Ruled out: a fixed shorter wait, in which a fresh fleet would see several writers.

Change: (1) the wait ends as soon as a holder is known. (2) two targets are drawn from the own data centre and two from all, one of another data centre must be less busy by 0.4 of its slots. (3) a connection that was used within the last second counts as alive for any request at entry daemons. Refusals for a rate name the workspace.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -165,6 +165,7 @@
             data_centre: &settings.data_centre,
             profile: settings.profile,
             floor: settings.floor,
+            prefers_near: true,
             peers: peers.clone(),
             heads: heads.clone(),
             clock: clock.clone(),
--- a/src/daemon/health_parts.rs
+++ b/src/daemon/health_parts.rs
@@ -26,6 +26,8 @@
     pub(super) profile: Profile,
     /// Smallest share of a service's live capacity that stays in use.
     pub(super) floor: f64,
+    /// Whether targets of the own data centre are preferred.
+    pub(super) prefers_near: bool,
     /// Calls other daemons.
     pub(super) peers: PeerClient,
     /// Reads what targets say of themselves.
@@ -45,6 +47,11 @@
     let balancer = BalancerHandle::new(balancer_tx);
     let detector = Box::new(Sequential::new(options));
     let state = Balancer::new(detector, parts.floor, fastrand::u64(..));
+    let state = if parts.prefers_near {
+        state.prefer(parts.data_centre)
+    } else {
+        state
+    };
     monoio::spawn(balancer_task(
         state,
         balancer_rx,
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -75,6 +75,7 @@
             data_centre: &settings.data_centre,
             profile: settings.profile,
             floor: settings.floor,
+            prefers_near: false,
             peers: peers.clone(),
             heads: heads.clone(),
             clock: clock.clone(),
--- a/src/health/balancer/choice.rs
+++ b/src/health/balancer/choice.rs
@@ -9,6 +9,13 @@
     Balancer, Choice, PickError, PickRequest, MAX_DRAWS, REBUILD_INTERVAL, TRIAL_SHARE,
 };
 
+/// Targets drawn from the own data centre for one choice.
+const DRAWN_NEAR: usize = 2;
+/// Targets drawn from all data centres for one choice.
+const DRAWN_ANYWHERE: usize = 2;
+/// Load, as a share of the slots, by which a target of another data centre must be less busy.
+const FAR_COST: f64 = 0.4;
+
 impl Balancer {
     /// Chooses a target and counts a request in flight on it.
     ///
@@ -75,15 +82,26 @@
         if free.is_empty() {
             free = all_free().collect();
         }
-        let first = draw_weighted(&free, targets, &mut self.random, now);
-        let second = draw_weighted(&free, targets, &mut self.random, now);
-        let (Some(first), Some(second)) = (first, second) else {
-            return Err(PickError::Busy);
+        let random = &mut self.random;
+        let own = self.data_centre.as_deref();
+        let is_near = |id: &TargetId| {
+            let centre = targets.get(id).map(|t| &*t.data_centre);
+            own.is_none() || centre == own
         };
-        if second.load_with_next(now) < first.load_with_next(now) {
-            return Ok(second.id);
+        let near: Vec<TargetId> = free.iter().copied().filter(is_near).collect();
+        let mut drawn = Vec::with_capacity(DRAWN_NEAR + DRAWN_ANYWHERE);
+        for _ in 0..DRAWN_NEAR {
+            drawn.extend(draw_weighted(&near, targets, random, now));
+        }
+        for _ in 0..DRAWN_ANYWHERE {
+            drawn.extend(draw_weighted(&free, targets, random, now));
         }
-        Ok(first.id)
+        let cost = |t: &&Target| {
+            let far = if is_near(&t.id) { 0.0 } else { FAR_COST };
+            t.load_with_next(now) + far
+        };
+        let best = drawn.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
+        best.map(|t| t.id).ok_or(PickError::Busy)
     }
 
     /// Builds the sets of a service again when something changed or they are old.
--- a/src/health/balancer/listing.rs
+++ b/src/health/balancer/listing.rs
@@ -82,6 +82,7 @@
             service,
             name: Rc::from(host.name.as_str()),
             address: host.address,
+            data_centre: Rc::from(host.data_centre.as_str()),
             slots,
             listed_leaving: host.leaving,
             state: TargetState::Serving,
--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -72,6 +72,8 @@
     next_ticket: u64,
     ejections: u64,
     suspicions: Vec<Suspicion>,
+    /// Data centre of this host; none makes no difference between data centres.
+    data_centre: Option<Rc<str>>,
     random: fastrand::Rng,
 }
 
@@ -89,10 +91,17 @@
             next_ticket: 0,
             ejections: 0,
             suspicions: Vec::new(),
+            data_centre: None,
             random: fastrand::Rng::with_seed(seed),
         }
     }
 
+    /// Prefers targets of `data_centre` among those that are about equally busy.
+    pub fn prefer(mut self, data_centre: &str) -> Self {
+        self.data_centre = Some(Rc::from(data_centre));
+        self
+    }
+
     /// Returns the targets that a service routes to, the least suspect first.
     pub fn routing(&mut self, service: &str, now: BootTime) -> Vec<TargetId> {
         let Some(id) = self.service_ids.get(service).copied() else {
--- a/src/health/target.rs
+++ b/src/health/target.rs
@@ -43,6 +43,8 @@
     pub name: Rc<str>,
     /// Address under which it serves.
     pub address: SocketAddr,
+    /// Data centre of its host.
+    pub data_centre: Rc<str>,
     /// Requests that it runs at a time.
     pub slots: u32,
     /// Whether the platform's list says that it is leaving.
--- a/src/pool/idle.rs
+++ b/src/pool/idle.rs
@@ -9,11 +9,11 @@
 use super::TargetConnection;
 
 /// Longest time that a connection stays idle.
-const MAX_IDLE: Duration = Duration::from_secs(10);
+pub const MAX_IDLE: Duration = Duration::from_secs(10);
 /// Longest time from the opening of a connection to its last request.
 const MAX_AGE: Duration = Duration::from_secs(300);
 /// Idle time up to which no server closes a connection for idleness.
-const RECENT_USE: Duration = Duration::from_secs(1);
+pub const RECENT_USE: Duration = Duration::from_secs(1);
 /// Most idle connections to one target.
 const MAX_IDLE_PER_TARGET: usize = 16;
 
@@ -35,10 +35,18 @@
 }
 
 impl IdleConnections {
-    /// Takes the connection to `address` that was used last, if one is still usable.
-    pub fn take(&mut self, address: SocketAddr, now: BootTime) -> Option<TargetConnection> {
+    /// Takes the connection to `address` that was used last, if one is still usable and was idle
+    /// for at most `longest`.
+    pub fn take(
+        &mut self,
+        address: SocketAddr,
+        longest: Duration,
+        now: BootTime,
+    ) -> Option<TargetConnection> {
         let queue = self.by_address.get_mut(&address)?;
-        while let Some(idle) = queue.pop_back() {
+        let recent = |idle: &Idle| now.since(idle.since) <= longest;
+        while queue.back().is_some_and(recent) {
+            let idle = queue.pop_back()?;
             if idle.is_usable(now) && idle.conn.is_quiet() {
                 return Some(idle.conn);
             }
--- a/src/pool/task.rs
+++ b/src/pool/task.rs
@@ -13,8 +13,12 @@
 
 /// A message to the task that owns the idle connections.
 pub enum PoolMessage {
-    /// Asks for an idle connection.
-    Take(SocketAddr, oneshot::Sender<Option<TargetConnection>>),
+    /// Asks for a connection that was idle for at most some time.
+    Take(
+        SocketAddr,
+        Duration,
+        oneshot::Sender<Option<TargetConnection>>,
+    ),
     /// Gives a connection back.
     Put(TargetConnection),
     /// Asks whether the other side closed all connections that were in use a moment ago.
@@ -35,10 +39,12 @@
         Self { tx }
     }
 
-    /// Asks for an idle connection to `address`.
-    pub async fn take(&self, address: SocketAddr) -> Option<TargetConnection> {
+    /// Asks for a connection to `address` that was idle for at most `longest`.
+    pub async fn take(&self, address: SocketAddr, longest: Duration) -> Option<TargetConnection> {
         let (reply, rx) = oneshot::channel();
-        self.tx.send(PoolMessage::Take(address, reply)).ok()?;
+        self.tx
+            .send(PoolMessage::Take(address, longest, reply))
+            .ok()?;
         rx.await.ok().flatten()
     }
 
@@ -68,8 +74,8 @@
         monoio::select! {
             () = monoio::time::sleep(SWEEP_INTERVAL) => idle.sweep(clock.now()),
             msg = rx.recv() => match msg {
-                Some(PoolMessage::Take(address, reply)) => {
-                    let _ = reply.send(idle.take(address, clock.now()));
+                Some(PoolMessage::Take(address, longest, reply)) => {
+                    let _ = reply.send(idle.take(address, longest, clock.now()));
                 }
                 Some(PoolMessage::Put(conn)) => idle.put(conn, clock.now()),
                 Some(PoolMessage::AllClosed(address, reply)) => {
--- a/src/proxy/admit.rs
+++ b/src/proxy/admit.rs
@@ -28,17 +28,28 @@
 }
 
 /// Asks for one request inside the workspace's rate and burst.
-pub(super) async fn admit(cx: &ProxyContext, allowed: &Allowed) -> Result<Grant, Refusal> {
+pub(super) async fn admit(
+    cx: &ProxyContext,
+    allowed: &Allowed,
+    request_id: &str,
+) -> Result<Grant, Refusal> {
     let Some(identity) = &allowed.identity else {
         return Ok(Grant::UNLIMITED);
     };
     let asked = cx.limiter.admit(&identity.workspace, &identity.plan);
     match asked.await {
         Admission::Granted(grant) => Ok(grant),
-        Admission::Exceeded(wait) => Err(Refusal {
-            kind: ErrorKind::RateExceeded,
-            retry_after: Some(wait),
-        }),
+        Admission::Exceeded(wait) => {
+            let workspace = &*identity.workspace;
+            let wait_ms = wait.as_millis() as u64;
+            let rate = identity.plan.rate_per_s;
+            log::info!(request_id = request_id, workspace = workspace, wait_ms = wait_ms,
+                rate_per_s:? = rate; "over rate");
+            Err(Refusal {
+                kind: ErrorKind::RateExceeded,
+                retry_after: Some(wait),
+            })
+        }
         Admission::Unavailable => Err(ErrorKind::RateUnavailable.into()),
     }
 }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -12,7 +12,7 @@
     metrics::Counter,
     outcome::ErrorKind,
     poison::Verdict,
-    pool::TargetConnection,
+    pool::{TargetConnection, MAX_IDLE, RECENT_USE},
     retry::{Action, ConnectionKind, Event, Failure, RequestFacts, RequestMachine, RetryReason},
 };
 
@@ -86,6 +86,7 @@
             repeatable: self.repeatable,
             replayable: body.is_replayable(),
             leaves_silent: self.cx.leaves_silent,
+            trusts_recent: !self.cx.leaves_silent,
             max_attempts: self.standing.allowed.max_attempts,
         };
         let mut run = Run {
@@ -188,8 +189,13 @@
             return self.step(Event::Failed(Failure::Connect));
         };
         let address = exchange.picked.address;
-        if kind == ConnectionKind::KeptOrFresh {
-            if let Some(mut conn) = self.cx.pool.take(address).await {
+        let longest_idle = match kind {
+            ConnectionKind::Fresh => None,
+            ConnectionKind::RecentOrFresh => Some(RECENT_USE),
+            ConnectionKind::KeptOrFresh => Some(MAX_IDLE),
+        };
+        if let Some(longest) = longest_idle {
+            if let Some(mut conn) = self.cx.pool.take(address, longest).await {
                 conn.reused = true;
                 exchange.conn = Some(conn);
                 return self.step(Event::Connected { reused: true });
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -37,7 +37,7 @@
 impl Serving<'_> {
     /// Serves the request, and returns what becomes of the connection.
     pub(super) async fn run(&mut self, head: request::Parts, req: &ServedRequest<'_>) -> After {
-        let (allowed, grant) = match self.check(&head).await {
+        let (allowed, grant) = match self.check(&head, req.id).await {
             Ok(checked) => checked,
             Err(refusal) => return self.refuse(refusal, &head, req).await,
         };
@@ -55,27 +55,32 @@
             Ok(body) => body,
             Err(kind) => return self.refuse(kind.into(), &head, req).await,
         };
-        match self.confirm_grant(grant, &allowed).await {
+        match self.confirm_grant(grant, &allowed, req.id).await {
             Ok(()) => self.dispatch(head, body, &allowed, req).await,
             Err(refusal) => self.refuse(refusal, &head, req).await,
         }
     }
 
-    async fn check(&self, head: &request::Parts) -> Result<(Allowed, Grant), Refusal> {
+    async fn check(&self, head: &request::Parts, id: &str) -> Result<(Allowed, Grant), Refusal> {
         let cx = &self.conn.cx;
         let allowed = cx.policy.authorize(head, cx.clock.now())?;
-        let grant = admit(cx, &allowed).await?;
+        let grant = admit(cx, &allowed, id).await?;
         Ok((allowed, grant))
     }
 
     /// Asks for admission again when the grant became void while the body came in.
-    async fn confirm_grant(&self, grant: Grant, allowed: &Allowed) -> Result<(), Refusal> {
+    async fn confirm_grant(
+        &self,
+        grant: Grant,
+        allowed: &Allowed,
+        id: &str,
+    ) -> Result<(), Refusal> {
         let cx = &self.conn.cx;
         if grant.is_valid(cx.clock.now()) {
             return Ok(());
         }
         cx.metrics.count(Counter::GrantsLate);
-        admit(cx, allowed).await.map(|_| ())
+        admit(cx, allowed, id).await.map(|_| ())
     }
 
     /// Answers `Expect: 100-continue`; returns false when the connection failed.
@@ -100,7 +105,7 @@
         let cx = self.conn.cx.clone();
         let started = cx.clock.now();
         let mut body = received.body;
-        let standing = Standing::new(&cx, allowed);
+        let standing = Standing::new(&cx, allowed, req.id);
         let named = cx.heads.time_allowed(&head.headers);
         let times = [named, allowed.timeout, Some(cx.limits.deadline)];
         let workspace = allowed.workspace();
--- a/src/proxy/standing.rs
+++ b/src/proxy/standing.rs
@@ -11,14 +11,16 @@
 pub(super) struct Standing<'a> {
     /// What the lists allowed.
     pub(super) allowed: &'a Allowed,
+    request_id: &'a str,
     pauses: Cell<u64>,
 }
 
 impl<'a> Standing<'a> {
     /// Notes that the request was admitted now.
-    pub(super) fn new(cx: &ProxyContext, allowed: &'a Allowed) -> Self {
+    pub(super) fn new(cx: &ProxyContext, allowed: &'a Allowed, request_id: &'a str) -> Self {
         Self {
             allowed,
+            request_id,
             pauses: Cell::new(cx.pauses.count()),
         }
     }
@@ -32,7 +34,9 @@
         self.check_key(cx)?;
         while self.pauses.get() != cx.pauses.count() {
             self.pauses.set(cx.pauses.count());
-            admit(cx, self.allowed).await.map_err(|r| r.kind)?;
+            admit(cx, self.allowed, self.request_id)
+                .await
+                .map_err(|r| r.kind)?;
             self.check_key(cx)?;
         }
         Ok(())
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -20,6 +20,8 @@
 
 /// Time behind the start of a daemon in which all others of a fresh fleet register.
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
+/// Time between two looks at whether the holder is known.
+const SETTLE_LOOK: Duration = Duration::from_millis(20);
 /// Time between two readings of the lease by those who stand by.
 const WATCH_INTERVAL: Duration = Duration::from_secs(3);
 /// Pause behind a call that failed.
@@ -58,13 +60,23 @@
 
     /// Runs until the daemon ends.
     pub async fn run(self) {
-        sleep(SETTLE_TIME).await;
+        self.settle().await;
         loop {
             let pause = self.step().await;
             sleep(pause).await;
         }
     }
 
+    /// Waits until the holder of the slice is known, or the daemons of a fresh fleet had time to
+    /// register.
+    async fn settle(&self) {
+        let end = self.parts.clock.now() + SETTLE_TIME;
+        let is_known = || self.parts.owners.holder(&self.parts.data_centre).is_some();
+        while !is_known() && self.parts.clock.now() < end {
+            sleep(SETTLE_LOOK).await;
+        }
+    }
+
     /// Takes, renews or watches the lease once, and returns the time until the next step.
     async fn step(&self) -> Duration {
         let now = self.parts.clock.now();
--- a/src/retry/action.rs
+++ b/src/retry/action.rs
@@ -9,6 +9,8 @@
 pub enum ConnectionKind {
     /// Only one that was opened for this attempt.
     Fresh,
+    /// One that was kept and used moments ago, if there is one.
+    RecentOrFresh,
     /// One that was kept, if there is one.
     KeptOrFresh,
 }
--- a/src/retry/facts.rs
+++ b/src/retry/facts.rs
@@ -9,6 +9,8 @@
     pub replayable: bool,
     /// Whether another target is tried while one is silent, which breaks off its work.
     pub leaves_silent: bool,
+    /// Whether a connection that was used moments ago counts as alive for any request.
+    pub trusts_recent: bool,
     /// Most attempts.
     pub max_attempts: u32,
 }
--- a/src/retry/machine.rs
+++ b/src/retry/machine.rs
@@ -120,6 +120,8 @@
         let first = self.attempts == 1;
         Some(Action::Connect(if self.facts.repeatable && first {
             ConnectionKind::KeptOrFresh
+        } else if self.facts.trusts_recent && first {
+            ConnectionKind::RecentOrFresh
         } else {
             ConnectionKind::Fresh
         }))
--- a/tests/model/arrival.rs
+++ b/tests/model/arrival.rs
@@ -82,6 +82,7 @@
             repeatable: scenario.repeatable || lies,
             replayable: scenario.replayable,
             leaves_silent: true,
+            trusts_recent: false,
             max_attempts: 3,
         });
         self.phase = Phase::Running {
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -257,7 +257,7 @@
         let mut world = self.clone();
         let kept = match kind {
             ConnectionKind::KeptOrFresh => world.kept.pop(),
-            ConnectionKind::Fresh => None,
+            ConnectionKind::Fresh | ConnectionKind::RecentOrFresh => None,
         };
         let connection = kept.unwrap_or(world.next_connection);
         world.next_connection += u8::from(kept.is_none());
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -198,7 +198,7 @@
         replayable: bool,
         script: Vec<Try>
     ) -> bool {
-        let facts = RequestFacts { repeatable, replayable, leaves_silent: true, max_attempts: 3 };
+        let facts = RequestFacts { repeatable, replayable, leaves_silent: true, trusts_recent: false, max_attempts: 3 };
         machine(facts, &script) == naive(facts, &script)
     }
 
@@ -207,7 +207,7 @@
         replayable: bool,
         script: Vec<Try>
     ) -> TestResult {
-        let facts = RequestFacts { repeatable, replayable, leaves_silent: true, max_attempts: 3 };
+        let facts = RequestFacts { repeatable, replayable, leaves_silent: true, trusts_recent: false, max_attempts: 3 };
         let Some(end) = machine(facts, &script) else {
             return TestResult::discard();
         };
@@ -287,6 +287,7 @@
             repeatable: true,
             replayable: true,
             leaves_silent: true,
+            trusts_recent: false,
             max_attempts: 3,
         });
         for event in case.before {
@@ -304,6 +305,7 @@
         repeatable: true,
         replayable: true,
         leaves_silent: true,
+        trusts_recent: false,
         max_attempts: 3,
     });
     let before = [
