Let idempotent requests find out whether a target works again

The log shows trials each 2.1 s through an episode of some 9 s: requests that must not be repeated were the trials.

Ruled out: longer holds; the floor lets targets back behind 2 s, and must.

Half of the idempotent first attempts go to half-open targets, other requests only as far as the floor asks; a success closes the breaker in the fleet.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -159,6 +159,8 @@
     let poison = PoisonWatch::new(peers.clone(), &settings.data_centre, clock.clone());
     let handler = PoisonHandler::new(poison.clone());
     router.set(PeerKind::Poison, Rc::new(handler));
+    let broadcast = FleetBroadcast::new(peers.clone(), &settings.data_centre, NOTICE_TIMEOUT);
+    let failures = FailureTeller::new(broadcast.clone());
     let balancer = start_health(
         HealthParts {
             host: &settings.host,
@@ -166,6 +168,7 @@
             profile: settings.profile,
             floor: settings.floor,
             prefers_near: true,
+            failures: Some(failures.clone()),
             peers: peers.clone(),
             heads: heads.clone(),
             clock: clock.clone(),
@@ -173,10 +176,9 @@
         },
         &mut router,
     );
-    let broadcast = FleetBroadcast::new(peers.clone(), &settings.data_centre, NOTICE_TIMEOUT);
     let handler = FailureHandler {
         balancer: balancer.clone(),
-        broadcast: broadcast.clone(),
+        broadcast,
     };
     router.set(PeerKind::Failure, Rc::new(handler));
     let sink = TargetSink::new(balancer.clone(), platform::decode_target, clock.clone());
@@ -259,7 +261,7 @@
         claims: None,
         poison,
         retry_terms: RETRY_TERMS,
-        failures: Some(FailureTeller::new(broadcast)),
+        failures: Some(failures),
         metrics,
         clock,
         leaving,
--- a/src/daemon/health_parts.rs
+++ b/src/daemon/health_parts.rs
@@ -8,8 +8,8 @@
 use crate::{
     clock::Clock,
     health::{
-        balancer_task, probe_task, Balancer, BalancerHandle, Member, Profile, Sequential,
-        SuspicionExchange, SuspicionHandler, SuspicionTask,
+        balancer_task, probe_task, Balancer, BalancerHandle, FailureTeller, Member, Profile,
+        Sequential, SuspicionExchange, SuspicionHandler, SuspicionTask,
     },
     metrics::Metrics,
     peer::{PeerClient, PeerKind, PeerRouter},
@@ -28,6 +28,8 @@
     pub(super) floor: f64,
     /// Whether targets of the own data centre are preferred.
     pub(super) prefers_near: bool,
+    /// Tells the fleet of targets that work again; none where daemons judge by themselves.
+    pub(super) failures: Option<FailureTeller>,
     /// Calls other daemons.
     pub(super) peers: PeerClient,
     /// Reads what targets say of themselves.
@@ -59,6 +61,7 @@
         parts.clock.clone(),
         parts.metrics.clone(),
         suspicion_tx.clone(),
+        parts.failures,
     ));
     monoio::spawn(probe_task(balancer.clone(), parts.heads));
     let own = Member {
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -76,6 +76,7 @@
             profile: settings.profile,
             floor: settings.floor,
             prefers_near: false,
+            failures: None,
             peers: peers.clone(),
             heads: heads.clone(),
             clock: clock.clone(),
--- a/src/health/balancer/choice.rs
+++ b/src/health/balancer/choice.rs
@@ -5,10 +5,12 @@
 use crate::clock::BootTime;
 
 use super::{
-    super::{routing_set, Candidate, ServiceId, Target, TargetId, Ticket},
+    super::{routing_set, BreakerState, Candidate, ServiceId, Target, TargetId, Ticket},
     Balancer, Choice, PickError, PickRequest, MAX_DRAWS, REBUILD_INTERVAL, TRIAL_SHARE,
 };
 
+/// Share of idempotent first attempts that half-open targets get.
+const HALF_OPEN_SHARE: f64 = 0.5;
 /// Targets drawn from the own data centre for one choice.
 const DRAWN_NEAR: usize = 2;
 /// Targets drawn from all data centres for one choice.
@@ -29,7 +31,8 @@
             .get(req.service)
             .ok_or(PickError::NoTarget)?;
         self.refresh(service, now);
-        let id = match self.draw_trial(service, req) {
+        let trial = self.draw_trial(service, req);
+        let id = match trial.or_else(|| self.draw_half_open(service, req, now)) {
             Some(id) => id,
             None => self.draw(service, req.avoid, now)?,
         };
@@ -64,6 +67,26 @@
         target.flights.is_empty().then_some(id)
     }
 
+    /// Returns an idle target whose breaker is half-open for a part of the idempotent first
+    /// attempts, which can be made again elsewhere.
+    fn draw_half_open(
+        &mut self,
+        service: ServiceId,
+        req: &PickRequest<'_>,
+        now: BootTime,
+    ) -> Option<TargetId> {
+        if !req.repeatable || !req.avoid.is_empty() || self.random.f64() >= HALF_OPEN_SHARE {
+            return None;
+        }
+        let routing = &self.services.get(&service)?.routing;
+        let found = routing.iter().filter_map(|id| self.targets.get(id));
+        let half_open = found
+            .filter(|t| t.breaker.state(now) == BreakerState::HalfOpen && t.flights.is_empty());
+        let half_open: Vec<TargetId> = half_open.map(|t| t.id).collect();
+        let drawn = self.random.usize(0..half_open.len().max(1));
+        half_open.get(drawn).copied()
+    }
+
     fn draw(
         &mut self,
         service: ServiceId,
@@ -160,25 +183,25 @@
 
 /// Returns the targets of `routing` whose breakers are closed.
 ///
-/// One that failed moments ago stays out. The others whose breakers are open fill up what lacks
-/// to `floor`, those that close first; one target always stays.
+/// Half-open ones fill up what lacks to `floor`, those that failed longest ago first; one target
+/// always stays.
 fn closed_set(
     routing: &[TargetId],
     targets: &FxHashMap<TargetId, Target>,
     floor: f64,
     now: BootTime,
 ) -> Vec<TargetId> {
+    let is_closed = |t: &&Target| t.breaker.state(now) == BreakerState::Closed;
     let found = routing.iter().filter_map(|id| targets.get(id));
-    let (mut open, closed): (Vec<&Target>, Vec<&Target>) =
-        found.partition(|t| t.breaker.is_open(now));
+    let (closed, mut failed): (Vec<&Target>, Vec<&Target>) = found.partition(is_closed);
     let capacity = |set: &[&Target]| set.iter().map(|t| f64::from(t.slots)).sum::<f64>();
-    let wanted = floor * (capacity(&open) + capacity(&closed));
+    let wanted = floor * (capacity(&failed) + capacity(&closed));
     let mut held = capacity(&closed);
     let mut set: Vec<TargetId> = closed.iter().map(|t| t.id).collect();
-    open.sort_by_key(|t| (t.breaker.open_until(), t.id));
-    for target in open {
-        let spare = !target.breaker.failed_lately(now) && held < wanted;
-        if spare || set.is_empty() {
+    failed.sort_by_key(|t| (t.breaker.failed_at(), t.id));
+    for target in failed {
+        let half_open = target.breaker.state(now) == BreakerState::HalfOpen;
+        if set.is_empty() || (half_open && held < wanted) {
             held += f64::from(target.slots);
             set.push(target.id);
         }
--- a/src/health/balancer/evidence.rs
+++ b/src/health/balancer/evidence.rs
@@ -1,6 +1,6 @@
 //! Taking note of work, of probes, and of what targets say of themselves.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use crate::{clock::BootTime, proxy::TargetReport};
 
@@ -26,6 +26,9 @@
             WorkResult::Shed => target.shed(now),
             WorkResult::Success => {
                 target.succeeded();
+                if target.breaker.succeed(now) {
+                    self.recovered.push(target.name.clone());
+                }
                 if let Some(service) = self.services.get_mut(&target.service) {
                     service.count_answer(obs.latency, now);
                 }
@@ -44,6 +47,21 @@
         }
     }
 
+    /// Returns the targets whose breakers closed by a success since the last call.
+    pub fn take_recovered(&mut self) -> Vec<Rc<str>> {
+        std::mem::take(&mut self.recovered)
+    }
+
+    /// Closes the half-open breakers of targets that work again for other daemons.
+    pub fn close_by_name(&mut self, names: &[String], now: BootTime) {
+        for name in names {
+            let id = self.by_name.get(name.as_str());
+            if let Some(target) = id.and_then(|id| self.targets.get_mut(id)) {
+                target.breaker.succeed(now);
+            }
+        }
+    }
+
     /// Opens the breakers of targets that broke off work of other daemons.
     pub fn trip_by_name(&mut self, names: &[String], now: BootTime) {
         for name in names {
--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -72,6 +72,7 @@
     next_ticket: u64,
     ejections: u64,
     suspicions: Vec<Suspicion>,
+    recovered: Vec<Rc<str>>,
     /// Data centre of this host; none makes no difference between data centres.
     data_centre: Option<Rc<str>>,
     random: fastrand::Rng,
@@ -91,6 +92,7 @@
             next_ticket: 0,
             ejections: 0,
             suspicions: Vec::new(),
+            recovered: Vec::new(),
             data_centre: None,
             random: fastrand::Rng::with_seed(seed),
         }
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -13,8 +13,8 @@
 };
 
 use super::{
-    Balancer, Decided, Observation, PickError, PickOrder, Scheduler, SuspicionEvent, TargetId,
-    TargetState, Ticket,
+    Balancer, Decided, FailureTeller, Observation, PickError, PickOrder, Scheduler, SuspicionEvent,
+    TargetId, TargetState, Ticket,
 };
 
 /// Time between two looks at overdue requests and passed deadlines.
@@ -41,6 +41,8 @@
     Trip(TargetId),
     /// Tells that the targets of these names broke off work of other daemons.
     FailedElsewhere(Vec<String>),
+    /// Tells that the targets of these names work again for other daemons.
+    RecoveredElsewhere(Vec<String>),
     /// Tells that several daemons together suspect the target of this name.
     Advise(String),
     /// Asks for the targets to probe.
@@ -162,6 +164,7 @@
     handle: BalancerHandle,
     metrics: Rc<Metrics>,
     suspicions: mpsc::unbounded::Tx<SuspicionEvent>,
+    failures: Option<FailureTeller>,
     ejections: u64,
     queued: u64,
 }
@@ -174,6 +177,7 @@
     clock: Rc<dyn Clock>,
     metrics: Rc<Metrics>,
     suspicions: mpsc::unbounded::Tx<SuspicionEvent>,
+    failures: Option<FailureTeller>,
 ) {
     monoio::spawn(tick_task(handle.clone()));
     let mut task = BalancerTask {
@@ -181,6 +185,7 @@
         handle,
         metrics,
         suspicions,
+        failures,
         ejections: 0,
         queued: 0,
     };
@@ -214,6 +219,7 @@
             BalancerMessage::Report(id, report) => balancer.take_report(id, report, now),
             BalancerMessage::Trip(id) => balancer.trip(id, now),
             BalancerMessage::FailedElsewhere(names) => balancer.trip_by_name(&names, now),
+            BalancerMessage::RecoveredElsewhere(names) => balancer.close_by_name(&names, now),
             BalancerMessage::Advise(name) => balancer.advise(&name, now),
             BalancerMessage::Probes(reply) => {
                 let _ = reply.send(balancer.probes(now));
@@ -248,6 +254,12 @@
         for suspicion in self.scheduler.balancer.take_suspicions() {
             let _ = self.suspicions.send(SuspicionEvent::Own(suspicion));
         }
+        for target in self.scheduler.balancer.take_recovered() {
+            log::info!(target_name = &*target; "target works again");
+            if let Some(teller) = &self.failures {
+                teller.tell_recovered(&target);
+            }
+        }
         while self.ejections < self.scheduler.balancer.ejections() {
             self.ejections += 1;
             self.metrics.count(Counter::Ejections);
--- a/src/health/failure_notice.rs
+++ b/src/health/failure_notice.rs
@@ -14,11 +14,13 @@
 /// Time in which further failures gather before the fleet is told.
 const GATHER: Duration = Duration::from_millis(10);
 
-/// Targets that broke off work.
+/// Targets that broke off work, or work again behind that.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FailureNotice {
-    /// Names of the targets.
-    pub targets: Vec<String>,
+    /// Names of targets that broke off work.
+    pub failed: Vec<String>,
+    /// Names of targets that work again.
+    pub recovered: Vec<String>,
     /// Whether the receiver tells the rest of its data centre.
     pub relay: bool,
 }
@@ -27,7 +29,15 @@
 #[derive(Clone)]
 pub struct FailureTeller {
     broadcast: FleetBroadcast,
-    pending: Rc<RefCell<Vec<String>>>,
+    pending: Rc<RefCell<Pending>>,
+}
+
+/// What the fleet is to be told.
+#[derive(Default)]
+struct Pending {
+    failed: Vec<String>,
+    recovered: Vec<String>,
+    is_scheduled: bool,
 }
 
 impl FailureTeller {
@@ -39,22 +49,33 @@
         }
     }
 
-    /// Tells the fleet that `target` broke off work; further failures travel along.
-    pub fn tell(&self, target: &str) {
+    /// Tells the fleet that `target` broke off work; further news travel along.
+    pub fn tell_failed(&self, target: &str) {
         let mut pending = self.pending.borrow_mut();
-        if pending.iter().any(|t| t == target) {
-            return;
+        if !pending.failed.iter().any(|t| t == target) {
+            pending.failed.push(target.to_owned());
         }
-        pending.push(target.to_owned());
-        if pending.len() > 1 {
+        self.schedule(&mut pending);
+    }
+
+    /// Tells the fleet that `target` works again; further news travel along.
+    pub fn tell_recovered(&self, target: &str) {
+        let mut pending = self.pending.borrow_mut();
+        pending.recovered.push(target.to_owned());
+        self.schedule(&mut pending);
+    }
+
+    fn schedule(&self, pending: &mut Pending) {
+        if std::mem::replace(&mut pending.is_scheduled, true) {
             return;
         }
         let teller = self.clone();
         monoio::spawn(async move {
             monoio::time::sleep(GATHER).await;
-            let targets = teller.pending.take();
+            let pending = teller.pending.take();
             let notice = |relay| FailureNotice {
-                targets: targets.clone(),
+                failed: pending.failed.clone(),
+                recovered: pending.recovered.clone(),
                 relay,
             };
             let kind = PeerKind::Failure;
@@ -76,9 +97,10 @@
     fn handle<'a>(&'a self, _: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
         Box::pin(async move {
             let mut notice: FailureNotice = decode(body)?;
-            let targets = notice.targets.clone();
-            self.balancer
-                .send(BalancerMessage::FailedElsewhere(targets));
+            let recovered = BalancerMessage::RecoveredElsewhere(notice.recovered.clone());
+            self.balancer.send(recovered);
+            let failed = BalancerMessage::FailedElsewhere(notice.failed.clone());
+            self.balancer.send(failed);
             if notice.relay {
                 notice.relay = false;
                 let broadcast = self.broadcast.clone();
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -27,7 +27,7 @@
 
 pub use balancer::{Balancer, Choice, PickError, PickRequest};
 pub use balancer_task::{balancer_task, BalancerHandle, BalancerMessage, Picked};
-pub use breaker::Breaker;
+pub use breaker::{Breaker, BreakerState};
 pub use byte_budget::ByteBudget;
 pub use consecutive::Consecutive;
 pub use decayed::Decayed;
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -300,9 +300,12 @@
         let (Some(failures), Some(exchange)) = (&self.cx.failures, &self.exchange) else {
             return;
         };
+        let age = self.cx.clock.now().since(exchange.started);
+        log::info!(request_id = self.dispatch.request_id, target_name = &*exchange.picked.name,
+            age_ms = age.as_millis() as u64, told = tell; "target broke off work");
         exchange.picked.trip();
         if tell {
-            failures.tell(&exchange.picked.name);
+            failures.tell_failed(&exchange.picked.name);
         }
     }
 
