Tell each decision on a request in bounded log lines, and its story by 'explain'

Cause: logs told refusals and, at debug, answers; nothing on what a decision rested on. A full pipe stopped the daemon.

Ruled out: a thread that writes; it would hide how much is lost. Setting the pipe not to block, which other processes share.

Change: lines for admitted (with version and age of its proof), placed, retry, answered, a target that broke off work or works again. Each kind of line has a budget of 50 a second; the next one written counts those left out. A line is written only where standard output takes it without waiting.

Figures: tests/entry_logs.rs: 600 requests beside a pipe that nobody reads end within the bound.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -29,6 +29,8 @@
     Serve(ServeArgs),
     /// Runs an entry daemon on the users' platform.
     Front(FrontArgs),
+    /// Tells the story of a request from logs.
+    Explain(ExplainArgs),
     /// Checks a settings file.
     Check(CheckArgs),
     /// Edits the list of plans.
@@ -59,6 +61,15 @@
     pub settings: Option<PathBuf>,
 }
 
+/// Tell the story of one request from log lines on standard input. Example: cat *.log | chervillug explain --request 9c41d07be2a35f68
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArgs {
+    /// identity of the request, as its answer and the logs name it
+    #[argh(option)]
+    pub request: String,
+}
+
 /// Check a settings file and exit. Example: chervillug check --settings entry-1.json
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands.
 
 mod edit;
+mod explain;
 mod operator_client;
 mod print;
 mod serve;
@@ -36,6 +37,7 @@
     let code = match &cli.command {
         Command::Serve(args) => serve::serve(args),
         Command::Front(args) => serve::front(args),
+        Command::Explain(args) => explain::explain(args),
         Command::Check(args) => serve::check(args),
         Command::Plan(args) => OperatorCall::new(cli)?.plan(&args.command),
         Command::Access(args) => OperatorCall::new(cli)?.access(&args.command),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod daemon;
 pub mod exit_code;
+pub mod explain;
 pub mod follow;
 pub mod health;
 pub mod hosts;
--- /dev/null
+++ b/src/logging/mod.rs
@@ -0,0 +1,105 @@
+//! Logs as JSON lines, bounded in volume, which never wait for their reader.
+
+mod line_budget;
+mod line_writer;
+
+use std::{cell::RefCell, io::Write, time::SystemTime};
+
+use env_logger::{Builder, Env, Target};
+use log::{
+    kv::{Error, Key, Value, VisitSource},
+    Record,
+};
+use rustc_hash::FxHashMap;
+use serde::Serialize;
+use serde_json::Map;
+
+use crate::clock::{Clock, SystemClock};
+
+pub use line_budget::LineBudget;
+use line_writer::LineWriter;
+
+#[derive(Serialize)]
+struct Line<'a> {
+    at_ms: u64,
+    level: &'a str,
+    module: &'a str,
+    host: &'a str,
+    message: String,
+    /// Lines of this kind that were left out before.
+    #[serde(skip_serializing_if = "is_zero")]
+    left_out: u64,
+    #[serde(flatten)]
+    fields: Map<String, serde_json::Value>,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+/// What lines count as of one kind: their module and fixed text.
+type LineKind = (&'static str, &'static str);
+
+thread_local! {
+    static BUDGETS: RefCell<FxHashMap<LineKind, LineBudget>> = RefCell::default();
+}
+
+/// Collects the fields of a log record.
+#[derive(Default)]
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let json = match (value.to_u64(), value.to_bool()) {
+            (Some(n), _) => n.into(),
+            (_, Some(b)) => b.into(),
+            _ => value.to_string().into(),
+        };
+        self.0.insert(key.as_str().to_owned(), json);
+        Ok(())
+    }
+}
+
+/// Starts logging to standard output; the environment variable `RUST_LOG` sets the level.
+pub fn start(host: &str) {
+    let host = host.to_owned();
+    let started = Builder::from_env(Env::default().default_filter_or("info"))
+        .target(Target::Pipe(Box::new(LineWriter::default())))
+        .format(move |f, record| {
+            let Some(left_out) = take_from_budget(record) else {
+                return Ok(());
+            };
+            let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+            let mut fields = Fields::default();
+            if let Err(e) = record.key_values().visit(&mut fields) {
+                fields
+                    .0
+                    .insert("fields_lost".to_owned(), e.to_string().into());
+            }
+            let line = Line {
+                at_ms: since_epoch.map_or(0, |d| d.as_millis() as u64),
+                level: record.level().as_str(),
+                module: record.module_path().unwrap_or(""),
+                host: &host,
+                message: record.args().to_string(),
+                left_out,
+                fields: fields.0,
+            };
+            let text = serde_json::to_string(&line)?;
+            writeln!(f, "{text}")
+        })
+        .try_init();
+    if let Err(e) = started {
+        eprintln!("logging: {e}");
+    }
+}
+
+fn take_from_budget(record: &Record<'_>) -> Option<u64> {
+    let module = record.module_path_static().unwrap_or("");
+    let text = record.args().as_str().unwrap_or("");
+    let now = SystemClock.now();
+    BUDGETS.with_borrow_mut(|budgets| {
+        let budget = budgets.entry((module, text));
+        budget.or_insert_with(|| LineBudget::new(now)).take(now)
+    })
+}
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -24,7 +24,7 @@
     EditsApplied,
     /// Calls to the store.
     StoreCalls,
-    /// Failed calls to the platform.
+    /// Failed calls to the store.
     StoreErrors,
     /// Messages of strangers, or replayed ones, on the peer port.
     PeerUnauthenticated,
--- a/src/native/policy.rs
+++ b/src/native/policy.rs
@@ -9,7 +9,9 @@
     catalog::{KeyHasher, RouteLookup},
     clock::BootTime,
     outcome::ErrorKind,
-    proxy::{check_form, check_path, exposes_key, AccessPolicy, Allowed, HeadFormat, Identity},
+    proxy::{
+        check_form, check_path, exposes_key, AccessPolicy, Allowed, Basis, HeadFormat, Identity,
+    },
     retry::is_repeatable,
     sync::CatalogView,
 };
@@ -59,6 +61,10 @@
                 workspace: workspace.clone(),
                 plan: plan.clone(),
             }),
+            basis: Basis {
+                version: catalog.revision(),
+                proof_age: None,
+            },
             service: Rc::from(route.service.as_str()),
             repeatable: is_repeatable(&head.method, route.repeatable, mark),
             max_attempts: MAX_ATTEMPTS,
--- a/src/proxy/access_policy.rs
+++ b/src/proxy/access_policy.rs
@@ -25,11 +25,22 @@
     pub plan: Plan,
 }
 
+/// What a decision on a request rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Basis {
+    /// Version of the lists.
+    pub version: u64,
+    /// Age of the proof that there was no newer one, where that is counted.
+    pub proof_age: Option<Duration>,
+}
+
 /// A request that its key and the lists allow.
 #[derive(Debug, Clone)]
 pub struct Allowed {
     /// Whose request it is; none on routes that are open without a key.
     pub identity: Option<Identity>,
+    /// What the decision rests on.
+    pub basis: Basis,
     /// Service that the request goes to.
     pub service: Rc<str>,
     /// Whether the request may run more than once.
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -17,8 +17,14 @@
 };
 
 use super::{
-    attempt::Attempt, crash::target_died, deadline::Deadline, head_format::ResponseClass,
-    request_body::RequestBody, standing::Standing, ProxyContext,
+    access_log::{log_placed, log_retry, PlacedLine},
+    attempt::Attempt,
+    crash::target_died,
+    deadline::Deadline,
+    head_format::ResponseClass,
+    request_body::RequestBody,
+    standing::Standing,
+    ProxyContext,
 };
 
 /// A request that may be sent to targets.
@@ -157,11 +163,20 @@
         if self.dispatch.deadline.has_passed(self.cx.clock.now()) {
             return self.step(Event::DeadlinePassed);
         }
+        let asked = self.cx.clock.now();
         let picked = match self.cx.balancer.pick(self.order()).await {
             Ok(picked) => picked,
             Err(PickError::NoTarget) => return self.step(Event::NoTarget),
             Err(PickError::Busy | PickError::Overloaded) => return self.step(Event::Overloaded),
         };
+        let now = self.cx.clock.now();
+        log_placed(&PlacedLine {
+            request_id: self.dispatch.request_id,
+            target: &picked.name,
+            tried: self.tried.len(),
+            waited: now.since(asked),
+            left: self.dispatch.deadline.left(now),
+        });
         self.tried.push(picked.id);
         self.exchange = Some(Exchange {
             picked,
@@ -284,6 +299,7 @@
         // A target that could not be connected got nothing of the request.
         let is_free = reason == RetryReason::ConnectFailed;
         let granted = is_free || self.cx.services.withdraw(self.dispatch.service(), now);
+        log_retry(self.dispatch.request_id, reason, granted && !poisoned);
         if poisoned || !granted {
             self.cx.metrics.count_refused_retry(reason);
             return self.step(Event::BudgetRefused);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -22,7 +22,7 @@
 mod service_states;
 mod standing;
 
-pub use access_policy::{AccessPolicy, Allowed, CallerLimits, Identity};
+pub use access_policy::{AccessPolicy, Allowed, Basis, CallerLimits, Identity};
 pub use context::{ProxyContext, ProxyParts};
 pub use head_format::{HeadFormat, ResponseClass, Sender, TargetReport};
 pub(crate) use headers::{credentials, exposes_key, strip_hop_by_hop, valid_value};
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -6,7 +6,7 @@
 use crate::{http::BodyKind, limit::Grant, metrics::Counter, outcome::ErrorKind};
 
 use super::{
-    access_log::{log_answer, log_caller_gone, AnswerLine},
+    access_log::{log_admitted, log_answer, log_caller_gone, AnswerLine},
     access_policy::Allowed,
     admit::{admit, Refusal},
     caller::{After, CallerConnection, RefusalForm},
@@ -44,6 +44,7 @@
         if !self.confirm_body(&head, req.kind).await {
             return After::Reset;
         }
+        log_admitted(req.id, &allowed);
         let cx = self.conn.cx.clone();
         let receiver = BodyReceiver {
             kind: req.kind,
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -9,7 +9,9 @@
     clock::BootTime,
     http::HeadLimits,
     outcome::ErrorKind,
-    proxy::{check_form, exposes_key, AccessPolicy, Allowed, CallerLimits, HeadFormat, Identity},
+    proxy::{
+        check_form, exposes_key, AccessPolicy, Allowed, Basis, CallerLimits, HeadFormat, Identity,
+    },
 };
 
 use super::{ConfigurationView, HostRoute, RouteTable, Workspace};
@@ -101,6 +103,10 @@
         let workspace_rank = workspace.and_then(|w| w.rank).unwrap_or(0);
         Ok(Allowed {
             identity,
+            basis: Basis {
+                version: table.version,
+                proof_age: self.view.freshness().age(now),
+            },
             service: self.draw_service(route).ok_or(ErrorKind::RouteClosed)?,
             repeatable: route.repeatable,
             max_attempts: route.max_attempts,
--- a/standins/src/entry_fleet.rs
+++ b/standins/src/entry_fleet.rs
@@ -79,6 +79,21 @@
         Ok(())
     }
 
+    /// Starts the daemon again with its log going to a pipe that nobody reads.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the process does not start.
+    pub fn restart_with_unread_log(&mut self) -> io::Result<()> {
+        self.kill();
+        let mut command = command(&self.program, &self.settings_path);
+        self.child = command
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(())
+    }
+
     /// Sends a signal by its name, such as `TERM`, `STOP`, `CONT` or `HUP`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
@@ -132,14 +147,15 @@
 
 fn spawn(program: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
     let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
-    Command::new(program)
-        .arg("front")
-        .arg("--settings")
-        .arg(settings)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone()?)
-        .stderr(log)
-        .spawn()
+    let mut command = command(program, settings);
+    command.stdout(log.try_clone()?).stderr(log).spawn()
+}
+
+fn command(program: &Path, settings: &Path) -> Command {
+    let mut command = Command::new(program);
+    command.arg("front").arg("--settings").arg(settings);
+    command.stdin(Stdio::null());
+    command
 }
 
 /// A small fleet of entry daemons with a store and targets of the services `one` and `two`.
--- /dev/null
+++ b/tests/entry_logs.rs
@@ -0,0 +1,178 @@
+//! Logs and metrics of an entry daemon, and the story of a request, by the real program.
+
+use std::{
+    io::Write,
+    path::Path,
+    process::{Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use chervillug::{clock::BootTime, logging::LineBudget};
+use serde_json::Value;
+use standins::{Client, EntryFleet, Manner};
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_chervillug"))
+}
+
+/// Returns what `chervillug explain` prints, and whether it succeeded.
+fn explain(request_id: &str, log: &str) -> (String, String, bool) {
+    let mut child = Command::new(program())
+        .args(["explain", "--request", request_id])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut stdin = child.stdin.take().expect("standard input");
+    stdin.write_all(log.as_bytes()).expect("the log is taken");
+    drop(stdin);
+    let out = child.wait_with_output().expect("the program ends");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (text(&out.stdout), text(&out.stderr), out.status.success())
+}
+
+struct Story {
+    name: &'static str,
+    manner: Manner,
+    key: &'static str,
+    path: &'static str,
+    status: u16,
+    /// What the story must tell, in this order.
+    told: &'static [&'static str],
+}
+
+const STORIES: [Story; 4] = [
+    Story {
+        name: "answered",
+        manner: Manner::Answers,
+        key: "key-big",
+        path: "/two/x",
+        status: 200,
+        told: &["configuration read", "admitted", "placed", "answered"],
+    },
+    Story {
+        name: "the target may have run it",
+        manner: Manner::LosesAnswer,
+        key: "key-big",
+        path: "/two/x",
+        status: 502,
+        told: &["admitted", "placed", "broke off work", "reason=target_lost"],
+    },
+    Story {
+        name: "shed everywhere",
+        manner: Manner::Sheds,
+        key: "key-big",
+        path: "/two/x",
+        status: 503,
+        told: &["admitted", "placed", "retry", "reason=target_shed"],
+    },
+    Story {
+        name: "unknown key",
+        manner: Manner::Answers,
+        key: "key-none",
+        path: "/two/x",
+        status: 401,
+        told: &["configuration read", "reason=key_unknown"],
+    },
+];
+
+#[test]
+fn story_of_a_request_is_told_from_its_log() {
+    for (i, case) in STORIES.iter().enumerate() {
+        let fleet = EntryFleet::start(program(), 1).expect("the fleet starts");
+        fleet.targets.iter().for_each(|t| t.set_manner(case.manner));
+        let id = format!("story-{i}");
+        let reply = fleet.request(0, case.key, "POST", case.path, &id);
+        assert_eq!(
+            reply.expect("an answer").status,
+            case.status,
+            "{}",
+            case.name
+        );
+        std::thread::sleep(Duration::from_millis(100));
+        let log = fleet.daemons[0].log();
+        assert!(!log.contains("key-big"), "a key stands in the log");
+        let (story, _, told) = explain(&id, &log);
+        assert!(told, "{}", case.name);
+        let mut rest = story.as_str();
+        for part in case.told {
+            let at = rest.find(part);
+            let at = at.unwrap_or_else(|| panic!("{}: no {part} in {story}", case.name));
+            rest = &rest[at..];
+        }
+    }
+}
+
+#[test]
+fn damaged_lines_are_named_and_an_unknown_id_is_told() {
+    let log = "no json\n{\"request_id\":\"a\",\"message\":\"refused\"}\n{\"half\n";
+    let (story, errors, told) = explain("a", log);
+    assert!(told && story.contains("refused"), "{story}");
+    assert!(
+        errors.contains("line 1") && errors.contains("line 3"),
+        "{errors}"
+    );
+    let (_, errors, told) = explain("b", log);
+    assert!(!told && errors.contains("no line of request b"), "{errors}");
+}
+
+#[test]
+fn log_that_nobody_reads_slows_no_request() {
+    let mut fleet = EntryFleet::start(program(), 1).expect("the fleet starts");
+    fleet.daemons[0]
+        .restart_with_unread_log()
+        .expect("a restart");
+    fleet.wait_serving().expect("the daemon serves");
+    let began = Instant::now();
+    for i in 0..600 {
+        let reply = fleet.request(0, "key-big", "GET", "/one/x", &format!("unread-{i}"));
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    assert!(
+        began.elapsed() < Duration::from_secs(20),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
+#[test]
+fn metrics_are_served_as_text() {
+    let fleet = EntryFleet::start(program(), 1).expect("the fleet starts");
+    let address = fleet.daemons[0].ready_address;
+    let reply = Client::once(address, "GET", "/metrics", &[], b"").expect("the metrics");
+    assert_eq!(reply.status, 200);
+    let text = reply.text();
+    for name in [
+        "chervillug_requests ",
+        "chervillug_store_calls ",
+        "chervillug_refused_not_ready ",
+    ] {
+        assert!(text.contains(name), "{name} in {text}");
+    }
+}
+
+#[test]
+fn each_line_is_a_json_object() {
+    let fleet = EntryFleet::start(program(), 1).expect("the fleet starts");
+    let log = fleet.daemons[0].log();
+    assert!(log.lines().count() > 3);
+    for line in log.lines() {
+        let value: Value = serde_json::from_str(line).expect("JSON");
+        assert!(
+            value["message"].is_string() && value["host"] == "entry-0",
+            "{line}"
+        );
+    }
+}
+
+#[test]
+fn lines_above_the_budget_are_counted_and_left_out() {
+    let at = |ms| BootTime::from_duration(Duration::from_millis(ms));
+    let mut budget = LineBudget::new(at(0));
+    let written = (0..1000).filter(|_| budget.take(at(1)).is_some()).count();
+    assert!((200..=201).contains(&written), "{written}");
+    let later = 1 + LineBudget::refill_time().as_millis() as u64;
+    assert_eq!(budget.take(at(later)), Some(1000 - written as u64));
+    assert_eq!(budget.take(at(later)), Some(0));
+}
--- a/tests/path_logs.rs
+++ b/tests/path_logs.rs
@@ -59,13 +59,20 @@
         .lines()
         .map(|l| serde_json::from_str(l).expect("a JSON line"))
         .collect();
-    let line_of = |id: Option<&str>| lines.iter().find(|l| l["request_id"].as_str() == id);
-    let line = line_of(answered.header("chervillug-request-id")).expect("an access line");
-    assert_eq!(line["message"], "answered");
+    let line_of = |id: Option<&str>, message: &str| {
+        let of_request = lines.iter().filter(|l| l["request_id"].as_str() == id);
+        of_request.into_iter().find(|l| l["message"] == message)
+    };
+    let answered_id = answered.header("chervillug-request-id");
+    for message in ["admitted", "placed"] {
+        assert!(line_of(answered_id, message).is_some(), "no line {message}");
+    }
+    let line = line_of(answered_id, "answered").expect("an access line");
     assert_eq!(line["workspace"], "parish");
     assert_eq!(line["status"], 200);
-    assert_eq!(line["level"], "DEBUG");
-    let line = line_of(refused.header("chervillug-request-id")).expect("a refusal line");
+    assert_eq!(line["level"], "INFO");
+    let refused_id = refused.header("chervillug-request-id");
+    let line = line_of(refused_id, "refused").expect("a refusal line");
     assert_eq!(line["reason"], "key_exposed");
     assert_eq!(line["level"], "INFO");
 }
