Take proofs of a fresh configuration from two readers of each data centre

Ruled out: longer waits; the age of a proof is bounded by 5 s for withdrawn keys and 2 s for configurations.

Change: two daemons of each data centre, by rendezvous over the members, follow the configuration with waits of 0.7 s; the others ask them every 0.7 s for the age of the proof, a newer configuration, and the newest version of targets. A proof counts from before the question, less the age that the answer states. A reader that is silent is passed over for 10 s; without a proof younger than 1 s a daemon reads the store itself, once its own proof is 1.5 s old. tests/entry_store.rs counted the calls of one lone daemon, which now reads for others; the fleet's calls are counted in tests/entry_proofs.rs instead, against the stated 0.3 a daemon and second.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -15,7 +15,7 @@
     config::{self, FrontSettings, KEY_MARGIN},
     follow::{
         follow_table, join_fleet, ConfigurationSink, FollowOptions, JoinParts, MemberRow,
-        MemberSink, StoreContact, TargetSink, MEMBERS_TABLE,
+        MemberSink, PeerProofs, ProofHandler, StoreContact, TargetSink, MEMBERS_TABLE,
     },
     health::{FailureHandler, FailureTeller},
     lifecycle::{ready_task, ReadyServer, Shutdown, Signals},
@@ -44,9 +44,9 @@
     DaemonError,
 };
 
-/// Longest wait of one call that follows the configuration, whose answer proves that keys are
-/// fresh; with the time limit of a call it stays below the operator's bound on withdrawn keys.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(2400);
+/// Longest wait of one call that follows the configuration; its answer proves for the readers'
+/// data centres that keys are fresh, and must be younger than what others take for a proof.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(700);
 /// Longest wait of one call that follows targets or members; the store allows 30 s.
 const QUIET_WAIT: Duration = Duration::from_secs(25);
 /// Pause behind a change of targets in which further ones gather; half of the time within which a
@@ -123,22 +123,10 @@
         ready_listener,
     ));
     let contact = StoreContact::default();
-    let sink = ConfigurationSink::new(
+    let sink = Rc::new(ConfigurationSink::new(
         view.clone(),
         platform::CONFIGURATION_KEY,
         platform::decode_configuration,
-    );
-    monoio::spawn(follow_table(
-        store.clone(),
-        FollowOptions {
-            table: platform::CONFIGURATION_TABLE,
-            wait: CONFIGURATION_WAIT,
-            gather: Duration::ZERO,
-            leads: true,
-        },
-        Rc::new(sink),
-        clock.clone(),
-        contact.clone(),
     ));
 
     let row = MemberRow {
@@ -156,6 +144,34 @@
     let directory = PeerDirectory::new(&settings.host, &Default::default());
     let peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
     let mut router = PeerRouter::default();
+    let handler = ProofHandler {
+        view: view.clone(),
+        sink: sink.clone(),
+        contact: contact.clone(),
+        clock: clock.clone(),
+    };
+    router.set(PeerKind::Proof, Rc::new(handler));
+    let proofs = PeerProofs::new(
+        peers.clone(),
+        &settings.data_centre,
+        view.clone(),
+        sink.clone(),
+        contact.clone(),
+        clock.clone(),
+    );
+    monoio::spawn(follow_table(
+        store.clone(),
+        FollowOptions {
+            table: platform::CONFIGURATION_TABLE,
+            wait: CONFIGURATION_WAIT,
+            gather: Duration::ZERO,
+            leads: true,
+        },
+        sink,
+        clock.clone(),
+        contact.clone(),
+        Some(proofs),
+    ));
     let poison = PoisonWatch::new(peers.clone(), &settings.data_centre, clock.clone());
     let handler = PoisonHandler::new(poison.clone());
     router.set(PeerKind::Poison, Rc::new(handler));
@@ -181,7 +197,12 @@
         broadcast,
     };
     router.set(PeerKind::Failure, Rc::new(handler));
-    let sink = TargetSink::new(balancer.clone(), platform::decode_target, clock.clone());
+    let sink = TargetSink::new(
+        balancer.clone(),
+        platform::decode_target,
+        contact.clone(),
+        clock.clone(),
+    );
     monoio::spawn(follow_table(
         store.clone(),
         FollowOptions {
@@ -193,6 +214,7 @@
         Rc::new(sink),
         clock.clone(),
         contact.clone(),
+        None,
     ));
 
     let owners = SliceOwners::default();
@@ -212,6 +234,7 @@
         Rc::new(sink),
         clock.clone(),
         contact.clone(),
+        None,
     ));
     let lease = LeaseTask::new(LeaseParts {
         store,
--- /dev/null
+++ b/src/follow/readers.rs
@@ -0,0 +1,37 @@
+//! Which daemons of a data centre read the configuration from the store for the others.
+
+use std::{rc::Rc, time::Duration};
+
+use rustc_hash::FxHashMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::clock::BootTime;
+
+/// Daemons of a data centre that read for the others.
+const READERS: usize = 2;
+/// Time for which a daemon that did not answer is passed over.
+const SILENT_PAUSE: Duration = Duration::from_secs(10);
+/// Seed of the ranks, another one than that of the holders of slices.
+const SEED: u64 = 1;
+
+/// Chooses the readers of a data centre by rendezvous hashing over its daemons.
+#[derive(Debug, Default)]
+pub struct Readers {
+    silent_until: FxHashMap<Rc<str>, BootTime>,
+}
+
+impl Readers {
+    /// Returns the readers among `hosts`, the first one first, without those that were silent.
+    pub fn choose(&self, hosts: &[Rc<str>], now: BootTime) -> Vec<Rc<str>> {
+        let is_silent = |host: &Rc<str>| self.silent_until.get(host).is_some_and(|t| *t > now);
+        let mut answering: Vec<Rc<str>> = hosts.iter().filter(|h| !is_silent(h)).cloned().collect();
+        answering.sort_by_key(|host| (xxh3_64_with_seed(host.as_bytes(), SEED), host.clone()));
+        answering.truncate(READERS);
+        answering
+    }
+
+    /// Takes note that a reader did not answer.
+    pub fn note_silence(&mut self, host: &Rc<str>, now: BootTime) {
+        self.silent_until.insert(host.clone(), now + SILENT_PAUSE);
+    }
+}
--- a/src/follow/store_contact.rs
+++ b/src/follow/store_contact.rs
@@ -12,9 +12,21 @@
 #[derive(Clone, Default)]
 pub struct StoreContact {
     regained: Rc<Cell<u64>>,
+    targets_version: Rc<Cell<u64>>,
 }
 
 impl StoreContact {
+    /// Returns the newest version of the rows of targets that were read.
+    pub fn targets_version(&self) -> u64 {
+        self.targets_version.get()
+    }
+
+    /// Takes note of a version of the rows of targets.
+    pub fn note_targets(&self, version: u64) {
+        let newest = self.targets_version.get().max(version);
+        self.targets_version.set(newest);
+    }
+
     /// Returns how often contact was regained.
     pub fn regained(&self) -> u64 {
         self.regained.get()
--- a/src/follow/table_follower.rs
+++ b/src/follow/table_follower.rs
@@ -9,7 +9,7 @@
     store::{FeedRead, RowStore, RowsRead, StoreError, StoredRow},
 };
 
-use super::StoreContact;
+use super::{PeerProofs, StoreContact};
 
 /// Shortest pause behind a failed call.
 const MIN_RETRY: Duration = Duration::from_millis(200);
@@ -59,6 +59,8 @@
     sink: Rc<dyn TableSink>,
     clock: Rc<dyn Clock>,
     contact: StoreContact,
+    /// Spares calls while other daemons prove what this table holds.
+    proofs: Option<PeerProofs>,
     failures: u32,
 }
 
@@ -69,6 +71,7 @@
     sink: Rc<dyn TableSink>,
     clock: Rc<dyn Clock>,
     contact: StoreContact,
+    proofs: Option<PeerProofs>,
 ) {
     let mut follower = Follower {
         store,
@@ -76,6 +79,7 @@
         sink,
         clock,
         contact,
+        proofs,
         failures: 0,
     };
     loop {
@@ -122,8 +126,9 @@
     /// Follows changes until the store no longer knows them.
     async fn follow_from(&mut self, mut version: u64) {
         loop {
+            let wait = self.next_wait().await;
             let sent = self.clock.now();
-            let (table, wait) = (self.opts.table, self.next_wait());
+            let table = self.opts.table;
             let seen = self.contact.regained();
             let answer = monoio::select! {
                 answer = self.store.follow(table, version, wait) => answer,
@@ -149,9 +154,14 @@
         }
     }
 
-    /// Returns how long the store is to wait; behind a failure an answer at once tells most.
-    fn next_wait(&self) -> Duration {
-        if self.failures > 0 {
+    /// Returns how long the store is to wait, once this daemon must call it; behind a failure, or
+    /// when other daemons prove nothing, an answer at once tells most.
+    async fn next_wait(&self) -> Duration {
+        let reads_for_others = match &self.proofs {
+            Some(proofs) => proofs.relieve().await,
+            None => true,
+        };
+        if self.failures > 0 || !reads_for_others {
             Duration::ZERO
         } else {
             self.opts.wait
--- a/src/follow/target_sink.rs
+++ b/src/follow/target_sink.rs
@@ -10,7 +10,7 @@
 
 use super::{
     table_follower::{Answered, TableSink},
-    TargetList,
+    StoreContact, TargetList,
 };
 
 /// Time between two looks at entries that were missing when the store returned.
@@ -24,16 +24,23 @@
     list: Rc<RefCell<TargetList>>,
     balancer: BalancerHandle,
     decode: DecodeTarget,
+    contact: StoreContact,
     clock: Rc<dyn Clock>,
 }
 
 impl TargetSink {
     /// Makes a sink that tells `balancer`.
-    pub fn new(balancer: BalancerHandle, decode: DecodeTarget, clock: Rc<dyn Clock>) -> Self {
+    pub fn new(
+        balancer: BalancerHandle,
+        decode: DecodeTarget,
+        contact: StoreContact,
+        clock: Rc<dyn Clock>,
+    ) -> Self {
         Self {
             list: Rc::default(),
             balancer,
             decode,
+            contact,
             clock,
         }
     }
@@ -50,6 +57,11 @@
         }
     }
 
+    fn note_versions(&self, rows: &[StoredRow]) {
+        let newest = rows.iter().map(|row| row.version).max();
+        self.contact.note_targets(newest.unwrap_or_default());
+    }
+
     fn publish(&self) {
         let hosts = self.list.borrow().hosts();
         self.balancer
@@ -83,6 +95,7 @@
 
 impl TableSink for TargetSink {
     fn replace(&self, rows: Vec<StoredRow>, answered: &Answered) {
+        self.note_versions(&rows);
         let hosts: Vec<ListedHost> = rows.iter().filter_map(|r| self.decode(r)).collect();
         log::info!(targets = hosts.len(); "targets read");
         {
@@ -98,6 +111,7 @@
         if rows.is_empty() {
             return;
         }
+        self.note_versions(&rows);
         for row in &rows {
             self.take(row, answered.received);
         }
--- a/src/peer/envelope.rs
+++ b/src/peer/envelope.rs
@@ -25,6 +25,8 @@
     Poison,
     /// Targets that break off work.
     Failure,
+    /// Proofs of a fresh configuration.
+    Proof,
 }
 
 /// One message or reply: its kind and its MessagePack body, whose type the kind's handler knows.
--- a/src/peer/lane.rs
+++ b/src/peer/lane.rs
@@ -20,9 +20,11 @@
     pub(super) fn of(kind: PeerKind) -> Self {
         match kind {
             PeerKind::Ask | PeerKind::Handover => Self::Ask,
-            PeerKind::Heartbeat | PeerKind::Suspicion | PeerKind::Poison | PeerKind::Failure => {
-                Self::Control
-            }
+            PeerKind::Heartbeat
+            | PeerKind::Suspicion
+            | PeerKind::Poison
+            | PeerKind::Failure
+            | PeerKind::Proof => Self::Control,
             PeerKind::Revision => Self::Bulk,
         }
     }
--- /dev/null
+++ b/tests/entry_proofs.rs
@@ -0,0 +1,119 @@
+//! Proofs of a fresh configuration that daemons take from each other, by the real program.
+
+use std::{
+    path::Path,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use chervillug::{clock::BootTime, follow::Readers};
+use standins::{configuration, EntryFleet};
+
+/// Time within which a configuration is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// Longest time for which a withdrawn key may work.
+const KEY_WITHDRAWAL: Duration = Duration::from_secs(5);
+
+/// Daemons of a fleet whose store calls are counted.
+const DAEMONS: usize = 24;
+/// Most store calls of a daemon on a quiet day, 1/s.
+const MOST_CALLS_PER_S: f64 = 0.3;
+
+fn start(daemons: usize) -> EntryFleet {
+    let program = Path::new(env!("CARGO_BIN_EXE_chervillug"));
+    let fleet = EntryFleet::start(program, daemons).expect("the fleet starts");
+    sleep(Duration::from_secs(3));
+    fleet
+}
+
+fn status(fleet: &EntryFleet, i: usize, key: &str) -> u16 {
+    let reply = fleet.request(i, key, "GET", "/one/x", "status");
+    reply.map_or(0, |r| r.status)
+}
+
+/// Publishes a configuration without the key `key-big-2`.
+fn withdraw(fleet: &EntryFleet, version: u64) {
+    let mut cfg = configuration(version);
+    cfg["tenants"]["big"]["apiKeys"] = serde_json::json!(["key-big"]);
+    fleet.configure(&cfg);
+}
+
+#[test]
+fn configuration_is_in_force_at_all_daemons() {
+    let fleet = start(8);
+    withdraw(&fleet, 2);
+    sleep(IN_FORCE);
+    for i in 0..8 {
+        assert_eq!(status(&fleet, i, "key-big-2"), 401, "daemon {i}");
+        assert_eq!(status(&fleet, i, "key-big"), 200, "daemon {i}");
+    }
+}
+
+#[test]
+fn daemons_serve_on_and_learn_changes_whichever_readers_die() {
+    for first in 0..2 {
+        let mut fleet = start(8);
+        // Three of the four daemons of one data centre, whichever of them read for the others.
+        for i in (first..first + 6).step_by(2) {
+            fleet.daemons[i].kill();
+        }
+        sleep(Duration::from_secs(1));
+        let left = first + 6;
+        let began = Instant::now();
+        while began.elapsed() < KEY_WITHDRAWAL {
+            assert_eq!(
+                status(&fleet, left, "key-big"),
+                200,
+                "{:?}",
+                began.elapsed()
+            );
+            sleep(Duration::from_millis(100));
+        }
+        withdraw(&fleet, 2);
+        sleep(IN_FORCE);
+        assert_eq!(status(&fleet, left, "key-big-2"), 401);
+    }
+}
+
+#[test]
+fn withdrawn_key_stops_beside_daemons_that_stand_still() {
+    let fleet = start(8);
+    for i in 0..4 {
+        fleet.daemons[i].signal("STOP");
+    }
+    withdraw(&fleet, 2);
+    sleep(KEY_WITHDRAWAL);
+    for i in 4..8 {
+        assert_ne!(status(&fleet, i, "key-big-2"), 200, "daemon {i}");
+    }
+    for i in 0..4 {
+        fleet.daemons[i].signal("CONT");
+        assert_ne!(status(&fleet, i, "key-big-2"), 200, "daemon {i}");
+    }
+}
+
+#[test]
+fn quiet_fleet_makes_few_store_calls() {
+    let fleet = start(DAEMONS);
+    let before = fleet.store.calls();
+    sleep(Duration::from_secs(8));
+    let calls = (fleet.store.calls() - before) as f64;
+    let per_daemon = calls / 8.0 / DAEMONS as f64;
+    assert!(
+        per_daemon <= MOST_CALLS_PER_S,
+        "{per_daemon} calls a second"
+    );
+}
+
+#[test]
+fn silent_readers_are_passed_over_for_a_while() {
+    let at = |s| BootTime::from_duration(Duration::from_secs(s));
+    let hosts: Vec<_> = ["a", "b", "c", "d"].map(std::rc::Rc::from).to_vec();
+    let mut readers = Readers::default();
+    let chosen = readers.choose(&hosts, at(100));
+    assert_eq!(chosen.len(), 2);
+    readers.note_silence(&chosen[0], at(100));
+    let next = readers.choose(&hosts, at(105));
+    assert!(!next.contains(&chosen[0]) && next.contains(&chosen[1]));
+    assert_eq!(readers.choose(&hosts, at(111)), chosen);
+}
