--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -46,12 +46,12 @@
 
 /// Longest wait of one call that follows the configuration; its answer proves for the readers'
 /// data centres that keys are fresh, and must be younger than what others take for a proof.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(700);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(800);
 /// Longest wait of one call that follows targets or members; the store allows 30 s.
 const QUIET_WAIT: Duration = Duration::from_secs(25);
-/// Pause behind a change of targets in which further ones gather; half of the time within which a
-/// leaving target must get no more work.
-const TARGET_GATHER: Duration = Duration::from_millis(1000);
+/// Pause behind a change of targets in which further ones gather, well below the time within
+/// which a leaving target must get no more work.
+const TARGET_GATHER: Duration = Duration::from_millis(700);
 /// Pause behind a change of members in which further ones gather.
 const MEMBER_GATHER: Duration = Duration::from_millis(1500);
 /// Longest time to tell the fleet of targets that break off work.
--- a/src/follow/peer_proof.rs
+++ b/src/follow/peer_proof.rs
@@ -23,7 +23,7 @@
 /// on the time in which a configuration comes into force.
 const ASK_INTERVAL: Duration = Duration::from_millis(700);
 /// Oldest proof of another daemon that is taken; readers call the store more often than this.
-const OLDEST_TAKEN: Duration = Duration::from_millis(1000);
+const OLDEST_TAKEN: Duration = Duration::from_millis(1100);
 /// Age of the own proof from which the store is read, when no reader proves a newer one.
 const OLDEST_OWN: Duration = Duration::from_millis(1500);
 /// Pause behind a question that no reader answered well.
@@ -31,7 +31,7 @@
 /// Longest time for an answer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Questions in a row behind which targets read by another daemon count as missed here.
-const BEHIND_LIMIT: u32 = 3;
+const BEHIND_LIMIT: u32 = 2;
 
 /// Asks a reader for its proof.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,6 +97,7 @@
     contact: StoreContact,
     clock: Rc<dyn Clock>,
     readers: RefCell<Readers>,
+    lost: Cell<bool>,
     behind: Cell<u32>,
     called_for: Cell<u64>,
 }
@@ -119,6 +120,7 @@
             contact,
             clock,
             readers: RefCell::default(),
+            lost: Cell::new(false),
             behind: Cell::new(0),
             called_for: Cell::new(0),
         }
@@ -136,9 +138,11 @@
                 return true;
             }
             if self.ask_one_of(&readers).await {
+                self.note_found();
                 sleep(ASK_INTERVAL).await;
                 continue;
             }
+            self.lost.set(true);
             let age = self.view.freshness().age(self.clock.now());
             if age.is_none_or(|age| age >= OLDEST_OWN) {
                 return false;
@@ -147,6 +151,14 @@
         }
     }
 
+    /// Makes the other tasks call the store again when proofs come again: what kept them away may
+    /// have made their connections silent too.
+    fn note_found(&self) {
+        if self.lost.replace(false) {
+            self.contact.note_regained();
+        }
+    }
+
     fn choose(&self) -> Vec<Rc<str>> {
         let directory = self.peers.directory();
         let peers = directory.peers();
--- a/src/follow/store_contact.rs
+++ b/src/follow/store_contact.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 /// Time between two looks at whether contact was regained.
-const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Counts how often contact with the store was regained.
 ///
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -7,8 +7,8 @@
 use monoio::{io::Splitable, net::TcpStream, time::timeout};
 
 use super::{
-    encode_request_head, response_body_kind, BodyDecoder, Framing, HeadLimits, HttpError,
-    HttpReader, HttpWriter,
+    dead_peer, encode_request_head, response_body_kind, BodyDecoder, Framing, HeadLimits,
+    HttpError, HttpReader, HttpWriter,
 };
 
 /// Most bytes of a response head from a process of the platform or the fleet.
@@ -67,6 +67,7 @@
         Err(_) => return Err(HttpError::Timeout),
     };
     let _ = stream.set_nodelay(true);
+    dead_peer::fail_when_unreachable(&stream)?;
     let (r, w) = stream.into_split();
     let mut reader = HttpReader::new(r);
     let mut writer = HttpWriter::new(w);
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod body_decoder;
 mod body_kind;
 mod client;
+mod dead_peer;
 mod encode;
 mod error;
 mod forbidden;
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -23,7 +23,7 @@
 /// Time between two looks at whether the holder is known.
 const SETTLE_LOOK: Duration = Duration::from_millis(20);
 /// Time between two readings of the lease by those who stand by.
-const WATCH_INTERVAL: Duration = Duration::from_secs(3);
+const WATCH_INTERVAL: Duration = Duration::from_secs(5);
 /// Pause behind a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Daemons of a data centre that stand by to take over its slice.
