Drop lapsed targets at once when only this daemon lost the store

Ruled out: connections that stayed silent; the log shows them found by keep-alive 3 s behind the cut.

Change: the store counts as away only when no daemon had a proof for 2 s; entries then stand for 1.7 s; failed calls are made again within 0.6 s.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -201,6 +201,7 @@
         balancer.clone(),
         platform::decode_target,
         contact.clone(),
+        view.clone(),
         clock.clone(),
     );
     monoio::spawn(follow_table(
--- a/src/follow/table_follower.rs
+++ b/src/follow/table_follower.rs
@@ -14,7 +14,7 @@
 /// Shortest pause behind a failed call.
 const MIN_RETRY: Duration = Duration::from_millis(200);
 /// Longest pause behind a failed call, so that a daemon is back soon after the store is.
-const MAX_RETRY: Duration = Duration::from_millis(800);
+const MAX_RETRY: Duration = Duration::from_millis(600);
 
 /// How a table is followed.
 #[derive(Debug, Clone, Copy)]
--- a/src/follow/target_list.rs
+++ b/src/follow/target_list.rs
@@ -5,7 +5,9 @@
 use crate::{clock::BootTime, store::ListedHost};
 
 /// Time behind the store's return in which targets whose entries lapsed meanwhile come back.
-const RETURN_GRACE: Duration = Duration::from_millis(2500);
+const RETURN_GRACE: Duration = Duration::from_millis(1700);
+/// Age of the newest proof by any daemon up to which the store counts as working for others.
+const STORE_WORKS: Duration = Duration::from_secs(2);
 
 struct Entry {
     host: ListedHost,
@@ -23,9 +25,12 @@
 }
 
 impl TargetList {
-    /// Takes note that the store does not answer.
-    pub fn store_lost(&mut self, now: BootTime) {
-        self.away_since.get_or_insert(now);
+    /// Takes note that the store does not answer this daemon; `proof_age` is the age of the
+    /// newest answer to any daemon. While it answers others, entries lapse for good reason.
+    pub fn store_lost(&mut self, proof_age: Option<Duration>, now: BootTime) {
+        if proof_age.is_none_or(|age| age >= STORE_WORKS) {
+            self.away_since.get_or_insert(now);
+        }
     }
 
     /// Takes note that the store answers.
--- a/src/follow/target_sink.rs
+++ b/src/follow/target_sink.rs
@@ -5,6 +5,7 @@
 use crate::{
     clock::{BootTime, Clock},
     health::{BalancerHandle, BalancerMessage},
+    routing::ConfigurationView,
     store::{ListedHost, StoredRow},
 };
 
@@ -14,7 +15,7 @@
 };
 
 /// Time between two looks at entries that were missing when the store returned.
-const EXPIRE_INTERVAL: Duration = Duration::from_millis(250);
+const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Decodes the entry of a target, or tells what is wrong with it.
 type DecodeTarget = fn(&str, &[u8]) -> Result<ListedHost, String>;
@@ -25,6 +26,7 @@
     balancer: BalancerHandle,
     decode: DecodeTarget,
     contact: StoreContact,
+    view: ConfigurationView,
     clock: Rc<dyn Clock>,
 }
 
@@ -34,6 +36,7 @@
         balancer: BalancerHandle,
         decode: DecodeTarget,
         contact: StoreContact,
+        view: ConfigurationView,
         clock: Rc<dyn Clock>,
     ) -> Self {
         Self {
@@ -41,6 +44,7 @@
             balancer,
             decode,
             contact,
+            view,
             clock,
         }
     }
@@ -119,7 +123,8 @@
     }
 
     fn lost(&self, now: BootTime) {
-        self.list.borrow_mut().store_lost(now);
+        let proof_age = self.view.freshness().age(now);
+        self.list.borrow_mut().store_lost(proof_age, now);
     }
 }
 
