Split the start of an entry daemon and the judging of targets into parts

Change: daemon/front.rs starts its parts in methods of Base and Front; proxy/judge.rs holds what became of an attempt. Code moved; the order of the handlers' registration changed, all of it before the peer port serves.

Conclusion: no behaviour changed.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -8,6 +8,7 @@
 };
 
 use local_sync::mpsc;
+use monoio::net::TcpListener;
 
 use crate::{
     catalog::KeyHasher,
@@ -15,9 +16,9 @@
     config::{self, FrontSettings, KEY_MARGIN},
     follow::{
         follow_table, join_fleet, ConfigurationSink, FollowOptions, JoinParts, MemberRow,
-        MemberSink, PeerProofs, ProofHandler, StoreContact, TargetSink, MEMBERS_TABLE,
+        MemberSink, PeerProofs, ProofHandler, StoreContact, TableSink, TargetSink, MEMBERS_TABLE,
     },
-    health::{FailureHandler, FailureTeller},
+    health::{BalancerHandle, FailureHandler, FailureTeller},
     lifecycle::{ready_task, ReadyServer, Shutdown, Signals},
     membership::Incarnation,
     metrics::Metrics,
@@ -101,207 +102,282 @@
     let caller_listener = bind(settings.caller_address)?;
     let peer_listener = bind(settings.peer_address)?;
     let ready_listener = bind(settings.ready_address)?;
-    let clock: Rc<dyn Clock> = Rc::new(SystemClock);
-    let metrics = Rc::new(Metrics::default());
-    let store: Rc<dyn RowStore> = Rc::new(RowClient::new(settings.store_address, metrics.clone()));
-    let heads: Rc<dyn HeadFormat> = Rc::new(PlatformHeads);
     let incarnation = Incarnation::random().ok_or(DaemonError::Io(io::ErrorKind::Other))?;
-    let shutdown = Shutdown::default();
     let leaving = Shutdown::default();
+    let base = Base::new(settings);
+    base.serve_ready(ready_listener, &leaving);
 
-    let key_secret = format!("{:032x}", fastrand::u128(..));
-    let max_age = settings.key_withdrawal - KEY_MARGIN;
-    let view = ConfigurationView::new(KeyHasher::new(&key_secret), max_age);
-    let policy: Rc<dyn AccessPolicy> = Rc::new(RoutingPolicy::new(view.clone(), heads.clone()));
-    monoio::spawn(ready_task(
-        Rc::new(ReadyServer {
-            policy: policy.clone(),
-            leaving: leaving.clone(),
-            metrics: metrics.clone(),
-            clock: clock.clone(),
+    let secrets = FleetSecrets::new(&[base.join().await]);
+    let directory = PeerDirectory::new(&base.settings.host, &Default::default());
+    let peers = PeerClient::new(secrets.clone(), directory, base.metrics.clone());
+    let front = Front { base, peers };
+    let mut router = PeerRouter::default();
+    front.follow_configuration(&mut router);
+    let targets = front.start_targets(&mut router);
+    let limiter = front.start_quota(&mut router, incarnation);
+    let poison = front.start_poison(&mut router);
+    monoio::spawn(peer_server_task(
+        Rc::new(PeerServer {
+            secrets,
+            router,
+            metrics: front.base.metrics.clone(),
         }),
-        ready_listener,
-    ));
-    let contact = StoreContact::default();
-    let sink = Rc::new(ConfigurationSink::new(
-        view.clone(),
-        platform::CONFIGURATION_KEY,
-        platform::decode_configuration,
+        peer_listener,
     ));
 
-    let row = MemberRow {
-        data_centre: settings.data_centre.clone(),
-        address: settings.peer_address,
-        leaving: false,
-    };
-    let secret = join_fleet(&JoinParts {
-        store: &*store,
-        host: &settings.host,
-        row: &row,
-    })
-    .await;
-    let secrets = FleetSecrets::new(&[secret]);
-    let directory = PeerDirectory::new(&settings.host, &Default::default());
-    let peers = PeerClient::new(secrets.clone(), directory.clone(), metrics.clone());
-    let mut router = PeerRouter::default();
-    let handler = ProofHandler {
-        view: view.clone(),
-        sink: sink.clone(),
-        contact: contact.clone(),
-        clock: clock.clone(),
-    };
-    router.set(PeerKind::Proof, Rc::new(handler));
-    let proofs = PeerProofs::new(
-        peers.clone(),
-        &settings.data_centre,
-        view.clone(),
-        sink.clone(),
-        contact.clone(),
-        clock.clone(),
-    );
-    monoio::spawn(follow_table(
-        store.clone(),
-        FollowOptions {
+    let proxy = front.proxy(targets, limiter, poison, leaving);
+    monoio::spawn(proxy.pauses.clone().run());
+    monoio::spawn(listen_task(proxy.clone(), caller_listener));
+    let settings = &front.base.settings;
+    log::info!("serving callers on {}", settings.caller_address);
+
+    Signals::stop()?.next().await?;
+    shut_down(&proxy, settings).await;
+    Ok(())
+}
+
+/// Ends what is in flight, within the time that the settings give.
+async fn shut_down(proxy: &ProxyContext, settings: &FrontSettings) {
+    log::info!("shutting down");
+    proxy.leaving.begin();
+    monoio::time::sleep(settings.limits.notice).await;
+    proxy.shutdown.begin();
+    let left = settings.shutdown.mul_f64(DRAIN_SHARE);
+    drain(proxy, left.saturating_sub(settings.limits.notice)).await;
+    log::info!("stopped");
+}
+
+/// What a daemon has before it joined the fleet.
+struct Base {
+    settings: Rc<FrontSettings>,
+    clock: Rc<dyn Clock>,
+    metrics: Rc<Metrics>,
+    store: Rc<dyn RowStore>,
+    heads: Rc<dyn HeadFormat>,
+    view: ConfigurationView,
+    policy: Rc<dyn AccessPolicy>,
+    contact: StoreContact,
+}
+
+impl Base {
+    fn new(settings: Rc<FrontSettings>) -> Self {
+        let metrics = Rc::new(Metrics::default());
+        let heads: Rc<dyn HeadFormat> = Rc::new(PlatformHeads);
+        let key_secret = format!("{:032x}", fastrand::u128(..));
+        let max_age = settings.key_withdrawal - KEY_MARGIN;
+        let view = ConfigurationView::new(KeyHasher::new(&key_secret), max_age);
+        Self {
+            clock: Rc::new(SystemClock),
+            store: Rc::new(RowClient::new(settings.store_address, metrics.clone())),
+            policy: Rc::new(RoutingPolicy::new(view.clone(), heads.clone())),
+            contact: StoreContact::default(),
+            settings,
+            metrics,
+            heads,
+            view,
+        }
+    }
+
+    fn serve_ready(&self, listener: TcpListener, leaving: &Shutdown) {
+        let server = ReadyServer {
+            policy: self.policy.clone(),
+            leaving: leaving.clone(),
+            metrics: self.metrics.clone(),
+            clock: self.clock.clone(),
+        };
+        monoio::spawn(ready_task(Rc::new(server), listener));
+    }
+
+    /// Registers this daemon and returns the secret of the fleet.
+    async fn join(&self) -> String {
+        let row = MemberRow {
+            data_centre: self.settings.data_centre.clone(),
+            address: self.settings.peer_address,
+            leaving: false,
+        };
+        let parts = JoinParts {
+            store: &*self.store,
+            host: &self.settings.host,
+            row: &row,
+        };
+        join_fleet(&parts).await
+    }
+
+    fn follow(&self, opts: FollowOptions, sink: Rc<dyn TableSink>, proofs: Option<PeerProofs>) {
+        monoio::spawn(follow_table(
+            self.store.clone(),
+            opts,
+            sink,
+            self.clock.clone(),
+            self.contact.clone(),
+            proofs,
+        ));
+    }
+}
+
+/// The tasks that judge and choose targets.
+struct Targets {
+    balancer: BalancerHandle,
+    failures: FailureTeller,
+}
+
+/// A daemon that joined the fleet.
+struct Front {
+    base: Base,
+    peers: PeerClient,
+}
+
+impl Front {
+    fn follow_configuration(&self, router: &mut PeerRouter) {
+        let base = &self.base;
+        let sink = Rc::new(ConfigurationSink::new(
+            base.view.clone(),
+            platform::CONFIGURATION_KEY,
+            platform::decode_configuration,
+        ));
+        let handler = ProofHandler {
+            view: base.view.clone(),
+            sink: sink.clone(),
+            contact: base.contact.clone(),
+            clock: base.clock.clone(),
+        };
+        router.set(PeerKind::Proof, Rc::new(handler));
+        let proofs = PeerProofs::new(
+            self.peers.clone(),
+            &base.settings.data_centre,
+            base.view.clone(),
+            sink.clone(),
+            base.contact.clone(),
+            base.clock.clone(),
+        );
+        let opts = FollowOptions {
             table: platform::CONFIGURATION_TABLE,
             wait: CONFIGURATION_WAIT,
             gather: Duration::ZERO,
             leads: true,
-        },
-        sink,
-        clock.clone(),
-        contact.clone(),
-        Some(proofs),
-    ));
-    let poison = PoisonWatch::new(peers.clone(), &settings.data_centre, clock.clone());
-    let handler = PoisonHandler::new(poison.clone());
-    router.set(PeerKind::Poison, Rc::new(handler));
-    let broadcast = FleetBroadcast::new(peers.clone(), &settings.data_centre, NOTICE_TIMEOUT);
-    let failures = FailureTeller::new(broadcast.clone());
-    let balancer = start_health(
-        HealthParts {
+        };
+        base.follow(opts, sink, Some(proofs));
+    }
+
+    fn start_targets(&self, router: &mut PeerRouter) -> Targets {
+        let (base, settings) = (&self.base, &self.base.settings);
+        let centre = settings.data_centre.as_str();
+        let broadcast = FleetBroadcast::new(self.peers.clone(), centre, NOTICE_TIMEOUT);
+        let failures = FailureTeller::new(broadcast.clone());
+        let parts = HealthParts {
             host: &settings.host,
-            data_centre: &settings.data_centre,
+            data_centre: centre,
             profile: settings.profile,
             floor: settings.floor,
             prefers_near: true,
             failures: Some(failures.clone()),
-            peers: peers.clone(),
-            heads: heads.clone(),
-            clock: clock.clone(),
-            metrics: metrics.clone(),
-        },
-        &mut router,
-    );
-    let handler = FailureHandler {
-        balancer: balancer.clone(),
-        broadcast,
-    };
-    router.set(PeerKind::Failure, Rc::new(handler));
-    let sink = TargetSink::new(
-        balancer.clone(),
-        platform::decode_target,
-        contact.clone(),
-        view.clone(),
-        clock.clone(),
-    );
-    monoio::spawn(follow_table(
-        store.clone(),
-        FollowOptions {
+            peers: self.peers.clone(),
+            heads: base.heads.clone(),
+            clock: base.clock.clone(),
+            metrics: base.metrics.clone(),
+        };
+        let balancer = start_health(parts, router);
+        let handler = FailureHandler {
+            balancer: balancer.clone(),
+            broadcast,
+        };
+        router.set(PeerKind::Failure, Rc::new(handler));
+        let sink = TargetSink::new(
+            balancer.clone(),
+            platform::decode_target,
+            base.contact.clone(),
+            base.view.clone(),
+            base.clock.clone(),
+        );
+        let opts = FollowOptions {
             table: platform::TARGETS_TABLE,
             wait: QUIET_WAIT,
             gather: TARGET_GATHER,
             leads: false,
-        },
-        Rc::new(sink),
-        clock.clone(),
-        contact.clone(),
-        None,
-    ));
+        };
+        base.follow(opts, Rc::new(sink), None);
+        Targets { balancer, failures }
+    }
 
-    let owners = SliceOwners::default();
-    let slice = LocalSlice::new(SliceShare {
-        slices: settings.data_centres.len() as u32,
-        slack: settings.quota_slack,
-    });
-    let sink = MemberSink::new(directory.clone(), owners.clone());
-    monoio::spawn(follow_table(
-        store.clone(),
-        FollowOptions {
+    fn start_quota(&self, router: &mut PeerRouter, incarnation: Incarnation) -> QuotaLimiter {
+        let (base, settings) = (&self.base, &self.base.settings);
+        let owners = SliceOwners::default();
+        let slice = LocalSlice::new(SliceShare {
+            slices: settings.data_centres.len() as u32,
+            slack: settings.quota_slack,
+        });
+        let directory = self.peers.directory().clone();
+        let sink = MemberSink::new(directory.clone(), owners.clone());
+        let opts = FollowOptions {
             table: MEMBERS_TABLE,
             wait: QUIET_WAIT,
             gather: MEMBER_GATHER,
             leads: false,
-        },
-        Rc::new(sink),
-        clock.clone(),
-        contact.clone(),
-        None,
-    ));
-    let lease = LeaseTask::new(LeaseParts {
-        store,
-        slice: slice.clone(),
-        owners: owners.clone(),
-        directory,
-        data_centre: settings.data_centre.clone(),
-        incarnation,
-        clock: clock.clone(),
-    });
-    monoio::spawn(lease.run());
-    let handler = TokenHandler {
-        slice: slice.clone(),
-        view: view.clone(),
-        clock: clock.clone(),
-        metrics: metrics.clone(),
-    };
-    router.set(PeerKind::Ask, Rc::new(handler));
-    monoio::spawn(peer_server_task(
-        Rc::new(PeerServer {
-            secrets,
-            router,
-            metrics: metrics.clone(),
-        }),
-        peer_listener,
-    ));
+        };
+        base.follow(opts, Rc::new(sink), None);
+        let lease = LeaseTask::new(LeaseParts {
+            store: base.store.clone(),
+            slice: slice.clone(),
+            owners: owners.clone(),
+            directory,
+            data_centre: settings.data_centre.clone(),
+            incarnation,
+            clock: base.clock.clone(),
+        });
+        monoio::spawn(lease.run());
+        let handler = TokenHandler {
+            slice: slice.clone(),
+            view: base.view.clone(),
+            clock: base.clock.clone(),
+            metrics: base.metrics.clone(),
+        };
+        router.set(PeerKind::Ask, Rc::new(handler));
+        QuotaLimiter::new(QuotaParts {
+            slice,
+            owners,
+            peers: self.peers.clone(),
+            data_centre: settings.data_centre.clone(),
+            clock: base.clock.clone(),
+            metrics: base.metrics.clone(),
+        })
+    }
 
-    let limiter = QuotaLimiter::new(QuotaParts {
-        slice,
-        owners,
-        peers,
-        data_centre: settings.data_centre.clone(),
-        clock: clock.clone(),
-        metrics: metrics.clone(),
-    });
-    let (pool_tx, pool_rx) = mpsc::unbounded::channel();
-    monoio::spawn(pool_task(pool_rx, clock.clone()));
-    let proxy = Rc::new(ProxyContext::new(ProxyParts {
-        limits: settings.limits.clone(),
-        policy,
-        heads,
-        limiter: Box::new(limiter),
-        balancer,
-        pool: PoolHandle::new(pool_tx),
-        // A target that is breaking off work it has begun costs more than a slow answer.
-        leaves_silent: false,
-        claims: None,
-        poison,
-        retry_terms: RETRY_TERMS,
-        failures: Some(failures),
-        metrics,
-        clock,
-        leaving,
-        shutdown: shutdown.clone(),
-    }));
-    monoio::spawn(proxy.pauses.clone().run());
-    monoio::spawn(listen_task(proxy.clone(), caller_listener));
-    log::info!("serving callers on {}", settings.caller_address);
+    fn start_poison(&self, router: &mut PeerRouter) -> PoisonWatch {
+        let base = &self.base;
+        let centre = &base.settings.data_centre;
+        let poison = PoisonWatch::new(self.peers.clone(), centre, base.clock.clone());
+        let handler = PoisonHandler::new(poison.clone());
+        router.set(PeerKind::Poison, Rc::new(handler));
+        poison
+    }
 
-    Signals::stop()?.next().await?;
-    log::info!("shutting down");
-    proxy.leaving.begin();
-    monoio::time::sleep(settings.limits.notice).await;
-    shutdown.begin();
-    let left = settings.shutdown.mul_f64(DRAIN_SHARE);
-    drain(&proxy, left.saturating_sub(settings.limits.notice)).await;
-    log::info!("stopped");
-    Ok(())
+    fn proxy(
+        &self,
+        targets: Targets,
+        limiter: QuotaLimiter,
+        poison: PoisonWatch,
+        leaving: Shutdown,
+    ) -> Rc<ProxyContext> {
+        let base = &self.base;
+        let (pool_tx, pool_rx) = mpsc::unbounded::channel();
+        monoio::spawn(pool_task(pool_rx, base.clock.clone()));
+        Rc::new(ProxyContext::new(ProxyParts {
+            limits: base.settings.limits.clone(),
+            policy: base.policy.clone(),
+            heads: base.heads.clone(),
+            limiter: Box::new(limiter),
+            balancer: targets.balancer,
+            pool: PoolHandle::new(pool_tx),
+            // A target that is breaking off work it has begun costs more than a slow answer.
+            leaves_silent: false,
+            claims: None,
+            poison,
+            retry_terms: RETRY_TERMS,
+            failures: Some(targets.failures),
+            metrics: base.metrics.clone(),
+            clock: base.clock.clone(),
+            leaving,
+            shutdown: Shutdown::default(),
+        }))
+    }
 }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -7,11 +7,10 @@
 use crate::{
     claim::FirstRun,
     clock::BootTime,
-    health::{Observation, PickError, PickOrder, Picked, TargetId, WorkResult},
+    health::{PickError, PickOrder, Picked, TargetId},
     http::{HttpError, HttpReader},
     metrics::Counter,
     outcome::ErrorKind,
-    poison::Verdict,
     pool::{TargetConnection, MAX_IDLE, RECENT_USE},
     retry::{Action, ConnectionKind, Event, Failure, RequestFacts, RequestMachine, RetryReason},
 };
@@ -19,9 +18,7 @@
 use super::{
     access_log::{log_placed, log_retry, PlacedLine},
     attempt::Attempt,
-    crash::target_died,
     deadline::Deadline,
-    head_format::ResponseClass,
     request_body::RequestBody,
     standing::Standing,
     ProxyContext,
@@ -114,24 +111,24 @@
 }
 
 /// The attempt in progress.
-struct Exchange {
-    picked: Picked,
-    conn: Option<TargetConnection>,
-    started: BootTime,
+pub(super) struct Exchange {
+    pub(super) picked: Picked,
+    pub(super) conn: Option<TargetConnection>,
+    pub(super) started: BootTime,
     silence_asked: bool,
 }
 
 /// Does what the machine of one request asks for.
-struct Run<'a> {
-    dispatch: &'a Dispatch<'a>,
-    cx: &'a ProxyContext,
+pub(super) struct Run<'a> {
+    pub(super) dispatch: &'a Dispatch<'a>,
+    pub(super) cx: &'a ProxyContext,
     machine: RequestMachine,
-    head: &'a mut request::Parts,
-    body: &'a mut RequestBody,
+    pub(super) head: &'a mut request::Parts,
+    pub(super) body: &'a mut RequestBody,
     caller: &'a mut HttpReader,
     tried: Vec<TargetId>,
-    exchange: Option<Exchange>,
-    answer: Option<response::Parts>,
+    pub(super) exchange: Option<Exchange>,
+    pub(super) answer: Option<response::Parts>,
 }
 
 impl Run<'_> {
@@ -154,7 +151,7 @@
     }
 
     /// Tells the machine of `event`; one that cannot happen now ends the request.
-    fn step(&mut self, event: Event) -> Action {
+    pub(super) fn step(&mut self, event: Event) -> Action {
         self.machine.step(event).unwrap_or(Action::Cancel)
     }
 
@@ -311,115 +308,6 @@
         self.step(Event::BudgetGranted)
     }
 
-    /// Holds work back from the target, at all daemons when the fault is not the path's.
-    fn trip(&self, tell: bool) {
-        let (Some(failures), Some(exchange)) = (&self.cx.failures, &self.exchange) else {
-            return;
-        };
-        let age = self.cx.clock.now().since(exchange.started);
-        log::info!(request_id = self.dispatch.request_id, target_name = &*exchange.picked.name,
-            age_ms = age.as_millis() as u64, told = tell; "target broke off work");
-        exchange.picked.trip();
-        if tell {
-            failures.tell_failed(&exchange.picked.name);
-        }
-    }
-
-    /// Judges the head of an answer.
-    fn arrived(&mut self, head: response::Parts) -> Action {
-        let Some(exchange) = &self.exchange else {
-            return self.step(Event::CallerGone);
-        };
-        let heads = &self.cx.heads;
-        exchange.picked.report(heads.report(&head.headers));
-        match heads.classify(&head, self.dispatch.request_id) {
-            ResponseClass::Answer => {}
-            ResponseClass::NotRun => {
-                self.observe(WorkResult::Shed);
-                return self.step(Event::Failed(Failure::Shed));
-            }
-            ResponseClass::WrongTarget => return self.step(Event::Failed(Failure::Shed)),
-            ResponseClass::Invalid => {
-                self.observe(WorkResult::Lost);
-                return self.step(Event::Failed(Failure::Malformed));
-            }
-        }
-        let now = self.cx.clock.now();
-        let latency = now.since(exchange.started);
-        let service = self.dispatch.service();
-        self.cx.services.record_answer(service, latency, now);
-        self.observe(if head.status.is_server_error() {
-            WorkResult::ServerError
-        } else {
-            WorkResult::Success
-        });
-        self.answer = Some(head);
-        self.step(Event::Head)
-    }
-
-    /// Judges an attempt that brought no answer.
-    async fn failed(&mut self, event: Event) -> Action {
-        match event {
-            Event::Failed(Failure::Lost) => return self.lost().await,
-            Event::Failed(_) => {
-                self.drop_unproven();
-                self.observe(WorkResult::Lost);
-            }
-            Event::DeadlinePassed => self.judge_silence(),
-            _ => {}
-        }
-        self.step(event)
-    }
-
-    /// Judges a lost connection; a death of the target is the request's fault first.
-    async fn lost(&mut self) -> Action {
-        let Some(exchange) = &self.exchange else {
-            return self.step(Event::CallerGone);
-        };
-        let picked = &exchange.picked;
-        // A kept connection may have met its end by itself, which is no news for the fleet.
-        let fresh = exchange.conn.as_ref().is_some_and(|conn| !conn.reused);
-        self.trip(fresh);
-        if !target_died(self.cx, picked.address).await {
-            self.drop_unproven();
-            self.observe(WorkResult::Lost);
-            return self.step(Event::Failed(Failure::Lost));
-        }
-        let fingerprint = self.dispatch.fingerprint(self.head, self.body);
-        let verdict = self.cx.poison.record_death(fingerprint, &picked.name).await;
-        self.drop_unproven();
-        self.step(Event::Failed(match verdict {
-            Verdict::Suspect => Failure::Lost,
-            Verdict::Refused => Failure::Crashed,
-        }))
-    }
-
-    /// Holds silence of a kept connection against the connection, and silence of a new one
-    /// against the target.
-    fn judge_silence(&self) {
-        self.drop_unproven();
-        let conn = self.exchange.as_ref().and_then(|e| e.conn.as_ref());
-        if conn.is_some_and(|conn| !conn.reused) {
-            self.trip(true);
-            self.observe(WorkResult::Timeout);
-        }
-    }
-
-    /// Closes the target's connections that were not used since the attempt began.
-    fn drop_unproven(&self) {
-        if let Some(exchange) = &self.exchange {
-            let address = exchange.picked.address;
-            self.cx.pool.drop_unproven(address, exchange.started);
-        }
-    }
-
-    fn observe(&self, result: WorkResult) {
-        if let Some(exchange) = &self.exchange {
-            let latency = self.cx.clock.now().since(exchange.started);
-            exchange.picked.observe(Observation { result, latency });
-        }
-    }
-
     fn take_answer(&mut self) -> Result<TargetAnswer, DispatchError> {
         let exchange = self.exchange.take().ok_or(DispatchError::CallerGone)?;
         Ok(TargetAnswer {
--- /dev/null
+++ b/src/proxy/judge.rs
@@ -0,0 +1,122 @@
+//! Judging targets by what became of an attempt.
+
+use http::response;
+
+use crate::{
+    health::{Observation, WorkResult},
+    poison::Verdict,
+    retry::{Action, Event, Failure},
+};
+
+use super::{crash::target_died, dispatch::Run, head_format::ResponseClass};
+
+impl Run<'_> {
+    /// Holds work back from the target, at all daemons when the fault is not the path's.
+    pub(super) fn trip(&self, tell: bool) {
+        let (Some(failures), Some(exchange)) = (&self.cx.failures, &self.exchange) else {
+            return;
+        };
+        let age = self.cx.clock.now().since(exchange.started);
+        log::info!(request_id = self.dispatch.request_id, target_name = &*exchange.picked.name,
+            age_ms = age.as_millis() as u64, told = tell; "target broke off work");
+        exchange.picked.trip();
+        if tell {
+            failures.tell_failed(&exchange.picked.name);
+        }
+    }
+
+    /// Judges the head of an answer.
+    pub(super) fn arrived(&mut self, head: response::Parts) -> Action {
+        let Some(exchange) = &self.exchange else {
+            return self.step(Event::CallerGone);
+        };
+        let heads = &self.cx.heads;
+        exchange.picked.report(heads.report(&head.headers));
+        match heads.classify(&head, self.dispatch.request_id) {
+            ResponseClass::Answer => {}
+            ResponseClass::NotRun => {
+                self.observe(WorkResult::Shed);
+                return self.step(Event::Failed(Failure::Shed));
+            }
+            ResponseClass::WrongTarget => return self.step(Event::Failed(Failure::Shed)),
+            ResponseClass::Invalid => {
+                self.observe(WorkResult::Lost);
+                return self.step(Event::Failed(Failure::Malformed));
+            }
+        }
+        let now = self.cx.clock.now();
+        let latency = now.since(exchange.started);
+        let service = self.dispatch.service();
+        self.cx.services.record_answer(service, latency, now);
+        self.observe(if head.status.is_server_error() {
+            WorkResult::ServerError
+        } else {
+            WorkResult::Success
+        });
+        self.answer = Some(head);
+        self.step(Event::Head)
+    }
+
+    /// Judges an attempt that brought no answer.
+    pub(super) async fn failed(&mut self, event: Event) -> Action {
+        match event {
+            Event::Failed(Failure::Lost) => return self.lost().await,
+            Event::Failed(_) => {
+                self.drop_unproven();
+                self.observe(WorkResult::Lost);
+            }
+            Event::DeadlinePassed => self.judge_silence(),
+            _ => {}
+        }
+        self.step(event)
+    }
+
+    /// Judges a lost connection; a death of the target is the request's fault first.
+    pub(super) async fn lost(&mut self) -> Action {
+        let Some(exchange) = &self.exchange else {
+            return self.step(Event::CallerGone);
+        };
+        let picked = &exchange.picked;
+        // A kept connection may have met its end by itself, which is no news for the fleet.
+        let fresh = exchange.conn.as_ref().is_some_and(|conn| !conn.reused);
+        self.trip(fresh);
+        if !target_died(self.cx, picked.address).await {
+            self.drop_unproven();
+            self.observe(WorkResult::Lost);
+            return self.step(Event::Failed(Failure::Lost));
+        }
+        let fingerprint = self.dispatch.fingerprint(self.head, self.body);
+        let verdict = self.cx.poison.record_death(fingerprint, &picked.name).await;
+        self.drop_unproven();
+        self.step(Event::Failed(match verdict {
+            Verdict::Suspect => Failure::Lost,
+            Verdict::Refused => Failure::Crashed,
+        }))
+    }
+
+    /// Holds silence of a kept connection against the connection, and silence of a new one
+    /// against the target.
+    pub(super) fn judge_silence(&self) {
+        self.drop_unproven();
+        let conn = self.exchange.as_ref().and_then(|e| e.conn.as_ref());
+        if conn.is_some_and(|conn| !conn.reused) {
+            self.trip(true);
+            self.observe(WorkResult::Timeout);
+        }
+    }
+
+    /// Closes the target's connections that were not used since the attempt began.
+    pub(super) fn drop_unproven(&self) {
+        if let Some(exchange) = &self.exchange {
+            let address = exchange.picked.address;
+            self.cx.pool.drop_unproven(address, exchange.started);
+        }
+    }
+
+    pub(super) fn observe(&self, result: WorkResult) {
+        if let Some(exchange) = &self.exchange {
+            let latency = self.cx.clock.now().since(exchange.started);
+            exchange.picked.observe(Observation { result, latency });
+        }
+    }
+}
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -13,6 +13,7 @@
 mod head_format;
 mod headers;
 mod idempotency;
+mod judge;
 mod listener;
 mod relay;
 mod request_body;
