--- a/src/health/sequential.rs
+++ b/src/health/sequential.rs
@@ -14,7 +14,7 @@
 };
 
 /// Mean evidence against siblings that chance explains, nats.
-const SIBLING_NOISE: f64 = 2.0;
+const SIBLING_NOISE: f64 = 0.5;
 /// Multiple of the siblings' further mean evidence that is the service's, not the target's.
 const SIBLING_WEIGHT: f64 = 3.0;
 /// Half-life of the memory of ejections.
