Let the daemons of a fleet test a target that broke off work one behind the other

Cause: the hold behind a broken-off piece of work ended at all daemons at the same moment, and half of the idempotent first attempts then prefer such a target. Ruled out: news that are not told (told is true in all), targets picked by random draws (no bunches in services without idempotent requests). Change: each daemon begins to test up to a second later, by chance; the fill up to the floor stays.

--- a/src/health/balancer/choice.rs
+++ b/src/health/balancer/choice.rs
@@ -80,11 +80,10 @@
         }
         let routing = &self.services.get(&service)?.routing;
         let found = routing.iter().filter_map(|id| self.targets.get(id));
-        let half_open = found
-            .filter(|t| t.breaker.state(now) == BreakerState::HalfOpen && t.flights.is_empty());
-        let half_open: Vec<TargetId> = half_open.map(|t| t.id).collect();
-        let drawn = self.random.usize(0..half_open.len().max(1));
-        half_open.get(drawn).copied()
+        let testable = found.filter(|t| t.breaker.is_testable(now) && t.flights.is_empty());
+        let testable: Vec<TargetId> = testable.map(|t| t.id).collect();
+        let drawn = self.random.usize(0..testable.len().max(1));
+        testable.get(drawn).copied()
     }
 
     fn draw(
--- a/src/health/balancer/evidence.rs
+++ b/src/health/balancer/evidence.rs
@@ -5,7 +5,10 @@
 use crate::{clock::BootTime, proxy::TargetReport};
 
 use super::{
-    super::{Lateness, Observation, Suspicion, Target, TargetId, TargetState, Ticket, WorkResult},
+    super::{
+        breaker::LONGEST_STAGGER, Lateness, Observation, Suspicion, Target, TargetId, TargetState,
+        Ticket, WorkResult,
+    },
     Balancer, DRAINING_PROBE_INTERVAL, MAX_SUSPICIONS, SILENT_FACTOR,
 };
 
@@ -42,8 +45,9 @@
 
     /// Opens the breaker of a target that broke off work.
     pub fn trip(&mut self, id: TargetId, now: BootTime) {
+        let stagger = LONGEST_STAGGER.mul_f64(self.random.f64());
         if let Some(target) = self.targets.get_mut(&id) {
-            target.breaker.fail(now);
+            target.breaker.fail(now, stagger);
         }
     }
 
--- a/src/health/breaker.rs
+++ b/src/health/breaker.rs
@@ -6,6 +6,8 @@
 
 /// Time behind a failure for which a target gets no work.
 const HOLD: Duration = Duration::from_secs(2);
+/// Longest further time for which a daemon leaves the first tests to other daemons; half a hold.
+pub(super) const LONGEST_STAGGER: Duration = Duration::from_secs(1);
 /// Time behind a failure for which a target gets idempotent work only, unless some succeeds.
 const PROBATION: Duration = Duration::from_secs(9);
 
@@ -24,12 +26,15 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Breaker {
     failed_at: Option<BootTime>,
+    stagger: Duration,
 }
 
 impl Breaker {
-    /// Takes note of a failure.
-    pub fn fail(&mut self, now: BootTime) {
+    /// Takes note of a failure. This daemon tests the target `stagger` later than it might, so
+    /// that the daemons of a fleet do not all test it at once.
+    pub fn fail(&mut self, now: BootTime, stagger: Duration) {
         self.failed_at = Some(now);
+        self.stagger = stagger;
     }
 
     /// Takes note of a success at `now`; one that comes during the hold may be of work that was
@@ -42,6 +47,12 @@
         true
     }
 
+    /// Tells whether this daemon is to find out at `now` whether the target works again.
+    pub fn is_testable(&self, now: BootTime) -> bool {
+        let age = self.failed_at.map(|at| now.since(at));
+        self.state(now) == BreakerState::HalfOpen && age >= Some(HOLD + self.stagger)
+    }
+
     /// Returns what work the target may get at `now`.
     pub fn state(&self, now: BootTime) -> BreakerState {
         match self.failed_at.map(|at| now.since(at)) {
--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -79,7 +79,9 @@
 fn breaker_follows_failures_and_successes() {
     for case in &CASES {
         let mut breaker = Breaker::default();
-        case.failures.iter().for_each(|ms| breaker.fail(at(*ms)));
+        case.failures
+            .iter()
+            .for_each(|ms| breaker.fail(at(*ms), Duration::ZERO));
         if let Some(ms) = case.success {
             breaker.succeed(at(ms));
         }
@@ -87,21 +89,23 @@
     }
 }
 
+fn hosts(targets: usize) -> Vec<ListedHost> {
+    let host = |i| ListedHost {
+        name: format!("t{i}"),
+        data_centre: "a".to_owned(),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        service: Some("one".to_owned()),
+        slots: 2,
+        leaving: false,
+        cold: false,
+    };
+    (0..targets).map(host).collect()
+}
+
 fn balancer(targets: usize, floor: f64) -> Balancer {
-    let hosts: Vec<ListedHost> = (0..targets)
-        .map(|i| ListedHost {
-            name: format!("t{i}"),
-            data_centre: "a".to_owned(),
-            address: "127.0.0.1:80".parse().expect("an address"),
-            service: Some("one".to_owned()),
-            slots: 2,
-            leaving: false,
-            cold: false,
-        })
-        .collect();
     let detector = Box::new(Sequential::new(Profile::default().options()));
     let mut balancer = Balancer::new(detector, floor, 1);
-    balancer.set_targets(&hosts, at(0));
+    balancer.set_targets(&hosts(targets), at(0));
     balancer
 }
 
@@ -147,3 +151,79 @@
     balancer.trip_by_name(&["t0".to_owned()], at(0));
     assert_eq!(picks_of_first(&mut balancer, false, at(100)), 200);
 }
+
+/// Daemons of the fleet that tests a target together.
+const FLEET: usize = 118;
+/// Time in which all daemons hear of a failure, ms.
+const NOTICE_MS: u64 = 20;
+/// Time between two idempotent requests of one daemon, ms.
+const REQUEST_GAP_MS: u64 = 400;
+
+/// Plays a fleet whose first target works from `works_from` on; returns when it broke off
+/// work, and when it did work again, ms.
+fn play_fleet(works_from: u64, until: u64) -> (Vec<u64>, Vec<u64>) {
+    let mut fleet: Vec<Balancer> = (0..FLEET).map(|i| fleet_balancer(i as u64 + 1)).collect();
+    let failed = ["t0".to_owned()];
+    fleet
+        .iter_mut()
+        .for_each(|b| b.trip_by_name(&failed, at(0)));
+    let mut broken_off = Vec::new();
+    let mut worked = Vec::new();
+    for ms in 1..until {
+        let heard = broken_off.contains(&(ms.saturating_sub(NOTICE_MS)));
+        let recovered = worked.contains(&(ms.saturating_sub(NOTICE_MS)));
+        for (i, balancer) in fleet.iter_mut().enumerate() {
+            if heard && ms > NOTICE_MS {
+                balancer.trip_by_name(&failed, at(ms));
+            }
+            if recovered && ms > NOTICE_MS {
+                balancer.close_by_name(&failed, at(ms));
+            }
+            if ms % REQUEST_GAP_MS != (i as u64 * 37) % REQUEST_GAP_MS {
+                continue;
+            }
+            let req = PickRequest {
+                service: "one",
+                avoid: &[],
+                repeatable: true,
+            };
+            let choice = balancer.pick(&req, at(ms)).expect("a target");
+            balancer.release(choice.id, choice.ticket);
+            if &*choice.name != "t0" {
+                continue;
+            }
+            if ms >= works_from {
+                worked.push(ms);
+            } else {
+                balancer.trip(choice.id, at(ms));
+                broken_off.push(ms);
+            }
+        }
+    }
+    (broken_off, worked)
+}
+
+fn fleet_balancer(seed: u64) -> Balancer {
+    let mut balancer = Balancer::new(
+        Box::new(Sequential::new(Profile::default().options())),
+        0.7,
+        seed,
+    );
+    balancer.set_targets(&hosts(20), at(0));
+    balancer
+}
+
+#[test]
+fn fleet_tests_a_failing_target_with_few_requests() {
+    let (broken_off, _) = play_fleet(u64::MAX, 10_000);
+    // The hold of 2 s allows five tests in 10 s; each may meet one more before its news spread.
+    assert!(broken_off.len() <= 10, "{broken_off:?}");
+    assert!(!broken_off.is_empty());
+}
+
+#[test]
+fn fleet_returns_to_a_target_that_works_again_within_a_second_of_the_hold() {
+    let (_, worked) = play_fleet(0, 10_000);
+    let first = worked.first().expect("work at the target");
+    assert!((2000..3000).contains(first), "{first}");
+}
