Pass the tables of the store on between daemons, and let one daemon of a data centre read

Cause: every daemon followed members and targets itself. Ruled out: the proofs of the configuration (six daemons, 1.25 calls a second each), the leases. Change: FollowedTable keeps a copy of a table with its versions, and gives and takes changes; ReaderTask asks the first reader of the data centre for proof and changes of all three tables, the next three stand by; a daemon that knows no answering reader reads alone, as before. Joining writes first and takes the secret from the conflict. Standbys of a lease read it only when its holder did not answer. Answers now say whether they are direct, and only those relieve.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -15,8 +15,9 @@
     clock::{Clock, SystemClock},
     config::{self, FrontSettings, KEY_MARGIN},
     follow::{
-        follow_table, join_fleet, ConfigurationSink, FollowOptions, JoinParts, MemberRow,
-        MemberSink, PeerProofs, ProofHandler, StoreContact, TableSink, TargetSink, MEMBERS_TABLE,
+        follow_table, join_fleet, ConfigurationSink, FollowOptions, FollowParts, FollowedTable,
+        JoinParts, MemberRow, MemberSink, ProofHandler, ReaderParts, ReaderTask, ReadingDuty,
+        SharedTables, StoreContact, TargetSink, MEMBERS_TABLE,
     },
     health::{BalancerHandle, FailureHandler, FailureTeller},
     lifecycle::{ready_task, ReadyServer, Shutdown, Signals},
@@ -45,16 +46,30 @@
     DaemonError,
 };
 
-/// Longest wait of one call that follows the configuration; its answer proves for the readers'
-/// data centres that keys are fresh, and must be younger than what others take for a proof.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(800);
-/// Longest wait of one call that follows targets or members; the store allows 30 s.
-const QUIET_WAIT: Duration = Duration::from_secs(25);
-/// Pause behind a change of targets in which further ones gather, well below the time within
-/// which a leaving target must get no more work.
-const TARGET_GATHER: Duration = Duration::from_millis(700);
-/// Pause behind a change of members in which further ones gather.
-const MEMBER_GATHER: Duration = Duration::from_millis(1500);
+/// How the configuration is followed. An answer proves for a whole data centre that keys are
+/// fresh, so the wait must be shorter than the age up to which others take it for a proof.
+const FOLLOW_CONFIGURATION: FollowOptions = FollowOptions {
+    wait: Duration::from_millis(800),
+    gather: Duration::ZERO,
+    leads: true,
+    reads_first: false,
+};
+/// How targets are followed. A connection that went silent is found behind the wait, within the
+/// time that the operator's rules give behind trouble of the store; the gathering is well below
+/// the time within which a leaving target must get no more work.
+const FOLLOW_TARGETS: FollowOptions = FollowOptions {
+    wait: Duration::from_secs(3),
+    gather: Duration::from_millis(300),
+    leads: false,
+    reads_first: false,
+};
+/// How the daemons of the fleet are followed; nothing depends on knowing them within seconds.
+const FOLLOW_MEMBERS: FollowOptions = FollowOptions {
+    wait: Duration::from_secs(10),
+    gather: Duration::from_secs(2),
+    leads: false,
+    reads_first: true,
+};
 /// Longest time to tell the fleet of targets that break off work.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How much retries of one daemon may add: the shares of all daemons stay below the operator's
@@ -112,9 +127,11 @@
     let peers = PeerClient::new(secrets.clone(), directory, base.metrics.clone());
     let front = Front { base, peers };
     let mut router = PeerRouter::default();
-    front.follow_configuration(&mut router);
     let targets = front.start_targets(&mut router);
-    let limiter = front.start_quota(&mut router, incarnation);
+    let owners = SliceOwners::default();
+    let tables = front.tables(&targets, &owners);
+    front.follow_tables(&tables, &mut router);
+    let limiter = front.start_quota(&owners, &mut router, incarnation);
     let poison = front.start_poison(&mut router);
     monoio::spawn(peer_server_task(
         Rc::new(PeerServer {
@@ -202,17 +219,6 @@
         };
         join_fleet(&parts).await
     }
-
-    fn follow(&self, opts: FollowOptions, sink: Rc<dyn TableSink>, proofs: Option<PeerProofs>) {
-        monoio::spawn(follow_table(
-            self.store.clone(),
-            opts,
-            sink,
-            self.clock.clone(),
-            self.contact.clone(),
-            proofs,
-        ));
-    }
 }
 
 /// The tasks that judge and choose targets.
@@ -228,35 +234,62 @@
 }
 
 impl Front {
-    fn follow_configuration(&self, router: &mut PeerRouter) {
+    /// Starts to follow the tables of the store, directly or through other daemons.
+    fn follow_tables(&self, tables: &SharedTables, router: &mut PeerRouter) {
         let base = &self.base;
-        let sink = Rc::new(ConfigurationSink::new(
-            base.view.clone(),
-            platform::CONFIGURATION_KEY,
-            platform::decode_configuration,
-        ));
         let handler = ProofHandler {
             view: base.view.clone(),
-            sink: sink.clone(),
+            tables: tables.clone(),
             contact: base.contact.clone(),
             clock: base.clock.clone(),
         };
         router.set(PeerKind::Proof, Rc::new(handler));
-        let proofs = PeerProofs::new(
-            self.peers.clone(),
-            &base.settings.data_centre,
+        let duty = ReadingDuty::default();
+        let parts = FollowParts {
+            store: base.store.clone(),
+            clock: base.clock.clone(),
+            contact: base.contact.clone(),
+            duty: duty.clone(),
+        };
+        let follow = |table: &Rc<FollowedTable>, opts| {
+            monoio::spawn(follow_table(parts.clone(), table.clone(), opts));
+        };
+        follow(&tables.configuration, FOLLOW_CONFIGURATION);
+        follow(&tables.targets, FOLLOW_TARGETS);
+        follow(&tables.members, FOLLOW_MEMBERS);
+        let reader = ReaderTask::new(ReaderParts {
+            peers: self.peers.clone(),
+            data_centre: base.settings.data_centre.clone(),
+            view: base.view.clone(),
+            tables: tables.clone(),
+            contact: base.contact.clone(),
+            duty,
+            clock: base.clock.clone(),
+        });
+        monoio::spawn(reader.run());
+    }
+
+    /// Makes the copies of the tables, which tell the parts of this daemon of changes.
+    fn tables(&self, targets: &Targets, owners: &SliceOwners) -> SharedTables {
+        let base = &self.base;
+        let configuration = ConfigurationSink::new(
+            base.view.clone(),
+            platform::CONFIGURATION_KEY,
+            platform::decode_configuration,
+        );
+        let targets = TargetSink::new(
+            targets.balancer.clone(),
+            platform::decode_target,
             base.view.clone(),
-            sink.clone(),
-            base.contact.clone(),
             base.clock.clone(),
         );
-        let opts = FollowOptions {
-            table: platform::CONFIGURATION_TABLE,
-            wait: CONFIGURATION_WAIT,
-            gather: Duration::ZERO,
-            leads: true,
-        };
-        base.follow(opts, sink, Some(proofs));
+        let members = MemberSink::new(self.peers.directory().clone(), owners.clone());
+        let table = |name, sink| Rc::new(FollowedTable::new(name, sink));
+        SharedTables {
+            configuration: table(platform::CONFIGURATION_TABLE, Rc::new(configuration)),
+            targets: table(platform::TARGETS_TABLE, Rc::new(targets)),
+            members: table(MEMBERS_TABLE, Rc::new(members)),
+        }
     }
 
     fn start_targets(&self, router: &mut PeerRouter) -> Targets {
@@ -282,39 +315,21 @@
             broadcast,
         };
         router.set(PeerKind::Failure, Rc::new(handler));
-        let sink = TargetSink::new(
-            balancer.clone(),
-            platform::decode_target,
-            base.contact.clone(),
-            base.view.clone(),
-            base.clock.clone(),
-        );
-        let opts = FollowOptions {
-            table: platform::TARGETS_TABLE,
-            wait: QUIET_WAIT,
-            gather: TARGET_GATHER,
-            leads: false,
-        };
-        base.follow(opts, Rc::new(sink), None);
         Targets { balancer, failures }
     }
 
-    fn start_quota(&self, router: &mut PeerRouter, incarnation: Incarnation) -> QuotaLimiter {
+    fn start_quota(
+        &self,
+        owners: &SliceOwners,
+        router: &mut PeerRouter,
+        incarnation: Incarnation,
+    ) -> QuotaLimiter {
         let (base, settings) = (&self.base, &self.base.settings);
-        let owners = SliceOwners::default();
         let slice = LocalSlice::new(SliceShare {
             slices: settings.data_centres.len() as u32,
             slack: settings.quota_slack,
         });
         let directory = self.peers.directory().clone();
-        let sink = MemberSink::new(directory.clone(), owners.clone());
-        let opts = FollowOptions {
-            table: MEMBERS_TABLE,
-            wait: QUIET_WAIT,
-            gather: MEMBER_GATHER,
-            leads: false,
-        };
-        base.follow(opts, Rc::new(sink), None);
         let lease = LeaseTask::new(LeaseParts {
             store: base.store.clone(),
             slice: slice.clone(),
@@ -334,7 +349,7 @@
         router.set(PeerKind::Ask, Rc::new(handler));
         QuotaLimiter::new(QuotaParts {
             slice,
-            owners,
+            owners: owners.clone(),
             peers: self.peers.clone(),
             data_centre: settings.data_centre.clone(),
             clock: base.clock.clone(),
--- a/src/follow/join.rs
+++ b/src/follow/join.rs
@@ -36,28 +36,22 @@
             Err(e) => {
                 let reason = e.to_string();
                 log::warn!(reason = reason.as_str(); "fleet not joined yet");
-                sleep(MAX_RETRY.mul_f64(0.25 + 0.75 * fastrand::f64())).await;
             }
         }
+        sleep(MAX_RETRY.mul_f64(0.25 + 0.75 * fastrand::f64())).await;
     }
 }
 
-/// Tries once; none when another daemon wrote the secret meanwhile.
+/// Tries once, as the first daemon of a fleet would; none when the secret that stands there cannot
+/// be read.
 async fn try_join(parts: &JoinParts<'_>) -> Result<Option<String>, StoreError> {
-    let read = parts.store.read(FLEET_TABLE, SECRET_KEY).await?;
-    let row = read.rows.into_iter().find(|r| r.key == SECRET_KEY);
-    let known = row.and_then(|r| r.value);
-    let known = known.and_then(|v| String::from_utf8(v.to_vec()).ok());
+    let value = serde_json::to_vec(parts.row).map_err(|_| StoreError::Refused)?;
     let member = RowPut {
         table: super::MEMBERS_TABLE,
         key: parts.host.to_owned(),
         expected: None,
-        value: Bytes::from(serde_json::to_vec(parts.row).map_err(|_| StoreError::Refused)?),
+        value: Bytes::from(value),
     };
-    if let Some(secret) = known {
-        parts.store.write(&[member]).await?;
-        return Ok(Some(secret));
-    }
     let secret = new_secret()?;
     let put = RowPut {
         table: FLEET_TABLE,
@@ -65,10 +59,17 @@
         expected: Some(0),
         value: Bytes::from(secret.clone()),
     };
-    match parts.store.write(&[put, member]).await? {
-        Written::Yes { .. } => Ok(Some(secret)),
-        Written::Conflict => Ok(None),
-    }
+    let rows = match parts.store.write(&[put, member.clone()]).await? {
+        Written::Yes { .. } => return Ok(Some(secret)),
+        Written::Conflict(rows) => rows,
+    };
+    let known = rows.into_iter().find_map(|row| row.value);
+    let Some(known) = known.and_then(|v| String::from_utf8(v.to_vec()).ok()) else {
+        log::warn!("the secret of the fleet in the store cannot be read");
+        return Ok(None);
+    };
+    parts.store.write(&[member]).await?;
+    Ok(Some(known))
 }
 
 fn new_secret() -> Result<String, StoreError> {
--- a/src/follow/member_sink.rs
+++ b/src/follow/member_sink.rs
@@ -9,10 +9,7 @@
     store::{ListedHost, StoredRow},
 };
 
-use super::{
-    table_follower::{Answered, TableSink},
-    MemberRow,
-};
+use super::{table_follower::TableSink, MemberRow};
 
 /// Keeps the directory of peers and the holders of slices.
 pub struct MemberSink {
@@ -80,13 +77,13 @@
 }
 
 impl TableSink for MemberSink {
-    fn replace(&self, rows: Vec<StoredRow>, _: &Answered) {
+    fn replace(&self, rows: Vec<StoredRow>, _: BootTime) {
         self.members.borrow_mut().clear();
         rows.into_iter().for_each(|row| self.take(row));
         self.publish();
     }
 
-    fn apply(&self, rows: Vec<StoredRow>, _: &Answered) {
+    fn apply(&self, rows: Vec<StoredRow>, _: BootTime) {
         if rows.is_empty() {
             return;
         }
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -1,23 +1,33 @@
 //! Following the tables of the store that a daemon decides by.
 
 mod configuration_sink;
+mod followed_table;
 mod join;
 mod member_sink;
 mod member_table;
-mod peer_proof;
+mod proof_handler;
+mod proof_message;
+mod reader_task;
 mod readers;
+mod reading_duty;
 mod store_contact;
+mod table_change;
 mod table_follower;
 mod target_list;
 mod target_sink;
 
 pub use configuration_sink::ConfigurationSink;
+pub use followed_table::FollowedTable;
 pub use join::{join_fleet, JoinParts};
 pub use member_sink::MemberSink;
 pub use member_table::{MemberRow, MEMBERS_TABLE};
-pub use peer_proof::{PeerProofs, ProofAnswer, ProofHandler, ProofRequest};
+pub use proof_handler::{ProofHandler, SharedTables};
+pub use proof_message::{ProofAnswer, ProofRequest};
+pub use reader_task::{ReaderParts, ReaderTask};
 pub use readers::Readers;
+pub use reading_duty::{Duty, ReadingDuty};
 pub use store_contact::StoreContact;
-pub use table_follower::{follow_table, FollowOptions, TableSink};
+pub use table_change::{RowChange, TableChange};
+pub use table_follower::{follow_table, Answered, FollowOptions, FollowParts, TableSink};
 pub use target_list::TargetList;
 pub use target_sink::TargetSink;
--- a/src/follow/readers.rs
+++ b/src/follow/readers.rs
@@ -7,8 +7,10 @@
 
 use crate::clock::BootTime;
 
-/// Daemons of a data centre that read for the others.
-const READERS: usize = 2;
+/// Daemons of a data centre that may read for the others: the first one does, each further one
+/// when those before it cannot. Where a third of the hosts cannot reach the store, one group of
+/// four in 80 has none that can.
+const READERS: usize = 4;
 /// Time for which a daemon that did not answer is passed over.
 const SILENT_PAUSE: Duration = Duration::from_secs(10);
 /// Seed of the ranks, another one than that of the holders of slices.
--- a/src/follow/store_contact.rs
+++ b/src/follow/store_contact.rs
@@ -2,8 +2,13 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
+use crate::clock::BootTime;
+
 /// Time between two looks at whether contact was regained.
 const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Age of the last answer of the store up to which a daemon counts as reading it; two calls of
+/// the task that calls most often fit in.
+const DIRECT_WITHIN: Duration = Duration::from_millis(1800);
 
 /// Counts how often contact with the store was regained.
 ///
@@ -12,19 +17,19 @@
 #[derive(Clone, Default)]
 pub struct StoreContact {
     regained: Rc<Cell<u64>>,
-    targets_version: Rc<Cell<u64>>,
+    answered: Rc<Cell<Option<BootTime>>>,
 }
 
 impl StoreContact {
-    /// Returns the newest version of the rows of targets that were read.
-    pub fn targets_version(&self) -> u64 {
-        self.targets_version.get()
+    /// Takes note that the store answered the task that leads.
+    pub fn note_answer(&self, now: BootTime) {
+        self.answered.set(Some(now));
     }
 
-    /// Takes note of a version of the rows of targets.
-    pub fn note_targets(&self, version: u64) {
-        let newest = self.targets_version.get().max(version);
-        self.targets_version.set(newest);
+    /// Tells whether the store answered this daemon of late.
+    pub fn is_direct(&self, now: BootTime) -> bool {
+        let age = self.answered.get().map(|at| now.since(at));
+        age.is_some_and(|age| age <= DIRECT_WITHIN)
     }
 
     /// Returns how often contact was regained.
--- /dev/null
+++ b/src/follow/table_change.rs
@@ -0,0 +1,53 @@
+//! What daemons pass on to each other of a followed table.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
+
+use crate::store::StoredRow;
+
+/// One row of a table.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowChange {
+    /// Its key.
+    pub key: String,
+    /// Its value; none when the row was removed.
+    #[serde_as(as = "Option<serde_with::Bytes>")]
+    pub value: Option<Vec<u8>>,
+    /// Its version.
+    pub version: u64,
+}
+
+impl From<&StoredRow> for RowChange {
+    fn from(row: &StoredRow) -> Self {
+        Self {
+            key: row.key.clone(),
+            value: row.value.as_ref().map(|value| value.to_vec()),
+            version: row.version,
+        }
+    }
+}
+
+impl From<RowChange> for StoredRow {
+    fn from(row: RowChange) -> Self {
+        Self {
+            key: row.key,
+            value: row.value.map(Bytes::from),
+            version: row.version,
+        }
+    }
+}
+
+/// The rows of a table that changed behind a version, in the order of their versions.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableChange {
+    /// Whether these are all rows of the table, not only the changed ones.
+    pub whole: bool,
+    /// Version of the store up to which the rows tell everything.
+    pub version: u64,
+    /// Whether more rows changed behind that version.
+    pub more: bool,
+    /// The rows.
+    pub rows: Vec<RowChange>,
+}
--- a/src/follow/table_follower.rs
+++ b/src/follow/table_follower.rs
@@ -9,24 +9,27 @@
     store::{FeedRead, RowStore, RowsRead, StoreError, StoredRow},
 };
 
-use super::{PeerProofs, StoreContact};
+use super::{Duty, FollowedTable, ReadingDuty, StoreContact};
 
 /// Shortest pause behind a failed call.
 const MIN_RETRY: Duration = Duration::from_millis(200);
 /// Longest pause behind a failed call, so that a daemon is back soon after the store is.
 const MAX_RETRY: Duration = Duration::from_millis(600);
+/// Pause behind an answer for a daemon that reads for itself alone; what it proves is taken for
+/// fresh longer than this.
+const ALONE_PAUSE: Duration = Duration::from_secs(1);
 
 /// How a table is followed.
 #[derive(Debug, Clone, Copy)]
 pub struct FollowOptions {
-    /// The table.
-    pub table: &'static str,
     /// Longest time that the store waits for a change; one quiet call takes this long.
     pub wait: Duration,
     /// Pause behind a change, in which further ones gather.
     pub gather: Duration,
     /// Whether this table's task tells the others that contact with the store was regained.
     pub leads: bool,
+    /// Whether the first reading comes from the store itself, before other daemons are known.
+    pub reads_first: bool,
 }
 
 /// When an answer was called for and when it arrived.
@@ -40,70 +43,70 @@
     pub store_time: Duration,
 }
 
-/// Takes what is read of a followed table.
+/// Takes what is known of a followed table.
 pub trait TableSink {
     /// Takes all rows of the table.
-    fn replace(&self, rows: Vec<StoredRow>, answered: &Answered);
+    fn replace(&self, rows: Vec<StoredRow>, now: BootTime);
 
     /// Takes the rows that changed, which may be none.
-    fn apply(&self, rows: Vec<StoredRow>, answered: &Answered);
+    fn apply(&self, rows: Vec<StoredRow>, now: BootTime);
+
+    /// Takes note that the store itself answered, behind what its answer changed.
+    fn proven(&self, _: &Answered) {}
 
     /// Takes note that a call failed.
     fn lost(&self, now: BootTime);
 }
 
+/// What following a table needs.
+#[derive(Clone)]
+pub struct FollowParts {
+    /// The store.
+    pub store: Rc<dyn RowStore>,
+    /// Source of time.
+    pub clock: Rc<dyn Clock>,
+    /// Whether the store answers.
+    pub contact: StoreContact,
+    /// Whether this daemon reads the store.
+    pub duty: ReadingDuty,
+}
+
 /// Follows one table.
 struct Follower {
-    store: Rc<dyn RowStore>,
+    parts: FollowParts,
     opts: FollowOptions,
-    sink: Rc<dyn TableSink>,
-    clock: Rc<dyn Clock>,
-    contact: StoreContact,
-    /// Spares calls while other daemons prove what this table holds.
-    proofs: Option<PeerProofs>,
+    table: Rc<FollowedTable>,
     failures: u32,
 }
 
-/// Reads a table whole and follows its changes, until the daemon ends.
-pub async fn follow_table(
-    store: Rc<dyn RowStore>,
-    opts: FollowOptions,
-    sink: Rc<dyn TableSink>,
-    clock: Rc<dyn Clock>,
-    contact: StoreContact,
-    proofs: Option<PeerProofs>,
-) {
+/// Reads a table whole and follows its changes while the daemon has that duty, until it ends.
+pub async fn follow_table(parts: FollowParts, table: Rc<FollowedTable>, opts: FollowOptions) {
     let mut follower = Follower {
-        store,
+        parts,
         opts,
-        sink,
-        clock,
-        contact,
-        proofs,
+        table,
         failures: 0,
     };
     loop {
-        let version = follower.read_until_whole().await;
-        follower.follow_from(version).await;
+        let waited = follower.wait_for_duty().await;
+        let res = match follower.table.version() {
+            Some(version) => follower.follow_once(version, waited).await,
+            None => follower.read_whole().await,
+        };
+        if let Err(e) = res {
+            follower.note_failure(e).await;
+        }
     }
 }
 
 impl Follower {
-    /// Reads the whole table, and returns the version behind which changes follow.
-    async fn read_until_whole(&mut self) -> u64 {
-        loop {
-            match self.read_whole().await {
-                Ok((rows, version, answered)) => {
-                    self.note_success();
-                    self.sink.replace(rows, &answered);
-                    return version;
-                }
-                Err(e) => self.note_failure(e).await,
-            }
-        }
+    /// Waits until this daemon must read; tells whether it had to wait.
+    async fn wait_for_duty(&self) -> bool {
+        let first = self.opts.reads_first && self.table.version().is_none();
+        !first && self.parts.duty.needed().await
     }
 
-    async fn read_whole(&self) -> Result<(Vec<StoredRow>, u64, Answered), StoreError> {
+    async fn read_whole(&mut self) -> Result<(), StoreError> {
         let mut all: Vec<StoredRow> = Vec::new();
         let mut first: Option<(u64, Answered)> = None;
         loop {
@@ -111,57 +114,61 @@
             let from = all
                 .last()
                 .map_or(String::new(), |r| format!("{}%00", r.key));
-            let sent = self.clock.now();
-            let read = self.store.read(self.opts.table, &from).await?;
+            let sent = self.parts.clock.now();
+            let read = self.parts.store.read(self.table.name(), &from).await?;
             let answered = self.answered(sent, &read);
             // Changes between two pages are followed from the version of the first one.
             let (version, answered) = *first.get_or_insert((read.version, answered));
             all.extend(read.rows);
             if !read.truncated {
-                return Ok((all, version, answered));
+                self.note_success();
+                self.table.replace(all, version, answered.received);
+                self.table.sink().proven(&answered);
+                return Ok(());
             }
         }
     }
 
-    /// Follows changes until the store no longer knows them.
-    async fn follow_from(&mut self, mut version: u64) {
-        loop {
-            let wait = self.next_wait().await;
-            let sent = self.clock.now();
-            let table = self.opts.table;
-            let seen = self.contact.regained();
-            let answer = monoio::select! {
-                answer = self.store.follow(table, version, wait) => answer,
-                () = self.other_regained(seen) => continue,
-            };
-            match answer {
-                Ok(FeedRead::Changed(read)) => {
-                    self.note_success();
-                    let answered = self.answered(sent, &read);
-                    version = read.version.max(version);
-                    let changed = !read.rows.is_empty();
-                    self.sink.apply(read.rows, &answered);
-                    if changed {
-                        sleep(self.opts.gather).await;
-                    }
-                }
-                Ok(FeedRead::HistoryGone) => {
-                    log::info!(table = table, version = version; "history gone, reading all rows");
-                    return;
-                }
-                Err(e) => self.note_failure(e).await,
+    /// Asks for changes once; a store that no longer knows them is read whole next.
+    async fn follow_once(&mut self, version: u64, waited: bool) -> Result<(), StoreError> {
+        let wait = self.next_wait(waited);
+        let sent = self.parts.clock.now();
+        let seen = self.parts.contact.regained();
+        let name = self.table.name();
+        let answer = monoio::select! {
+            answer = self.parts.store.follow(name, version, wait) => answer?,
+            () = self.other_regained(seen) => return Ok(()),
+        };
+        let read = match answer {
+            FeedRead::Changed(read) => read,
+            FeedRead::HistoryGone => {
+                log::info!(table = name, version = version; "history gone, reading all rows");
+                self.table.forget_version();
+                return Ok(());
             }
+        };
+        self.note_success();
+        let answered = self.answered(sent, &read);
+        let changed = !read.rows.is_empty();
+        self.table.apply(read.rows, read.version, answered.received);
+        self.table.sink().proven(&answered);
+        self.pause(changed).await;
+        Ok(())
+    }
+
+    async fn pause(&self, changed: bool) {
+        if self.opts.leads && self.parts.duty.get() == Duty::Alone {
+            sleep(ALONE_PAUSE).await;
+        } else if changed {
+            sleep(self.opts.gather).await;
         }
     }
 
-    /// Returns how long the store is to wait, once this daemon must call it; behind a failure, or
-    /// when other daemons prove nothing, an answer at once tells most.
-    async fn next_wait(&self) -> Duration {
-        let reads_for_others = match &self.proofs {
-            Some(proofs) => proofs.relieve().await,
-            None => true,
-        };
-        if self.failures > 0 || !reads_for_others {
+    /// Returns how long the store is to wait; an answer at once tells most behind a failure or a
+    /// time without reading, and where nobody else proves anything.
+    fn next_wait(&self, waited: bool) -> Duration {
+        let alone = self.opts.leads && self.parts.duty.get() == Duty::Alone;
+        if self.failures > 0 || waited || alone {
             Duration::ZERO
         } else {
             self.opts.wait
@@ -173,23 +180,26 @@
         if self.opts.leads {
             std::future::pending::<()>().await;
         }
-        self.contact.regained_since(seen).await;
+        self.parts.contact.regained_since(seen).await;
     }
 
     fn answered(&self, sent: BootTime, read: &RowsRead) -> Answered {
         Answered {
             sent,
-            received: self.clock.now(),
+            received: self.parts.clock.now(),
             store_time: read.store_time,
         }
     }
 
     fn note_success(&mut self) {
+        if self.opts.leads {
+            self.parts.contact.note_answer(self.parts.clock.now());
+        }
         if self.failures > 0 {
-            let (table, failures) = (self.opts.table, self.failures);
+            let (table, failures) = (self.table.name(), self.failures);
             log::info!(table = table, failures = failures; "store regained");
             if self.opts.leads {
-                self.contact.note_regained();
+                self.parts.contact.note_regained();
             }
         }
         self.failures = 0;
@@ -197,11 +207,11 @@
 
     async fn note_failure(&mut self, e: StoreError) {
         if self.failures == 0 {
-            let (table, reason) = (self.opts.table, e.to_string());
+            let (table, reason) = (self.table.name(), e.to_string());
             log::warn!(table = table, reason = reason.as_str(); "store lost");
         }
         self.failures += 1;
-        self.sink.lost(self.clock.now());
+        self.table.sink().lost(self.parts.clock.now());
         sleep(retry_pause(self.failures)).await;
     }
 }
--- a/src/follow/target_sink.rs
+++ b/src/follow/target_sink.rs
@@ -9,10 +9,7 @@
     store::{ListedHost, StoredRow},
 };
 
-use super::{
-    table_follower::{Answered, TableSink},
-    StoreContact, TargetList,
-};
+use super::{table_follower::TableSink, TargetList};
 
 /// Time between two looks at entries that were missing when the store returned.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
@@ -25,7 +22,6 @@
     list: Rc<RefCell<TargetList>>,
     balancer: BalancerHandle,
     decode: DecodeTarget,
-    contact: StoreContact,
     view: ConfigurationView,
     clock: Rc<dyn Clock>,
 }
@@ -35,7 +31,6 @@
     pub fn new(
         balancer: BalancerHandle,
         decode: DecodeTarget,
-        contact: StoreContact,
         view: ConfigurationView,
         clock: Rc<dyn Clock>,
     ) -> Self {
@@ -43,7 +38,6 @@
             list: Rc::default(),
             balancer,
             decode,
-            contact,
             view,
             clock,
         }
@@ -61,11 +55,6 @@
         }
     }
 
-    fn note_versions(&self, rows: &[StoredRow]) {
-        let newest = rows.iter().map(|row| row.version).max();
-        self.contact.note_targets(newest.unwrap_or_default());
-    }
-
     fn publish(&self) {
         let hosts = self.list.borrow().hosts();
         self.balancer
@@ -98,26 +87,24 @@
 }
 
 impl TableSink for TargetSink {
-    fn replace(&self, rows: Vec<StoredRow>, answered: &Answered) {
-        self.note_versions(&rows);
+    fn replace(&self, rows: Vec<StoredRow>, now: BootTime) {
         let hosts: Vec<ListedHost> = rows.iter().filter_map(|r| self.decode(r)).collect();
         log::info!(targets = hosts.len(); "targets read");
         {
             let mut list = self.list.borrow_mut();
-            list.store_answers(answered.received);
-            list.replace(hosts, answered.received);
+            list.store_answers(now);
+            list.replace(hosts, now);
         }
         self.publish();
     }
 
-    fn apply(&self, rows: Vec<StoredRow>, answered: &Answered) {
-        self.list.borrow_mut().store_answers(answered.received);
+    fn apply(&self, rows: Vec<StoredRow>, now: BootTime) {
+        self.list.borrow_mut().store_answers(now);
         if rows.is_empty() {
             return;
         }
-        self.note_versions(&rows);
         for row in &rows {
-            self.take(row, answered.received);
+            self.take(row, now);
         }
         self.publish();
     }
--- a/src/platform/row_client.rs
+++ b/src/platform/row_client.rs
@@ -56,6 +56,11 @@
     truncated: bool,
 }
 
+#[derive(Deserialize)]
+struct ConflictAnswer {
+    rows: Vec<RowField>,
+}
+
 #[derive(Deserialize)]
 struct WriteAnswer {
     ver: u64,
@@ -134,13 +139,8 @@
 
 impl From<RowsAnswer> for RowsRead {
     fn from(answer: RowsAnswer) -> Self {
-        let rows = answer.rows.into_iter().map(|row| StoredRow {
-            key: row.key,
-            value: row.value.filter(|_| !row.removed).map(Bytes::from),
-            version: row.ver,
-        });
         Self {
-            rows: rows.collect(),
+            rows: stored_rows(answer.rows),
             version: answer.ver,
             store_time: answer.now_s,
             truncated: answer.truncated,
@@ -148,6 +148,15 @@
     }
 }
 
+fn stored_rows(rows: Vec<RowField>) -> Vec<StoredRow> {
+    let row = |row: RowField| StoredRow {
+        key: row.key,
+        value: row.value.filter(|_| !row.removed).map(Bytes::from),
+        version: row.ver,
+    };
+    rows.into_iter().map(row).collect()
+}
+
 impl RowStore for RowClient {
     fn read<'a>(
         &'a self,
@@ -194,7 +203,10 @@
                 StatusCode::OK => Ok(Written::Yes {
                     version: decode::<WriteAnswer>(&body)?.ver,
                 }),
-                StatusCode::PRECONDITION_FAILED => Ok(Written::Conflict),
+                StatusCode::PRECONDITION_FAILED => {
+                    let answer = decode::<ConflictAnswer>(&body)?;
+                    Ok(Written::Conflict(stored_rows(answer.rows)))
+                }
                 _ => Err(StoreError::Refused),
             }
         })
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -22,8 +22,10 @@
 const SETTLE_TIME: Duration = Duration::from_millis(1500);
 /// Time between two looks at whether the holder is known.
 const SETTLE_LOOK: Duration = Duration::from_millis(20);
-/// Time between two readings of the lease by those who stand by.
+/// Time between two readings of the lease by those who stand by, while the holder may be gone.
 const WATCH_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two looks at whether the holder answers.
+const SUSPECT_LOOK: Duration = Duration::from_millis(500);
 /// Pause behind a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Daemons of a data centre that stand by to take over its slice.
@@ -81,6 +83,10 @@
     async fn step(&self) -> Duration {
         let now = self.parts.clock.now();
         let holder = self.parts.slice.with_lease(now, |l| l.is_holder());
+        let centre = &self.parts.data_centre;
+        if !holder && !self.is_named() && !self.parts.owners.may_be_free(centre, now) {
+            return SUSPECT_LOOK;
+        }
         if !holder && !self.stands_by() {
             return WATCH_INTERVAL;
         }
@@ -94,14 +100,20 @@
         }
     }
 
+    /// Tells whether this host is named as the holder, as it was before a restart.
+    fn is_named(&self) -> bool {
+        let holder = self.parts.owners.holder(&self.parts.data_centre);
+        holder.as_deref() == Some(self.parts.directory.own_host())
+    }
+
     /// Tells whether this daemon is among the first that may take the slice over.
     fn stands_by(&self) -> bool {
         let parts = &self.parts;
-        let own = parts.directory.own_host();
-        let holder = parts.owners.holder(&parts.data_centre);
-        if holder.as_deref() == Some(own) {
+        if self.is_named() {
             return true;
         }
+        let own = parts.directory.own_host();
+        let holder = parts.owners.holder(&parts.data_centre);
         let score = |host: &str| xxh3_64_with_seed(host.as_bytes(), 0);
         let peers = parts.directory.peers();
         let others = peers.iter().filter(|p| {
@@ -153,7 +165,7 @@
                 parts.owners.set(centre, parts.directory.own_host());
                 RENEW_INTERVAL
             }
-            Ok(Written::Conflict) => {
+            Ok(Written::Conflict(_)) => {
                 log::info!(data_centre = centre, expected = expected; "slice not taken");
                 parts.slice.with_lease(now, |l| l.lost());
                 WATCH_INTERVAL
--- a/src/quota/owners.rs
+++ b/src/quota/owners.rs
@@ -8,6 +8,9 @@
 
 /// Time for which a daemon that did not answer is not asked again.
 const SILENT_PAUSE: Duration = Duration::from_millis(700);
+/// Time for which a daemon that did not answer is suspected to be gone; longer than the term of
+/// its lease.
+const SUSPECT_TIME: Duration = Duration::from_secs(10);
 
 /// Prefix of the keys under which the holders of slices stand among the members.
 const OWNER_PREFIX: &str = "slice:";
@@ -35,6 +38,7 @@
 struct Owner {
     host: Rc<str>,
     silent_until: BootTime,
+    suspect_until: BootTime,
 }
 
 /// Which daemon counts the slice of each data centre.
@@ -49,6 +53,7 @@
         let owner = Owner {
             host: Rc::from(host),
             silent_until: BootTime::default(),
+            suspect_until: BootTime::default(),
         };
         self.by_centre
             .borrow_mut()
@@ -78,6 +83,15 @@
     pub fn note_silence(&self, data_centre: &str, now: BootTime) {
         if let Some(owner) = self.by_centre.borrow_mut().get_mut(data_centre) {
             owner.silent_until = now + SILENT_PAUSE;
+            owner.suspect_until = now + SUSPECT_TIME;
         }
     }
+
+    /// Tells whether the slice of a data centre may have no holder, as none is known or the one
+    /// that is did not answer lately.
+    pub fn may_be_free(&self, data_centre: &str, now: BootTime) -> bool {
+        let owners = self.by_centre.borrow();
+        let owner = owners.get(data_centre);
+        owner.is_none_or(|o| o.suspect_until > now)
+    }
 }
--- a/src/store/row_store.rs
+++ b/src/store/row_store.rs
@@ -53,15 +53,16 @@
 }
 
 /// The answer to a write.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Written {
     /// All rows were written; they have this version.
     Yes {
         /// Version of the rows.
         version: u64,
     },
-    /// A row had another version; nothing was written.
-    Conflict,
+    /// A row had another version; nothing was written. These are the rows whose versions were
+    /// given, as they stand.
+    Conflict(Vec<StoredRow>),
 }
 
 /// A store of versioned rows.
--- a/standins/src/entry_fleet.rs
+++ b/standins/src/entry_fleet.rs
@@ -11,7 +11,7 @@
 
 use serde_json::{json, Value};
 
-use crate::{free_address, Client, EntryTarget, Reply, RowStore};
+use crate::{free_address, Client, EntryTarget, Link, Reply, RowStore};
 
 /// Longest time until a fleet serves.
 const START_LIMIT: Duration = Duration::from_secs(10);
@@ -166,6 +166,8 @@
     pub targets: Vec<EntryTarget>,
     /// The store.
     pub store: RowStore,
+    /// Each daemon's way to the store.
+    pub store_links: Vec<Link>,
     directory: PathBuf,
 }
 
@@ -196,12 +198,15 @@
             daemons: Vec::new(),
             targets,
             store,
+            store_links: Vec::new(),
             directory,
         };
         for i in 0..daemons {
             let centre = if i % 2 == 0 { "a" } else { "b" };
             let host = format!("entry-{i}");
-            let address = fleet.store.address();
+            let address = free_address()?;
+            let link = Link::start(address, fleet.store.address())?;
+            fleet.store_links.push(link);
             let daemon = EntryDaemon::start(program, &fleet.directory, &host, centre, address)?;
             fleet.daemons.push(daemon);
         }
