Prefer a target with an idle connection among those that are about equally busy

Change: the balancer keeps, by target, when its idle connections were used last; targets with one that the request may use join the choice, and all others count as busier by 0.4 of their slots.

--- a/src/health/balancer/choice.rs
+++ b/src/health/balancer/choice.rs
@@ -1,8 +1,13 @@
 //! Choosing among the targets of a service.
 
+use std::time::Duration;
+
 use rustc_hash::FxHashMap;
 
-use crate::clock::BootTime;
+use crate::{
+    clock::BootTime,
+    pool::{MAX_IDLE, RECENT_USE},
+};
 
 use super::{
     super::{routing_set, BreakerState, Candidate, ServiceId, Target, TargetId, Ticket},
@@ -18,6 +23,18 @@
 /// Load, as a share of the slots, by which a target of another data centre must be less busy.
 const FAR_COST: f64 = 0.4;
 
+/// Load, as a share of the slots, by which a target without an idle connection must be less busy.
+const CONNECT_COST: f64 = 0.4;
+
+/// Returns the longest idle time of a connection that a request may be sent on.
+fn longest_idle(repeatable: bool) -> Duration {
+    if repeatable {
+        MAX_IDLE
+    } else {
+        RECENT_USE
+    }
+}
+
 impl Balancer {
     /// Chooses a target and counts a request in flight on it.
     ///
@@ -34,7 +51,7 @@
         let trial = self.draw_trial(service, req);
         let id = match trial.or_else(|| self.draw_half_open(service, req, now)) {
             Some(id) => id,
-            None => self.draw(service, req.avoid, now)?,
+            None => self.draw(service, req, now)?,
         };
         self.start(id, now).ok_or(PickError::NoTarget)
     }
@@ -43,6 +60,7 @@
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         let target = self.targets.get_mut(&id)?;
+        target.idle_since.pop();
         target.flights.start(ticket, now);
         if let Some(service) = self.services.get_mut(&target.service) {
             service.count_work(now);
@@ -89,7 +107,7 @@
     fn draw(
         &mut self,
         service: ServiceId,
-        avoid: &[TargetId],
+        req: &PickRequest<'_>,
         now: BootTime,
     ) -> Result<TargetId, PickError> {
         let service = self.services.get(&service).ok_or(PickError::NoTarget)?;
@@ -100,7 +118,7 @@
         let closed = closed_set(&service.routing, targets, self.floor, now);
         let free = |id: &&TargetId| targets.get(id).is_some_and(|t| !t.is_full());
         let all_free = || closed.iter().filter(free).copied();
-        let mut free: Vec<TargetId> = all_free().filter(|id| !avoid.contains(id)).collect();
+        let mut free: Vec<TargetId> = all_free().filter(|id| !req.avoid.contains(id)).collect();
         if free.is_empty() {
             free = all_free().collect();
         }
@@ -118,9 +136,13 @@
         for _ in 0..DRAWN_ANYWHERE {
             drawn.extend(draw_weighted(&free, targets, random, now));
         }
+        let kept = longest_idle(req.repeatable);
+        let is_kept = |t: &&Target| t.is_connected(kept, now);
+        drawn.extend(near.iter().filter_map(|id| targets.get(id)).filter(is_kept));
         let cost = |t: &&Target| {
             let far = if is_near(&t.id) { 0.0 } else { FAR_COST };
-            t.load_with_next(now) + far
+            let connect = if is_kept(t) { 0.0 } else { CONNECT_COST };
+            t.load_with_next(now) + far + connect
         };
         let best = drawn.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
         best.map(|t| t.id).ok_or(PickError::Busy)
--- a/src/health/balancer/evidence.rs
+++ b/src/health/balancer/evidence.rs
@@ -28,7 +28,7 @@
         match obs.result {
             WorkResult::Shed => target.shed(now),
             WorkResult::Success => {
-                target.succeeded();
+                target.succeeded(now);
                 if target.breaker.succeed(now) {
                     self.recovered.push(target.name.clone());
                 }
--- a/src/health/balancer/listing.rs
+++ b/src/health/balancer/listing.rs
@@ -89,6 +89,7 @@
             flights: Flights::default(),
             bound: f64::from(slots),
             breaker: Breaker::default(),
+            idle_since: Vec::new(),
             ramp_from: ramp_from.or(host.cold.then_some(now)),
             load: 0.0,
             load_at: BootTime::default(),
--- a/src/health/target.rs
+++ b/src/health/target.rs
@@ -57,6 +57,8 @@
     pub bound: f64,
     /// Holds work back while the target breaks it off.
     pub breaker: Breaker,
+    /// When the connections that should be idle now were used last, in that order.
+    pub(super) idle_since: Vec<BootTime>,
     pub(super) ramp_from: Option<BootTime>,
     pub(super) load: f64,
     pub(super) load_at: BootTime,
@@ -92,6 +94,12 @@
         reported + (self.flights.len() as f64 + 1.0) / f64::from(self.slots)
     }
 
+    /// Tells whether a connection should be there that was used within `longest`.
+    pub fn is_connected(&self, longest: Duration, now: BootTime) -> bool {
+        let last = self.idle_since.last();
+        last.is_some_and(|used| now.since(*used) <= longest)
+    }
+
     /// Takes note of a load that the target reported, as a share of its slots.
     pub fn report_load(&mut self, load: f64, now: BootTime) {
         self.load = load;
@@ -105,7 +113,8 @@
     }
 
     /// Takes note of a good answer.
-    pub fn succeeded(&mut self) {
+    pub fn succeeded(&mut self, now: BootTime) {
+        self.idle_since.push(now);
         self.bound = (self.bound + BOUND_INCREASE).min(f64::from(self.slots));
     }
 }
