Refuse bodies above the bound of the configuration with 413

Change: a length above it is refused before a token is taken and before any of the body is read; chunks are counted as their sizes come. Chunks that pass the bound once the request is on its way to a target end the connection without an answer, as other broken bodies do there. Test: five bodies through the real program; failed before (200 for one byte too many), passes now.

--- a/src/http/body_decoder.rs
+++ b/src/http/body_decoder.rs
@@ -28,6 +28,8 @@
     /// Parts that were decoded before and are yielded again.
     decoded: Bytes,
     forbidden: Option<ForbiddenBytes>,
+    /// Bytes that chunks may still bring.
+    chunk_bytes_left: u64,
 }
 
 impl BodyDecoder {
@@ -43,6 +45,7 @@
             state,
             decoded: Bytes::new(),
             forbidden: None,
+            chunk_bytes_left: u64::MAX,
         }
     }
 
@@ -52,6 +55,12 @@
         self
     }
 
+    /// Makes the decoder refuse chunks that bring more than `max` bytes together.
+    pub fn limit_chunks(mut self, max: u64) -> Self {
+        self.chunk_bytes_left = max;
+        self
+    }
+
     /// Gives back parts that were decoded, to be yielded again.
     pub fn give_back(&mut self, decoded: Bytes) {
         self.decoded = decoded;
@@ -177,7 +186,11 @@
                 State::ChunkSize => match Self::chunk_size(src)? {
                     None => return Ok(Decoded::Insufficient),
                     Some(0) => self.state = State::LastChunkEnd,
-                    Some(n) => self.state = State::ChunkData(n),
+                    Some(n) => {
+                        let left = self.chunk_bytes_left.checked_sub(n);
+                        self.chunk_bytes_left = left.ok_or(HttpError::BodyTooLarge)?;
+                        self.state = State::ChunkData(n);
+                    }
                 },
                 State::ChunkEnd => {
                     if !Self::line_end(src)? {
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -11,6 +11,8 @@
     UnexpectedEof,
     /// The head exceeds its byte or header limit.
     HeadTooLarge,
+    /// The body exceeds its byte limit.
+    BodyTooLarge,
     /// The head or the body framing is malformed or ambiguous.
     Malformed(&'static str),
     /// The body contains bytes that it must not contain.
@@ -25,6 +27,7 @@
             Self::Io(kind) => write!(f, "socket error: {kind}"),
             Self::UnexpectedEof => f.write_str("connection closed in the middle of a message"),
             Self::HeadTooLarge => f.write_str("head too large"),
+            Self::BodyTooLarge => f.write_str("body too large"),
             Self::Malformed(what) => write!(f, "malformed message: {what}"),
             Self::Forbidden => f.write_str("body contains forbidden bytes"),
             Self::Timeout => f.write_str("timeout"),
--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -15,6 +15,8 @@
     HeadTooLarge,
     /// The head did not arrive in time.
     HeadTimeout,
+    /// The body exceeds its limit.
+    BodyTooLarge,
     /// The body did not arrive in time, or was cut off before any of it was sent on.
     BodyIncomplete,
     /// No key came with the request.
@@ -95,6 +97,7 @@
             Self::BadRequest => (400, NotRun, None, "the request is malformed or ambiguous"),
             Self::HeadTooLarge => (431, NotRun, None, "the request head is too large"),
             Self::HeadTimeout => (408, NotRun, None, "the request head did not arrive in time"),
+            Self::BodyTooLarge => (413, NotRun, None, "the request body is too large"),
             Self::BodyIncomplete => (408, NotRun, None, "the request body did not arrive whole"),
             Self::KeyMissing => (401, NotRun, None, "a key is needed"),
             Self::KeyUnknown => (401, NotRun, None, "the key is not valid"),
--- a/src/proxy/attempt.rs
+++ b/src/proxy/attempt.rs
@@ -146,9 +146,12 @@
             }
             Ok(head) if head.status.is_informational() => {}
             Ok(head) => return Ok(head),
-            Err(HttpError::Malformed(_) | HttpError::HeadTooLarge | HttpError::Forbidden) => {
-                return Err(Event::Failed(Failure::Malformed))
-            }
+            Err(
+                HttpError::Malformed(_)
+                | HttpError::HeadTooLarge
+                | HttpError::BodyTooLarge
+                | HttpError::Forbidden,
+            ) => return Err(Event::Failed(Failure::Malformed)),
             Err(HttpError::Timeout) => return Err(Event::DeadlinePassed),
             Err(HttpError::Io(_) | HttpError::UnexpectedEof) => {
                 return Err(Event::Failed(Failure::Lost))
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -169,6 +169,7 @@
         let kind = match e {
             HttpError::HeadTooLarge => ErrorKind::HeadTooLarge,
             HttpError::Timeout => ErrorKind::HeadTimeout,
+            HttpError::BodyTooLarge => ErrorKind::BodyTooLarge,
             HttpError::Malformed(_) | HttpError::Forbidden => ErrorKind::BadRequest,
             HttpError::Io(_) | HttpError::UnexpectedEof => return After::Close,
         };
--- a/src/proxy/request_body.rs
+++ b/src/proxy/request_body.rs
@@ -32,6 +32,8 @@
     pub(super) kind: BodyKind,
     /// Key of the caller, which the body must not contain.
     pub(super) key: &'a [u8],
+    /// Most bytes of the body.
+    pub(super) max_bytes: u64,
     /// Bounds of this daemon.
     pub(super) limits: &'a LimitSettings,
     /// Bytes of bodies that are buffered.
@@ -87,7 +89,8 @@
     }
 
     fn decoder(&self) -> BodyDecoder {
-        BodyDecoder::new(self.kind).refuse(ForbiddenBytes::new(self.key))
+        let decoder = BodyDecoder::new(self.kind).limit_chunks(self.max_bytes);
+        decoder.refuse(ForbiddenBytes::new(self.key))
     }
 }
 
@@ -101,6 +104,7 @@
 fn refusal(e: HttpError) -> ErrorKind {
     match e {
         HttpError::Malformed(_) => ErrorKind::BadRequest,
+        HttpError::BodyTooLarge => ErrorKind::BodyTooLarge,
         HttpError::Forbidden => ErrorKind::KeyExposed,
         _ => ErrorKind::BodyIncomplete,
     }
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -37,7 +37,7 @@
 impl Serving<'_> {
     /// Serves the request, and returns what becomes of the connection.
     pub(super) async fn run(&mut self, head: request::Parts, req: &ServedRequest<'_>) -> After {
-        let (allowed, grant) = match self.check(&head, req.id).await {
+        let (allowed, grant) = match self.check(&head, req).await {
             Ok(checked) => checked,
             Err(refusal) => return self.refuse(refusal, &head, req).await,
         };
@@ -49,6 +49,7 @@
         let receiver = BodyReceiver {
             kind: req.kind,
             key: allowed.key(),
+            max_bytes: cx.caller_limits().body_bytes,
             limits: &cx.limits,
             buffered: &cx.buffered,
         };
@@ -62,10 +63,18 @@
         }
     }
 
-    async fn check(&self, head: &request::Parts, id: &str) -> Result<(Allowed, Grant), Refusal> {
+    async fn check(
+        &self,
+        head: &request::Parts,
+        req: &ServedRequest<'_>,
+    ) -> Result<(Allowed, Grant), Refusal> {
         let cx = &self.conn.cx;
         let allowed = cx.policy.authorize(head, cx.clock.now())?;
-        let grant = admit(cx, &allowed, id).await?;
+        let max = cx.caller_limits().body_bytes;
+        if matches!(req.kind, BodyKind::Fixed(n) if n > max) {
+            return Err(ErrorKind::BodyTooLarge.into());
+        }
+        let grant = admit(cx, &allowed, req.id).await?;
         Ok((allowed, grant))
     }
 
--- a/tests/entry_path.rs
+++ b/tests/entry_path.rs
@@ -150,3 +150,98 @@
     let share = weighted.count() as f64 / 200.0;
     assert!((0.15..=0.35).contains(&share), "{share}");
 }
+
+/// Most bytes of a body in the configuration of this test.
+const MOST_BODY_BYTES: usize = 100_000;
+
+struct Body {
+    name: &'static str,
+    /// Bytes, in chunks of this size; whole when 0.
+    bytes: usize,
+    chunk: usize,
+    /// Status of the answer; none where the connection may end without one.
+    status: Option<u16>,
+    runs: usize,
+}
+
+const BODIES: [Body; 5] = [
+    Body {
+        name: "largest with a length",
+        bytes: MOST_BODY_BYTES,
+        chunk: 0,
+        status: Some(200),
+        runs: 1,
+    },
+    Body {
+        name: "too long by its length",
+        bytes: MOST_BODY_BYTES + 1,
+        chunk: 0,
+        status: Some(413),
+        runs: 0,
+    },
+    Body {
+        name: "largest in chunks",
+        bytes: MOST_BODY_BYTES,
+        chunk: 10_000,
+        status: Some(200),
+        runs: 1,
+    },
+    Body {
+        name: "too long by its first chunk",
+        bytes: MOST_BODY_BYTES + 1,
+        chunk: MOST_BODY_BYTES + 1,
+        status: Some(413),
+        runs: 0,
+    },
+    Body {
+        name: "too long in small chunks",
+        bytes: MOST_BODY_BYTES + 10_000,
+        chunk: 10_000,
+        status: None,
+        runs: 0,
+    },
+];
+
+fn request_bytes(body: &Body) -> Vec<u8> {
+    let head = format!(
+        "POST /two/x HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token key-big\r\n\
+         X-Request-Id: {}\r\nX-Deadline-Ms: 2000\r\n",
+        body.name.replace(' ', "-")
+    );
+    let bytes = vec![b'b'; body.bytes];
+    if body.chunk == 0 {
+        let head = format!("{head}Content-Length: {}\r\n\r\n", body.bytes);
+        return [head.as_bytes(), &bytes].concat();
+    }
+    let mut buf = format!("{head}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
+    for part in bytes.chunks(body.chunk) {
+        buf.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+        buf.extend_from_slice(part);
+        buf.extend_from_slice(b"\r\n");
+    }
+    buf.extend_from_slice(b"0\r\n\r\n");
+    buf
+}
+
+#[test]
+fn bodies_above_the_bound_of_the_configuration_are_refused() {
+    let fleet = start(1);
+    let mut cfg = configuration(2);
+    cfg["limits"]["maxBodyBytes"] = MOST_BODY_BYTES.into();
+    fleet.configure(&cfg);
+    std::thread::sleep(Duration::from_secs(2));
+    for body in &BODIES {
+        let address = fleet.daemons[0].caller_address;
+        let mut client = Client::connect(address, Duration::from_secs(3)).expect("a connection");
+        // A refusal may come before the whole body is sent.
+        let _ = client.write(&request_bytes(body));
+        let reply = client.read_reply("POST").ok();
+        let status = reply.map(|r| r.status);
+        let name = body.name;
+        match body.status {
+            Some(expected) => assert_eq!(status, Some(expected), "{name}"),
+            None => assert_ne!(status, Some(200), "{name}"),
+        }
+        assert_eq!(fleet.runs_of(&name.replace(' ', "-")), body.runs, "{name}");
+    }
+}
