--- a/src/lifecycle/ready_server.rs
+++ b/src/lifecycle/ready_server.rs
@@ -111,6 +111,15 @@
             let name = name.replace('.', "_");
             let _ = writeln!(text, "chervillug_{name} {value}");
         });
-        text
+        let mut counts = String::new();
+        self.metrics.for_each_latency(
+            |name, quantile, s| {
+                let _ = writeln!(text, "chervillug_{name}{{quantile=\"{quantile}\"}} {s:.4}");
+            },
+            |name, count| {
+                let _ = writeln!(counts, "chervillug_{name}_count {count}");
+            },
+        );
+        text + &counts
     }
 }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,9 +1,11 @@
-//! Counters of one daemon.
+//! Counters and latencies of one daemon.
 
 mod counter;
 mod export;
+mod latency;
 mod registry;
 
 pub use counter::Counter;
 pub use export::export_task;
+pub use latency::Latency;
 pub use registry::Metrics;
--- a/src/metrics/registry.rs
+++ b/src/metrics/registry.rs
@@ -1,12 +1,12 @@
-//! Storage of the counters.
+//! Storage of the counters and latencies.
 
-use std::cell::Cell;
+use std::{cell::Cell, time::Duration};
 
 use strum::{EnumCount, IntoEnumIterator};
 
 use crate::{outcome::ErrorKind, retry::RetryReason};
 
-use super::Counter;
+use super::{latency::LatencyHistogram, Counter, Latency};
 
 /// The counters of one daemon, owned by its single thread.
 pub struct Metrics {
@@ -14,6 +14,7 @@
     refusals: [Cell<u64>; ErrorKind::COUNT],
     retries: [Cell<u64>; RetryReason::COUNT],
     refused_retries: [Cell<u64>; RetryReason::COUNT],
+    latencies: [LatencyHistogram; Latency::COUNT],
 }
 
 impl Default for Metrics {
@@ -23,6 +24,7 @@
             refusals: std::array::from_fn(|_| Cell::new(0)),
             retries: std::array::from_fn(|_| Cell::new(0)),
             refused_retries: std::array::from_fn(|_| Cell::new(0)),
+            latencies: std::array::from_fn(|_| LatencyHistogram::new()),
         }
     }
 }
@@ -54,6 +56,26 @@
         increment(&self.refused_retries[reason as usize]);
     }
 
+    /// Takes note of one latency.
+    pub fn time(&self, what: Latency, latency: Duration) {
+        self.latencies[what as usize].record(latency);
+    }
+
+    /// Calls `f` with the name, the quantile and its value in seconds, for all latencies of which
+    /// there was one; calls `count` with the name and how many there were.
+    pub fn for_each_latency(
+        &self,
+        mut f: impl FnMut(&str, f64, f64),
+        mut count: impl FnMut(&str, u64),
+    ) {
+        for what in Latency::iter() {
+            let name = what.name();
+            let histogram = &self.latencies[what as usize];
+            let recorded = histogram.for_each_quantile(|quantile, s| f(name, quantile, s));
+            count(name, recorded);
+        }
+    }
+
     /// Calls `f` with the name and value of each counter.
     pub fn for_each(&self, mut f: impl FnMut(&str, u64)) {
         for counter in Counter::iter() {
--- a/src/proxy/judge.rs
+++ b/src/proxy/judge.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     health::{Observation, WorkResult},
+    metrics::Latency,
     poison::Verdict,
     retry::{Action, Event, Failure},
 };
@@ -46,6 +47,7 @@
         }
         let now = self.cx.clock.now();
         let latency = now.since(exchange.started);
+        self.cx.metrics.time(Latency::TargetLatencyS, latency);
         let service = self.dispatch.service();
         self.cx.services.record_answer(service, latency, now);
         self.observe(if head.status.is_server_error() {
--- a/src/proxy/serve.rs
+++ b/src/proxy/serve.rs
@@ -3,7 +3,12 @@
 use bytes::Bytes;
 use http::{header, request, Version};
 
-use crate::{http::BodyKind, limit::Grant, metrics::Counter, outcome::ErrorKind};
+use crate::{
+    http::BodyKind,
+    limit::Grant,
+    metrics::{Counter, Latency},
+    outcome::ErrorKind,
+};
 
 use super::{
     access_log::{log_admitted, log_answer, log_caller_gone, AnswerLine},
@@ -163,6 +168,8 @@
             target_reusable: body.is_replayable(),
         };
         let relayed = relay_answer(&cx, answer, &form, &mut self.conn.writer).await;
+        let took = cx.clock.now().since(started);
+        cx.metrics.time(Latency::AnswerLatencyS, took);
         log_answer(&AnswerLine {
             request_id: req.id,
             workspace: &workspace,
@@ -170,7 +177,7 @@
             method: &head.method,
             status,
             whole: matches!(relayed, Relayed::KeepAlive | Relayed::Close),
-            took: cx.clock.now().since(started),
+            took,
         });
         match relayed {
             Relayed::KeepAlive => After::KeepAlive,
--- a/src/quota/limiter.rs
+++ b/src/quota/limiter.rs
@@ -8,7 +8,7 @@
     catalog::Plan,
     clock::{BootTime, Clock},
     limit::{Admission, Grant, Limiter},
-    metrics::{Counter, Metrics},
+    metrics::{Counter, Latency, Metrics},
     peer::{PeerClient, PeerKind},
     store::BoxFuture,
 };
@@ -92,8 +92,12 @@
         let req = TokenRequest {
             workspace: workspace.to_string(),
         };
+        let sent = parts.clock.now();
         let asked = parts.peers.call(host, PeerKind::Ask, &req, ASK_TIMEOUT);
-        match asked.await {
+        let answer = asked.await;
+        let latency = parts.clock.now().since(sent);
+        parts.metrics.time(Latency::AskLatencyS, latency);
+        match answer {
             Ok(TokenAnswer::Granted) => Taken::Granted,
             Ok(TokenAnswer::Exceeded(wait)) => Taken::Exceeded(wait),
             Ok(TokenAnswer::NotHolder) => {
--- a/tests/entry_logs.rs
+++ b/tests/entry_logs.rs
@@ -152,6 +152,34 @@
     }
 }
 
+/// Returns the value of a line of the metrics.
+fn metric(text: &str, name: &str) -> f64 {
+    let line = text.lines().find_map(|l| l.strip_prefix(name));
+    let value = line.and_then(|l| l.trim().parse().ok());
+    value.unwrap_or_else(|| panic!("{name} in {text}"))
+}
+
+#[test]
+fn latencies_are_told_by_quantiles() {
+    let fleet = EntryFleet::start(program(), 1).expect("the fleet starts");
+    let address = fleet.daemons[0].ready_address;
+    let began = Instant::now();
+    for i in 0..20 {
+        let reply = fleet.request(0, "key-big", "GET", "/one/x", &format!("timed-{i}"));
+        assert_eq!(reply.expect("an answer").status, 200);
+    }
+    let longest = began.elapsed().as_secs_f64();
+    let reply = Client::once(address, "GET", "/metrics", &[], b"").expect("the metrics");
+    let text = reply.text();
+    for latency in ["answer", "target"] {
+        let name = format!("chervillug_{latency}_latency_s");
+        assert!(metric(&text, &format!("{name}_count ")) >= 20.0);
+        // The work of a target takes 5 ms.
+        let median = metric(&text, &format!("{name}{{quantile=\"0.5\"}} "));
+        assert!((0.005..longest).contains(&median), "{median} s in {text}");
+    }
+}
+
 #[test]
 fn each_line_is_a_json_object() {
     let fleet = EntryFleet::start(program(), 1).expect("the fleet starts");
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -11,9 +11,10 @@
 
 use chervillug::{
     config::{parse, LimitSettings},
-    metrics::Metrics,
+    metrics::{Latency, Metrics},
 };
 use serde_json::{json, Value};
+use strum::IntoEnumIterator;
 
 const SETTINGS_PAGE: &str = include_str!("../docs/SETTINGS.md");
 const METRICS_PAGE: &str = include_str!("../docs/METRICS.md");
@@ -271,5 +272,6 @@
     Metrics::default().for_each(|name, _| {
         known.insert(name.to_owned());
     });
+    known.extend(Latency::iter().map(|latency| latency.name().to_owned()));
     assert_same("docs/METRICS.md", &names_on(METRICS_PAGE), &known);
 }
