Ask readers at shorter intervals before the first proof

Change: 80 ms between questions while no configuration is known; no calls of the store are added (the test of a start passes, bound 12).

--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -29,6 +29,8 @@
 const STANDBY_PATIENCE: Duration = Duration::from_millis(600);
 /// Pause behind a question that no reader answered well.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// The same before the first proof, when this daemon cannot serve yet.
+const START_PAUSE: Duration = Duration::from_millis(80);
 /// Longest time for an answer; all rows of targets take a slow link a good part of it.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two looks at whether the daemons of the fleet are known.
@@ -151,7 +153,11 @@
         if self.proof_age() >= OLDEST_OWN {
             self.parts.duty.set(Duty::Alone);
         }
-        RETRY_PAUSE
+        if self.parts.tables.configuration.version().is_none() {
+            START_PAUSE
+        } else {
+            RETRY_PAUSE
+        }
     }
 
     /// Makes the other tasks call the store again when proofs come again: what kept them away may
