--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -14,11 +14,7 @@
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
     config::{self, FrontSettings, KEY_MARGIN},
-    follow::{
-        follow_table, join_fleet, ConfigurationSink, FollowOptions, FollowParts, FollowedTable,
-        JoinParts, MemberRow, MemberSink, ProofHandler, ReaderParts, ReaderTask, ReadingDuty,
-        SharedTables, StoreContact, TargetSink, MEMBERS_TABLE,
-    },
+    follow::{join_fleet, JoinParts, MemberRow, StoreContact},
     health::{BalancerHandle, FailureHandler, FailureTeller},
     lifecycle::{ready_task, ReadyServer, Shutdown, Signals},
     membership::Incarnation,
@@ -27,7 +23,7 @@
         peer_server_task, FleetBroadcast, FleetSecrets, PeerClient, PeerDirectory, PeerKind,
         PeerRouter, PeerServer,
     },
-    platform::{self, PlatformHeads, RowClient},
+    platform::{PlatformHeads, RowClient},
     poison::{PoisonHandler, PoisonWatch},
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, AccessPolicy, HeadFormat, ProxyContext, ProxyParts},
@@ -46,30 +42,6 @@
     DaemonError,
 };
 
-/// How the configuration is followed. An answer proves for a whole data centre that keys are
-/// fresh, so the wait must be shorter than the age up to which others take it for a proof.
-const FOLLOW_CONFIGURATION: FollowOptions = FollowOptions {
-    wait: Duration::from_millis(800),
-    gather: Duration::ZERO,
-    leads: true,
-    reads_first: false,
-};
-/// How targets are followed. A connection that went silent is found behind the wait, within the
-/// time that the operator's rules give behind trouble of the store; the gathering is well below
-/// the time within which a leaving target must get no more work.
-const FOLLOW_TARGETS: FollowOptions = FollowOptions {
-    wait: Duration::from_secs(3),
-    gather: Duration::from_millis(300),
-    leads: false,
-    reads_first: false,
-};
-/// How the daemons of the fleet are followed; nothing depends on knowing them within seconds.
-const FOLLOW_MEMBERS: FollowOptions = FollowOptions {
-    wait: Duration::from_secs(10),
-    gather: Duration::from_secs(2),
-    leads: false,
-    reads_first: true,
-};
 /// Longest time to tell the fleet of targets that break off work.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How much retries of one daemon may add: the shares of all daemons stay below the operator's
@@ -165,15 +137,15 @@
 }
 
 /// What a daemon has before it joined the fleet.
-struct Base {
-    settings: Rc<FrontSettings>,
-    clock: Rc<dyn Clock>,
+pub(super) struct Base {
+    pub(super) settings: Rc<FrontSettings>,
+    pub(super) clock: Rc<dyn Clock>,
     metrics: Rc<Metrics>,
-    store: Rc<dyn RowStore>,
+    pub(super) store: Rc<dyn RowStore>,
     heads: Rc<dyn HeadFormat>,
-    view: ConfigurationView,
+    pub(super) view: ConfigurationView,
     policy: Rc<dyn AccessPolicy>,
-    contact: StoreContact,
+    pub(super) contact: StoreContact,
 }
 
 impl Base {
@@ -222,76 +194,18 @@
 }
 
 /// The tasks that judge and choose targets.
-struct Targets {
-    balancer: BalancerHandle,
+pub(super) struct Targets {
+    pub(super) balancer: BalancerHandle,
     failures: FailureTeller,
 }
 
 /// A daemon that joined the fleet.
-struct Front {
-    base: Base,
-    peers: PeerClient,
+pub(super) struct Front {
+    pub(super) base: Base,
+    pub(super) peers: PeerClient,
 }
 
 impl Front {
-    /// Starts to follow the tables of the store, directly or through other daemons.
-    fn follow_tables(&self, tables: &SharedTables, router: &mut PeerRouter) {
-        let base = &self.base;
-        let handler = ProofHandler {
-            view: base.view.clone(),
-            tables: tables.clone(),
-            contact: base.contact.clone(),
-            clock: base.clock.clone(),
-        };
-        router.set(PeerKind::Proof, Rc::new(handler));
-        let duty = ReadingDuty::default();
-        let parts = FollowParts {
-            store: base.store.clone(),
-            clock: base.clock.clone(),
-            contact: base.contact.clone(),
-            duty: duty.clone(),
-        };
-        let follow = |table: &Rc<FollowedTable>, opts| {
-            monoio::spawn(follow_table(parts.clone(), table.clone(), opts));
-        };
-        follow(&tables.configuration, FOLLOW_CONFIGURATION);
-        follow(&tables.targets, FOLLOW_TARGETS);
-        follow(&tables.members, FOLLOW_MEMBERS);
-        let reader = ReaderTask::new(ReaderParts {
-            peers: self.peers.clone(),
-            data_centre: base.settings.data_centre.clone(),
-            view: base.view.clone(),
-            tables: tables.clone(),
-            contact: base.contact.clone(),
-            duty,
-            clock: base.clock.clone(),
-        });
-        monoio::spawn(reader.run());
-    }
-
-    /// Makes the copies of the tables, which tell the parts of this daemon of changes.
-    fn tables(&self, targets: &Targets, owners: &SliceOwners) -> SharedTables {
-        let base = &self.base;
-        let configuration = ConfigurationSink::new(
-            base.view.clone(),
-            platform::CONFIGURATION_KEY,
-            platform::decode_configuration,
-        );
-        let targets = TargetSink::new(
-            targets.balancer.clone(),
-            platform::decode_target,
-            base.view.clone(),
-            base.clock.clone(),
-        );
-        let members = MemberSink::new(self.peers.directory().clone(), owners.clone());
-        let table = |name, sink| Rc::new(FollowedTable::new(name, sink));
-        SharedTables {
-            configuration: table(platform::CONFIGURATION_TABLE, Rc::new(configuration)),
-            targets: table(platform::TARGETS_TABLE, Rc::new(targets)),
-            members: table(MEMBERS_TABLE, Rc::new(members)),
-        }
-    }
-
     fn start_targets(&self, router: &mut PeerRouter) -> Targets {
         let (base, settings) = (&self.base, &self.base.settings);
         let centre = settings.data_centre.as_str();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! Daemons: their tasks, from start to shutdown.
 
 mod front;
+mod front_tables;
 mod health_parts;
 mod native;
 mod runtime;
