Prefer idle connections on the platform only

They send one request after the other on the native interface; each went to the one target with an idle connection, so that the gray one got no work. Change: the preference goes with that for the own data centre, which only entry daemons set. Their choice is the same as before this commit. Open: on the platform too a service that has hardly any load may send a gray target no work until it has.

--- a/src/health/balancer/choice.rs
+++ b/src/health/balancer/choice.rs
@@ -137,7 +137,7 @@
             drawn.extend(draw_weighted(&free, targets, random, now));
         }
         let kept = longest_idle(req.repeatable);
-        let is_kept = |t: &&Target| t.is_connected(kept, now);
+        let is_kept = |t: &&Target| own.is_some() && t.is_connected(kept, now);
         drawn.extend(near.iter().filter_map(|id| targets.get(id)).filter(is_kept));
         let cost = |t: &&Target| {
             let far = if is_near(&t.id) { 0.0 } else { FAR_COST };
--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -98,7 +98,8 @@
         }
     }
 
-    /// Prefers targets of `data_centre` among those that are about equally busy.
+    /// Prefers targets of `data_centre`, and those with an idle connection, among those that are
+    /// about equally busy.
     pub fn prefer(mut self, data_centre: &str) -> Self {
         self.data_centre = Some(Rc::from(data_centre));
         self
