Skip configurations and targets whose names no head can hold

Cause: a name with a control character became an empty header value without a line, so that a target would have run a request for a workspace without a name (or named by no id). Ruled out: names that are not ASCII; they pass as they are, and a test holds that now. Change: such a workspace makes the configuration invalid (skipped with a line, the last good one stands), such an id makes the entry of a target invalid; the empty value that is left says so in a line. Test: entry_path, two cases; the one with a control character failed before (200 for a key of that configuration).

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     catalog::Plan,
+    proxy::is_header_text,
     routing::{
         CallerBounds, Configuration, HostRoute, KeyHolder, ServiceSettings, WeightedService,
     },
@@ -109,8 +110,9 @@
     let services = services.collect();
     let holders = row.tenants.map(|tenants| {
         let holders = tenants.into_iter().map(|(name, t)| decode_holder(name, t));
-        holders.collect()
+        holders.collect::<Result<Vec<_>, _>>()
     });
+    let holders = holders.transpose()?;
     Ok(Configuration {
         version,
         routes,
@@ -164,9 +166,14 @@
     })
 }
 
-fn decode_holder(name: String, tenant: TenantField) -> KeyHolder {
+fn decode_holder(name: String, tenant: TenantField) -> Result<KeyHolder, String> {
+    if !is_header_text(&name) {
+        return Err(format!(
+            "workspace {name:?}: expected a name that a header can hold"
+        ));
+    }
     let rate_per_s = tenant.rate_per_s.max(NO_LIMIT);
-    KeyHolder {
+    Ok(KeyHolder {
         plan: Plan {
             plan: name.clone(),
             rate_per_s,
@@ -175,5 +182,5 @@
         workspace: name,
         keys: tenant.api_keys,
         rank: tenant.priority,
-    }
+    })
 }
--- a/src/platform/target_entry.rs
+++ b/src/platform/target_entry.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::store::ListedHost;
+use crate::{proxy::is_header_text, store::ListedHost};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -27,6 +27,9 @@
 ///
 /// Returns what is wrong with an entry that names no target to use.
 pub fn decode_target(id: &str, body: &[u8]) -> Result<ListedHost, String> {
+    if !is_header_text(id) {
+        return Err("id: expected text that a header can hold".to_owned());
+    }
     let entry: Entry = serde_json::from_slice(body).map_err(|e| e.to_string())?;
     let leaving = match entry.state.as_str() {
         "ready" => false,
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -67,7 +67,16 @@
         .any(|(name, value)| holds(value.as_bytes()) || holds(name.as_str().as_bytes()))
 }
 
-/// Makes a header value of names and ids; one with bytes that no header may hold becomes empty.
+/// Tells whether a name can stand in a header.
+pub(crate) fn is_header_text(text: &str) -> bool {
+    HeaderValue::from_str(text).is_ok()
+}
+
+/// Makes a header value of names and ids, which were checked where they were decoded; one with
+/// bytes that no header may hold becomes empty, with a line that says so.
 pub(crate) fn valid_value(text: &str) -> HeaderValue {
-    HeaderValue::from_str(text).unwrap_or_else(|_| HeaderValue::from_static(""))
+    HeaderValue::from_str(text).unwrap_or_else(|_| {
+        log::error!(text:? = text; "no header can hold this");
+        HeaderValue::from_static("")
+    })
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -26,6 +26,6 @@
 pub use access_policy::{AccessPolicy, Allowed, Basis, CallerLimits, Identity};
 pub use context::{ProxyContext, ProxyParts};
 pub use head_format::{HeadFormat, ResponseClass, Sender, TargetReport};
-pub(crate) use headers::{credentials, exposes_key, strip_hop_by_hop, valid_value};
+pub(crate) use headers::{credentials, exposes_key, is_header_text, strip_hop_by_hop, valid_value};
 pub use listener::listen_task;
 pub(crate) use request_form::{check_form, check_path};
--- a/tests/entry_path.rs
+++ b/tests/entry_path.rs
@@ -108,6 +108,43 @@
     assert!((500..=2000).contains(&left), "{left}");
 }
 
+/// A name of a workspace that is not ASCII.
+const WORKSPACE_NAME: &str = "größe";
+
+#[test]
+fn target_sees_workspaces_whose_names_are_not_ascii() {
+    let fleet = start(1);
+    let mut cfg = configuration(2);
+    cfg["tenants"][WORKSPACE_NAME] = cfg["tenants"]["big"].clone();
+    cfg["tenants"][WORKSPACE_NAME]["apiKeys"] = serde_json::json!(["key-wide"]);
+    fleet.configure(&cfg);
+    std::thread::sleep(Duration::from_secs(2));
+    let reply = fleet.request(0, "key-wide", "GET", "/two/x", "wide");
+    assert_eq!(reply.expect("an answer").status, 200);
+    let runs: Vec<_> = fleet.targets.iter().flat_map(|t| t.runs()).collect();
+    let run = runs.iter().find(|r| r.request_id == "wide").expect("a run");
+    assert_eq!(run.workspace, WORKSPACE_NAME);
+}
+
+#[test]
+fn configuration_whose_names_no_head_can_hold_is_skipped() {
+    let fleet = start(1);
+    let mut cfg = configuration(2);
+    cfg["tenants"]["a\nb"] = cfg["tenants"]["big"].clone();
+    cfg["tenants"]["big"]["apiKeys"] = serde_json::json!(["key-new"]);
+    fleet.configure(&cfg);
+    std::thread::sleep(Duration::from_secs(2));
+    let status = |key| {
+        fleet
+            .request(0, key, "GET", "/one/x", "skipped")
+            .expect("an answer")
+            .status
+    };
+    assert_eq!(status("key-big"), 200, "the last good one stands");
+    assert_eq!(status("key-new"), 401);
+    assert!(fleet.daemons[0].log().contains("configuration skipped"));
+}
+
 #[test]
 fn open_route_needs_no_key() {
     let fleet = start(1);
