Give each lost error of leases, peers and counters a line

Cause: a reading of the lease that failed, a holder that could not be read, a batch of lease steps that the table refused, and broken connections of peers and operators left no line; a value without a form in JSON or MessagePack became an empty row or answer; a gain of a counter that could not be sent was lost. Change: a line for each of these; RowPut::json is the one way to write JSON rows and can fail; the two readings of a lease and of its holder are one; gains that were not sent go with the next. Test: none fails first, as nothing decides otherwise; limit_fleet, entry_quota, entry_proofs, peer_port, peer_link and health_fleet pass.

--- a/src/follow/join.rs
+++ b/src/follow/join.rs
@@ -45,13 +45,7 @@
 /// Tries once, as the first daemon of a fleet would; none when the secret that stands there cannot
 /// be read.
 async fn try_join(parts: &JoinParts<'_>) -> Result<Option<String>, StoreError> {
-    let value = serde_json::to_vec(parts.row).map_err(|_| StoreError::Refused)?;
-    let member = RowPut {
-        table: super::MEMBERS_TABLE,
-        key: parts.host.to_owned(),
-        expected: None,
-        value: Bytes::from(value),
-    };
+    let member = RowPut::json(super::MEMBERS_TABLE, parts.host, None, parts.row)?;
     let secret = new_secret()?;
     let put = RowPut {
         table: FLEET_TABLE,
--- a/src/limit/ownership_task.rs
+++ b/src/limit/ownership_task.rs
@@ -282,19 +282,28 @@
         !steps.is_empty()
     }
 
-    /// Commits steps in batches; those of a batch that fails are tried one by one.
+    /// Commits steps in batches; those of a batch that conflicts are tried one by one.
     async fn commit_all(&self, steps: &[LeaseStep]) {
         for batch in steps.chunks(BATCH) {
-            let mut tx = Transaction::default();
-            batch.iter().for_each(|step| step.add_to(&mut tx));
-            if batch.len() > 1 && self.table.transact(&tx).await == Ok(Committed::No) {
-                for step in batch {
-                    let mut tx = Transaction::default();
-                    step.add_to(&mut tx);
-                    let _ = self.table.transact(&tx).await;
-                }
-            } else if batch.len() == 1 {
-                let _ = self.table.transact(&tx).await;
+            if self.commit(batch).await || batch.len() == 1 {
+                continue;
+            }
+            for step in batch {
+                self.commit(std::slice::from_ref(step)).await;
+            }
+        }
+    }
+
+    /// Commits steps together; tells whether there was no conflict. What fails is worked out anew
+    /// from the next reading.
+    async fn commit(&self, steps: &[LeaseStep]) -> bool {
+        let mut tx = Transaction::default();
+        steps.iter().for_each(|step| step.add_to(&mut tx));
+        match self.table.transact(&tx).await {
+            Ok(committed) => committed != Committed::No,
+            Err(e) => {
+                log::warn!("steps of leases: {e}");
+                true
             }
         }
     }
--- a/src/metrics/export.rs
+++ b/src/metrics/export.rs
@@ -40,8 +40,10 @@
         metrics.for_each(|name, value| {
             let last = sent.entry(name.to_owned()).or_default();
             if value > *last {
-                let _ = client.count(name, value - *last);
-                *last = value;
+                // What could not be sent is sent with the next gain.
+                if client.count(name, value - *last).is_ok() {
+                    *last = value;
+                }
             }
         });
         let _ = client.flush();
--- a/src/metrics/latency.rs
+++ b/src/metrics/latency.rs
@@ -42,7 +42,11 @@
     /// Makes an empty histogram.
     pub(super) fn new() -> Self {
         Self {
-            steps: RefCell::new(Histogram::new_with_max(MAX_STEPS, DIGITS).ok()),
+            steps: RefCell::new(
+                Histogram::new_with_max(MAX_STEPS, DIGITS)
+                    .inspect_err(|e| log::error!("histogram of latencies: {e}"))
+                    .ok(),
+            ),
         }
     }
 
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -84,7 +84,9 @@
             Ok((stream, _)) => {
                 let cx = cx.clone();
                 monoio::spawn(async move {
-                    let _ = serve(&cx, stream).await;
+                    if let Err(e) = serve(&cx, stream).await {
+                        log::debug!("operator connection: {e}");
+                    }
                 });
             }
             Err(e) => {
--- a/src/peer/handler.rs
+++ b/src/peer/handler.rs
@@ -15,9 +15,11 @@
     fn handle<'a>(&'a self, from: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>>;
 }
 
-/// Encodes a body.
+/// Encodes a body; none, with a line, when it has no such form.
 pub fn encode(body: &impl Serialize) -> Option<Vec<u8>> {
-    rmp_serde::to_vec(body).ok()
+    rmp_serde::to_vec(body)
+        .inspect_err(|e| log::error!("message to a peer: {e}"))
+        .ok()
 }
 
 /// Decodes a body.
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -19,6 +19,7 @@
 
 use super::{
     auth::{Direction, FleetSecrets, Nonce, Signed},
+    handler::encode,
     lane::Lane,
     Envelope, PeerRouter,
 };
@@ -75,7 +76,9 @@
             Ok((stream, _)) => {
                 let cx = cx.clone();
                 monoio::spawn(async move {
-                    let _ = cx.serve(stream).await;
+                    if let Err(e) = cx.serve(stream).await {
+                        log::debug!("peer connection: {e}");
+                    }
                 });
             }
             Err(e) => {
@@ -130,8 +133,11 @@
         if head.uri.path() == HELLO_PATH {
             session.nonce = Nonce::random();
             session.last_sequence = 0;
-            let body = session.nonce.and_then(|n| rmp_serde::to_vec(&n).ok());
-            session.sent = send(writer, StatusCode::OK, body.unwrap_or_default(), None).await?;
+            let Some(body) = session.nonce.and_then(|nonce| encode(&nonce)) else {
+                log::error!("peer connection: no nonce");
+                return Ok(false);
+            };
+            session.sent = send(writer, StatusCode::OK, body, None).await?;
             return Ok(true);
         }
         let Some(sender) = self.authenticate(&head.headers, body, session) else {
@@ -147,7 +153,9 @@
             session.counter = Lane::of(first.kind).counter();
         }
         let replies = self.handle_all(sender.from, batch).await;
-        let body = rmp_serde::to_vec(&replies).unwrap_or_default();
+        let Some(body) = encode(&replies) else {
+            return Ok(false);
+        };
         let mac = self.secrets.sign(&Signed {
             direction: Direction::Response,
             from: sender.from,
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use monoio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -11,7 +10,7 @@
     follow::MEMBERS_TABLE,
     membership::Incarnation,
     peer::PeerDirectory,
-    store::{RowPut, RowStore, StoredRow, Written},
+    store::{RowPut, RowStore, StoreError, StoredRow, Written},
 };
 
 use super::{
@@ -127,32 +126,45 @@
 
     /// Reads the lease; tells whether it was read.
     async fn read(&self) -> bool {
-        let parts = &self.parts;
-        let Ok(read) = parts.store.read(SLICES_TABLE, &parts.data_centre).await else {
+        let Some(row) = self.read_row().await else {
             return false;
         };
-        let now = parts.clock.now();
-        let row = read.rows.iter().find(|r| r.key == parts.data_centre);
-        let version = row.map_or(0, |r| r.version);
-        let own_host = row.is_some_and(|r| self.is_own_host(r));
-        parts
+        let now = self.parts.clock.now();
+        let version = row.as_ref().map_or(0, |r| r.version);
+        let own_host = row.is_some_and(|r| self.is_own_host(&r));
+        self.parts
             .slice
             .with_lease(now, |l| l.saw(version, own_host, now));
         true
     }
 
+    /// Reads the row of the lease, which may not be there; none when the store does not answer.
+    async fn read_row(&self) -> Option<Option<StoredRow>> {
+        let centre = self.parts.data_centre.as_str();
+        match self.parts.store.read(SLICES_TABLE, centre).await {
+            Ok(read) => Some(read.rows.into_iter().find(|r| r.key == centre)),
+            Err(e) => {
+                let reason = e.to_string();
+                log::warn!(data_centre = centre, reason = reason.as_str(); "lease not read");
+                None
+            }
+        }
+    }
+
     /// Tells whether an earlier run of this host's daemon wrote the row; it has ended, since this
     /// one serves at its address.
     fn is_own_host(&self, row: &StoredRow) -> bool {
-        let value = row.value.as_ref();
-        let holder = value.and_then(|v| serde_json::from_slice::<SliceHolder>(v).ok());
-        holder.is_some_and(|h| h.host == self.parts.directory.own_host())
+        let own = self.parts.directory.own_host();
+        holder_of(row).is_some_and(|h| h.host == own)
     }
 
     async fn write(&self, expected: u64) -> Duration {
         let parts = &self.parts;
         let sent = parts.clock.now();
-        let written = parts.store.write(&self.puts(expected)).await;
+        let written = match self.puts(expected) {
+            Ok(puts) => parts.store.write(&puts).await,
+            Err(e) => Err(e),
+        };
         let now = parts.clock.now();
         let centre = parts.data_centre.as_str();
         match written {
@@ -184,11 +196,10 @@
     /// Finds out whether a write without an answer took effect.
     async fn read_back(&self) {
         let parts = &self.parts;
-        let Ok(read) = parts.store.read(SLICES_TABLE, &parts.data_centre).await else {
+        let Some(row) = self.read_row().await else {
             return;
         };
         let now = parts.clock.now();
-        let row = read.rows.into_iter().find(|r| r.key == parts.data_centre);
         let own = row.as_ref().is_some_and(|r| self.is_own_run(r));
         parts.slice.with_lease(now, |l| match row {
             // The write took effect; the term still counts from the last one that was answered.
@@ -199,40 +210,39 @@
     }
 
     fn is_own_run(&self, row: &StoredRow) -> bool {
-        let value = row.value.as_ref();
-        let holder = value.and_then(|v| serde_json::from_slice::<SliceHolder>(v).ok());
-        holder.is_some_and(|h| h.incarnation == self.parts.incarnation)
+        holder_of(row).is_some_and(|h| h.incarnation == self.parts.incarnation)
     }
 
     /// Returns the writes that take or renew the lease; a new holder is named to all daemons.
-    fn puts(&self, expected: u64) -> Vec<RowPut> {
+    fn puts(&self, expected: u64) -> Result<Vec<RowPut>, StoreError> {
         let parts = &self.parts;
+        let centre = parts.data_centre.as_str();
         let host = parts.directory.own_host();
         let holder = SliceHolder {
             host: host.to_owned(),
             incarnation: parts.incarnation,
         };
-        let mut puts = vec![RowPut {
-            table: SLICES_TABLE,
-            key: parts.data_centre.clone(),
-            expected: Some(expected),
-            value: json(&holder),
-        }];
-        if parts.owners.holder(&parts.data_centre).as_deref() != Some(host) {
-            let owner = OwnerRow {
-                host: host.to_owned(),
-            };
-            puts.push(RowPut {
-                table: MEMBERS_TABLE,
-                key: OwnerRow::key(&parts.data_centre),
-                expected: None,
-                value: json(&owner),
-            });
+        let lease = RowPut::json(SLICES_TABLE, centre, Some(expected), &holder)?;
+        if self.is_named() {
+            return Ok(vec![lease]);
         }
-        puts
+        let owner = OwnerRow {
+            host: host.to_owned(),
+        };
+        let named = RowPut::json(MEMBERS_TABLE, &OwnerRow::key(centre), None, &owner)?;
+        Ok(vec![lease, named])
     }
 }
 
-fn json(value: &impl serde::Serialize) -> Bytes {
-    Bytes::from(serde_json::to_vec(value).unwrap_or_default())
+/// Returns who holds the lease of a row; none when it cannot be read.
+fn holder_of(row: &StoredRow) -> Option<SliceHolder> {
+    let value = row.value.as_ref()?;
+    match serde_json::from_slice(value) {
+        Ok(holder) => Some(holder),
+        Err(e) => {
+            let reason = e.to_string();
+            log::warn!(row = row.version, reason = reason.as_str(); "holder of a lease unreadable");
+            None
+        }
+    }
 }
--- a/src/store/row_store.rs
+++ b/src/store/row_store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::Serialize;
 
 use super::{BoxFuture, StoreError};
 
@@ -52,6 +53,28 @@
     pub value: Bytes,
 }
 
+impl RowPut {
+    /// Makes the write of `value` as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Refused`] when the value has no form in JSON; nothing is written.
+    pub fn json(
+        table: &'static str,
+        key: &str,
+        expected: Option<u64>,
+        value: &impl Serialize,
+    ) -> Result<Self, StoreError> {
+        let value = serde_json::to_vec(value).map_err(|_| StoreError::Refused)?;
+        Ok(Self {
+            table,
+            key: key.to_owned(),
+            expected,
+            value: Bytes::from(value),
+        })
+    }
+}
+
 /// The answer to a write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Written {
