Split the model of leases into its table, its states and its bounds

Change: moved only; what differs, sorted and without visibility, are module and use lines and one doc comment. Test: limit_model passes as before (every state, each fault caught).

--- a/tests/limit/lease_model.rs
+++ b/tests/limit/lease_model/mod.rs
@@ -4,21 +4,23 @@
 //! ticks is paused, a step or an answer that is never delivered is cut off, and both at once
 //! for all daemons is an outage of the table.
 
-use std::{
-    collections::BTreeMap,
-    fmt::{self, Write},
-    hash::{Hash, Hasher},
-    rc::Rc,
-    time::Duration,
-};
+mod bounds;
+mod state;
+mod table;
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use chervillug::{
     catalog::Plan,
     clock::BootTime,
-    lease::{Candidate, Renewal, SessionId, SessionRow, SliceId, SliceRow, Terms, PARTS},
-    limit::{LeaseStep, Levels, Owner, PlanSplit, SliceChange, Taken, Versioned},
+    lease::{Candidate, SessionId, SliceId, SliceRow, Terms, PARTS},
+    limit::{LeaseStep, Levels, Owner, PlanSplit, Taken, Versioned},
 };
-use xxhash_rust::xxh3::Xxh3;
+
+pub(crate) use bounds::{Bounds, DaemonBounds, Fault};
+pub(crate) use state::State;
+use state::{seal, Daemon, InFlight};
+use table::Table;
 
 pub(crate) const SLICE: SliceId = SliceId {
     partition: 8,
@@ -27,164 +29,6 @@
 const TICK: Duration = Duration::from_secs(1);
 const WORKSPACE: &str = "parish";
 
-/// A deliberate fault of the model, which a property must catch.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Fault {
-    None,
-    /// The owner counts its lease from the answer.
-    LeaseFromAnswer,
-    /// The taker begins with full buckets.
-    TakerStartsFull,
-    /// The taker counts the lease from two ticks before it saw the row.
-    WatchFromEarlier,
-    /// The table ignores the version of a renewed row.
-    RenewalUnchecked,
-    /// The taker takes all, and the former owner keeps its fraction as well.
-    TakesAll,
-    /// Lists and levels are right, but the handed-over levels are full.
-    HandsOverFull,
-}
-
-/// Bounds of one exploration.
-#[derive(Debug, Clone)]
-pub(crate) struct Bounds {
-    /// Last tick.
-    pub(crate) ticks: u8,
-    /// Most drains of all buckets together.
-    pub(crate) drains: u8,
-    /// Of each daemon: short term, long term (ticks), most renewals, most reads.
-    pub(crate) daemons: Vec<DaemonBounds>,
-    /// Whether time and other events may pass between a read and its answer.
-    pub(crate) stale_reads: bool,
-    /// Whether the first daemon may shut down.
-    pub(crate) shutdown: bool,
-}
-
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct DaemonBounds {
-    pub(crate) short: u32,
-    pub(crate) long: u32,
-    pub(crate) renewals: u8,
-    pub(crate) reads: u8,
-}
-
-#[derive(Debug, Clone)]
-struct Table {
-    sessions: BTreeMap<SessionId, Versioned<SessionRow>>,
-    slice: Option<Versioned<SliceRow>>,
-    last_version: u64,
-}
-
-impl Table {
-    fn session_version(&self, id: &SessionId) -> u64 {
-        self.sessions.get(id).map_or(0, |r| r.version)
-    }
-
-    fn apply(&mut self, step: &LeaseStep, unchecked: bool) -> bool {
-        match step {
-            LeaseStep::Session(change) => {
-                if !unchecked && self.session_version(&change.session) != change.version {
-                    return false;
-                }
-                self.last_version += 1;
-                let version = self.last_version;
-                match change.row.clone() {
-                    Some(row) => {
-                        let row = Versioned { row, version };
-                        self.sessions.insert(change.session.clone(), row);
-                    }
-                    None => {
-                        self.sessions.remove(&change.session);
-                    }
-                }
-                true
-            }
-            LeaseStep::Slice(change) => self.apply_slice(change),
-        }
-    }
-
-    fn apply_slice(&mut self, change: &SliceChange) -> bool {
-        let held = self.slice.as_ref().map_or(0, |r| r.version);
-        let other = change.other.as_ref();
-        if held != change.version || other.is_some_and(|(id, v)| self.session_version(id) != *v) {
-            return false;
-        }
-        self.last_version += 1;
-        self.slice = Some(Versioned {
-            row: change.row.clone(),
-            version: self.last_version,
-        });
-        true
-    }
-}
-
-#[derive(Debug, Clone)]
-struct InFlight {
-    step: LeaseStep,
-    renewal: Option<Renewal>,
-    applied: bool,
-}
-
-#[derive(Debug, Clone)]
-struct Daemon {
-    owner: Owner,
-    bounds: [u8; 2],
-    read: Option<Box<Table>>,
-    flights: Vec<InFlight>,
-    levels: Option<(u64, Levels)>,
-    stopped: bool,
-    sessions: u8,
-}
-
-/// One state of the model; two states are one when their fingerprints agree.
-#[derive(Clone)]
-pub(crate) struct State {
-    tick: u8,
-    table: Table,
-    daemons: Vec<Daemon>,
-    drains: Vec<(u8, u32)>,
-    pub(crate) trace: Option<Rc<Trace>>,
-    fingerprint: u128,
-}
-
-/// The events that led to a state.
-#[derive(Debug)]
-pub(crate) struct Trace {
-    pub(crate) event: String,
-    pub(crate) before: Option<Rc<Trace>>,
-}
-
-impl State {
-    /// Returns how often the slice changed its owner, and how many former ones keep a part.
-    pub(crate) fn changes(&self) -> (u64, usize) {
-        let row = self.table.slice.as_ref().map(|r| &r.row);
-        row.map_or((0, 0), |r| (r.epoch, r.residues.len()))
-    }
-}
-
-impl PartialEq for State {
-    fn eq(&self, other: &Self) -> bool {
-        self.fingerprint == other.fingerprint
-    }
-}
-
-impl Eq for State {}
-
-impl Hash for State {
-    fn hash<H: Hasher>(&self, state: &mut H) {
-        self.fingerprint.hash(state);
-    }
-}
-
-struct HashWriter(Xxh3);
-
-impl Write for HashWriter {
-    fn write_str(&mut self, s: &str) -> fmt::Result {
-        self.0.update(s.as_bytes());
-        Ok(())
-    }
-}
-
 pub(crate) struct Model {
     pub(crate) bounds: Bounds,
     pub(crate) fault: Fault,
@@ -474,14 +318,3 @@
     let slices = table.slice.iter().map(|r| (SLICE, r.clone())).collect();
     owner.observe_slices(slices, now);
 }
-
-fn seal(state: &mut State, before: Option<Rc<Trace>>, event: String) {
-    let mut w = HashWriter(Xxh3::new());
-    let _ = write!(
-        w,
-        "{}{:?}{:?}{:?}",
-        state.tick, state.table, state.daemons, state.drains
-    );
-    state.fingerprint = w.0.digest128();
-    state.trace = Some(Rc::new(Trace { event, before }));
-}
--- a/tests/limit_model.rs
+++ b/tests/limit_model.rs
@@ -1,6 +1,6 @@
 //! Exhaustive exploration of leases on one slice.
 
-#[path = "limit/lease_model.rs"]
+#[path = "limit/lease_model/mod.rs"]
 mod lease_model;
 
 use std::time::Instant;
