Keep the process of a stand-in's daemon in one type

Cause: both kinds of daemons in the stand-ins started, signalled, killed and awaited their process with the same lines, and one of them ignored a signal that could not be sent. Change: ChildProcess does it once; a signal that cannot be sent fails the test in both. Left as they are: the two forms of heads (two translations of one border), the fields that ProxyParts and ProxyContext share, the table's rows in the stand-in (met by its published form), and the baselines of health.

--- a/standins/src/daemon.rs
+++ b/standins/src/daemon.rs
@@ -4,14 +4,14 @@
     fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::Command,
     thread,
     time::{Duration, Instant},
 };
 
 use serde_json::Value;
 
-use crate::Client;
+use crate::{child_process::ChildProcess, Client};
 
 /// How the daemon's binary is started: a program and its leading arguments.
 #[derive(Debug, Clone)]
@@ -36,7 +36,7 @@
     pub log_path: PathBuf,
     command: DaemonCommand,
     settings_path: PathBuf,
-    child: Child,
+    process: ChildProcess,
 }
 
 impl DaemonProcess {
@@ -50,7 +50,7 @@
         let settings_path = directory.join(format!("{host}.json"));
         fs::write(&settings_path, serde_json::to_vec_pretty(settings)?)?;
         let log_path = directory.join(format!("{host}.log"));
-        let child = spawn(command, &settings_path, &log_path)?;
+        let process = spawn(command, &settings_path, &log_path)?;
         let address = |key: &str| {
             let text = settings[key].as_str().unwrap_or("");
             text.parse()
@@ -64,7 +64,7 @@
             log_path,
             command: command.clone(),
             settings_path,
-            child,
+            process,
         })
     }
 
@@ -75,39 +75,28 @@
     /// Returns an error when the process does not start.
     pub fn restart(&mut self) -> io::Result<()> {
         self.kill();
-        self.child = spawn(&self.command, &self.settings_path, &self.log_path)?;
+        self.process = spawn(&self.command, &self.settings_path, &self.log_path)?;
         Ok(())
     }
 
     /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(self.child.id().to_string())
-            .status();
+        self.process.signal(name);
     }
 
     /// Kills the process at once and waits for its end.
     pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.process.kill();
     }
 
     /// Waits for the end and returns the exit code; none when it lasts longer than `limit`.
     pub fn wait_exit(&mut self, limit: Duration) -> Option<i32> {
-        let end = Instant::now() + limit;
-        while Instant::now() < end {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return status.code();
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        None
+        self.process.wait_exit(limit)
     }
 
     /// Returns the process id.
     pub fn id(&self) -> u32 {
-        self.child.id()
+        self.process.id()
     }
 
     /// Returns the daemon's status page, null when it does not answer.
@@ -132,21 +121,9 @@
     }
 }
 
-impl Drop for DaemonProcess {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-fn spawn(command: &DaemonCommand, settings: &Path, log: &Path) -> io::Result<Child> {
-    let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
-    Command::new(&command.program)
-        .args(&command.leading)
-        .arg("serve")
-        .arg("--settings")
-        .arg(settings)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone()?)
-        .stderr(log)
-        .spawn()
+fn spawn(command: &DaemonCommand, settings: &Path, log: &Path) -> io::Result<ChildProcess> {
+    let mut started = Command::new(&command.program);
+    started.args(&command.leading).arg("serve");
+    started.arg("--settings").arg(settings);
+    ChildProcess::start_logged(&mut started, log)
 }
--- a/standins/src/entry_fleet.rs
+++ b/standins/src/entry_fleet.rs
@@ -4,14 +4,16 @@
     fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::{Command, Stdio},
     thread,
     time::{Duration, Instant},
 };
 
 use serde_json::{json, Value};
 
-use crate::{free_address, Client, EntryTarget, Link, Reply, RowStore};
+use crate::{
+    child_process::ChildProcess, free_address, Client, EntryTarget, Link, Reply, RowStore,
+};
 
 /// Longest time until a fleet serves.
 const START_LIMIT: Duration = Duration::from_secs(10);
@@ -30,7 +32,7 @@
     pub log_path: PathBuf,
     program: PathBuf,
     settings_path: PathBuf,
-    child: Child,
+    process: ChildProcess,
 }
 
 impl EntryDaemon {
@@ -56,7 +58,7 @@
         let settings_path = directory.join(format!("{host}.json"));
         fs::write(&settings_path, settings.to_string())?;
         let log_path = directory.join(format!("{host}.log"));
-        let child = spawn(program, &settings_path, &log_path)?;
+        let process = spawn(program, &settings_path, &log_path)?;
         Ok(Self {
             host: host.to_owned(),
             caller_address: caller,
@@ -64,7 +66,7 @@
             log_path,
             program: program.to_owned(),
             settings_path,
-            child,
+            process,
         })
     }
 
@@ -75,7 +77,7 @@
     /// Returns an error when the process does not start.
     pub fn restart(&mut self) -> io::Result<()> {
         self.kill();
-        self.child = spawn(&self.program, &self.settings_path, &self.log_path)?;
+        self.process = spawn(&self.program, &self.settings_path, &self.log_path)?;
         Ok(())
     }
 
@@ -87,44 +89,29 @@
     pub fn restart_with_unread_log(&mut self) -> io::Result<()> {
         self.kill();
         let mut command = command(&self.program, &self.settings_path);
-        self.child = command
-            .stdout(Stdio::piped())
-            .stderr(Stdio::null())
-            .spawn()?;
+        command.stdout(Stdio::piped()).stderr(Stdio::null());
+        self.process = ChildProcess::start(&mut command)?;
         Ok(())
     }
 
     /// Sends a signal by its name, such as `TERM`, `STOP`, `CONT` or `HUP`.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(id)
-            .status();
-        assert!(sent.is_ok_and(|s| s.success()), "signal {name}");
+        self.process.signal(name);
     }
 
     /// Kills the process at once and waits for its end.
     pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.process.kill();
     }
 
     /// Tells whether the process runs.
     pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        self.process.is_running()
     }
 
     /// Waits for the end and returns the exit code; none when it lasts longer than `limit`.
     pub fn wait_exit(&mut self, limit: Duration) -> Option<i32> {
-        let end = Instant::now() + limit;
-        while Instant::now() < end {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return status.code();
-            }
-            thread::sleep(Duration::from_millis(10));
-        }
-        None
+        self.process.wait_exit(limit)
     }
 
     /// Tells whether the daemon says that it serves.
@@ -139,22 +126,13 @@
     }
 }
 
-impl Drop for EntryDaemon {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
-fn spawn(program: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
-    let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
-    let mut command = command(program, settings);
-    command.stdout(log.try_clone()?).stderr(log).spawn()
+fn spawn(program: &Path, settings: &Path, log: &Path) -> io::Result<ChildProcess> {
+    ChildProcess::start_logged(&mut command(program, settings), log)
 }
 
 fn command(program: &Path, settings: &Path) -> Command {
     let mut command = Command::new(program);
     command.arg("front").arg("--settings").arg(settings);
-    command.stdin(Stdio::null());
     command
 }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! They serve tests, examples and measurements and are never shipped.
 
+mod child_process;
 mod client;
 mod cluster;
 mod daemon;
