follow: log how large changes are and how long polls wait

Change: 'changes received' has the bytes, the rows and the time; 'reader did not respond' has the time waited and the versions held; change_bytes and reader_polls_failed count them; a connection to another daemon counts its bytes when it is dropped, too. Ruled out: logging each proof, which is a line a daemon and 0.7 s without news.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -140,7 +140,7 @@
 pub(super) struct FrontBase {
     pub(super) settings: Rc<FrontSettings>,
     pub(super) clock: Rc<dyn Clock>,
-    metrics: Rc<Metrics>,
+    pub(super) metrics: Rc<Metrics>,
     pub(super) store: Rc<dyn RowStore>,
     heads: Rc<dyn HeadFormat>,
     pub(super) view: ConfigurationView,
--- a/src/daemon/front_tables.rs
+++ b/src/daemon/front_tables.rs
@@ -72,6 +72,7 @@
             tables: tables.clone(),
             connectivity: base.connectivity.clone(),
             role,
+            metrics: base.metrics.clone(),
             clock: base.clock.clone(),
         });
         monoio::spawn(reader.run());
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -6,13 +6,14 @@
 
 use crate::{
     clock::{BootTime, Clock},
+    metrics::{Counter, Metrics},
     peer::{MessageKind, PeerClient},
     routing::ConfigurationView,
 };
 
 use super::{
-    FollowedTable, ProofRequest, ProofResponse, ReaderRole, ReaderSelector, SharedReaderRole,
-    SharedTables, StoreConnectivity, TableDelta,
+    FollowedTable, ProofRequest, ProofResponse, ReaderRole, ReaderSelector, RowChange,
+    SharedReaderRole, SharedTables, StoreConnectivity, TableDelta,
 };
 
 /// Time between two polls of the readers. Added to [`MAX_PROOF_AGE`] it stays below the operator's
@@ -55,6 +56,8 @@
     pub connectivity: StoreConnectivity,
     /// Whether this daemon reads the store.
     pub role: SharedReaderRole,
+    /// The counters.
+    pub metrics: Rc<Metrics>,
     /// Source of time.
     pub clock: Rc<dyn Clock>,
 }
@@ -216,9 +219,13 @@
         };
         let peers = &self.parts.peers;
         match peers.call(reader, MessageKind::Proof, &req, timeout).await {
-            Ok(res) => self.handle_response(res, sent),
+            Ok(res) => self.handle_response(reader, res, sent),
             Err(e) => {
-                log::info!(reader = &**reader, reason:? = e; "reader did not respond");
+                let waited_ms = self.elapsed_ms(sent);
+                self.parts.metrics.count(Counter::ReaderPollsFailed);
+                log::info!(reader = &**reader, reason:? = e, waited_ms = waited_ms,
+                    configuration:? = req.configuration, targets:? = req.targets;
+                    "reader did not respond");
                 self.selector
                     .mark_unresponsive(reader, self.parts.clock.now());
                 PollResult::Failed
@@ -226,9 +233,25 @@
         }
     }
 
+    fn elapsed_ms(&self, since: BootTime) -> u64 {
+        self.parts.clock.now().since(since).as_millis() as u64
+    }
+
+    fn log_changes(&self, reader: &str, table: &FollowedTable, delta: &TableDelta, sent: BootTime) {
+        if delta.rows.is_empty() {
+            return;
+        }
+        let bytes: usize = delta.rows.iter().map(RowChange::size).sum();
+        let (rows, took_ms) = (delta.rows.len(), self.elapsed_ms(sent));
+        self.parts.metrics.add(Counter::ChangeBytes, bytes as u64);
+        log::info!(reader = reader, table = table.name(), held:? = table.version(),
+            row = delta.version, rows = rows, bytes = bytes, took_ms = took_ms;
+            "changes received");
+    }
+
     /// Applies the changes and then the proof, which is valid only for the configuration that
     /// results from them.
-    fn handle_response(&self, res: ProofResponse, sent: BootTime) -> PollResult {
+    fn handle_response(&self, reader: &str, res: ProofResponse, sent: BootTime) -> PollResult {
         let Some(age) = res.age.filter(|age| *age <= MAX_PROOF_AGE) else {
             return PollResult::Failed;
         };
@@ -243,6 +266,7 @@
         for (table, delta) in deltas {
             if let Some(delta) = delta {
                 more |= delta.more;
+                self.log_changes(reader, table, &delta, sent);
                 table.merge(delta, now);
             }
         }
--- a/src/follow/table_delta.rs
+++ b/src/follow/table_delta.rs
@@ -19,6 +19,13 @@
     pub version: u64,
 }
 
+impl RowChange {
+    /// Returns the size of the key and the value in bytes.
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+}
+
 impl From<&StoredRow> for RowChange {
     fn from(row: &StoredRow) -> Self {
         Self {
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -46,6 +46,10 @@
     PeerAskBytes,
     /// Bytes sent and received in calls to the platform, including heads.
     PlatformBytes,
+    /// Bytes of table changes received from readers of the store.
+    ChangeBytes,
+    /// Polls of readers of the store that failed.
+    ReaderPollsFailed,
     /// Token requests to other daemons.
     Asks,
     /// Token requests of other daemons that were answered.
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -215,12 +215,14 @@
     let idle_conn = idle.borrow_mut().pop();
     let mut conn = match idle_conn {
         Some(conn) => conn,
-        None => PeerConnection::open(key.address).await?,
+        None => {
+            let metrics = shared.metrics.clone();
+            PeerConnection::open(key.address, metrics, key.lane.counter()).await?
+        }
     };
     let own_host = shared.directory.own_host();
     let replies = conn.send(&shared.secrets, own_host, msgs).await;
-    let transferred = conn.take_bytes_transferred();
-    shared.metrics.add(key.lane.counter(), transferred);
+    conn.count_bytes();
     let replies = replies?;
     idle.borrow_mut().push(conn);
     Ok(replies)
--- a/src/peer/connection.rs
+++ b/src/peer/connection.rs
@@ -1,14 +1,17 @@
 //! One persistent connection to another daemon.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{Method, StatusCode};
 use monoio::{io::Splitable, net::TcpStream};
 
-use crate::http::{
-    encode_request_head, response_body_kind, BodyDecoder, Framing, HeadLimits, HttpReader,
-    HttpWriter,
+use crate::{
+    http::{
+        encode_request_head, response_body_kind, BodyDecoder, Framing, HeadLimits, HttpReader,
+        HttpWriter,
+    },
+    metrics::{Counter, Metrics},
 };
 
 use super::{
@@ -26,7 +29,11 @@
 };
 
 /// One persistent connection to another daemon.
+///
+/// Counts its bytes when dropped, too, so that those of an exchange that timed out are included.
 pub(super) struct PeerConnection {
+    metrics: Rc<Metrics>,
+    counter: Counter,
     reader: HttpReader,
     writer: HttpWriter,
     nonce: Nonce,
@@ -41,14 +48,20 @@
 }
 
 impl PeerConnection {
-    /// Connects and fetches the nonce of the other side.
-    pub(super) async fn open(address: SocketAddr) -> Result<Self, PeerError> {
+    /// Connects and fetches the nonce of the other side. Adds the connection's bytes to `counter`.
+    pub(super) async fn open(
+        address: SocketAddr,
+        metrics: Rc<Metrics>,
+        counter: Counter,
+    ) -> Result<Self, PeerError> {
         let stream = TcpStream::connect_addr(address)
             .await
             .map_err(|_| PeerError::NoAnswer)?;
         let _ = stream.set_nodelay(true);
         let (r, w) = stream.into_split();
         let mut conn = Self {
+            metrics,
+            counter,
             reader: HttpReader::new(r),
             writer: HttpWriter::new(w),
             nonce: Nonce([0; 16]),
@@ -108,12 +121,11 @@
         Ok(replies)
     }
 
-    /// Returns the number of bytes sent and received since the last call.
-    pub(super) fn take_bytes_transferred(&mut self) -> u64 {
+    /// Counts the bytes sent and received since the last call.
+    pub(super) fn count_bytes(&mut self) {
         let total = self.bytes_sent + self.reader.bytes_received();
-        let new = total - self.bytes_reported;
+        self.metrics.add(self.counter, total - self.bytes_reported);
         self.bytes_reported = total;
-        new
     }
 
     async fn exchange(
@@ -154,3 +166,9 @@
         })
     }
 }
+
+impl Drop for PeerConnection {
+    fn drop(&mut self) {
+        self.count_bytes();
+    }
+}
