--- a/standins/src/link.rs
+++ b/standins/src/link.rs
@@ -8,7 +8,7 @@
         Arc, Mutex, MutexGuard,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Interval at which a blocked read checks the faults.
@@ -23,6 +23,8 @@
     pub silent_backward: bool,
     /// Closes all connections, including new ones.
     pub cut: bool,
+    /// Bytes per second of each direction, which all connections share; `None` for no limit.
+    pub bytes_per_s: Option<u32>,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -33,6 +35,8 @@
 
 struct Shared {
     faults: Mutex<LinkFaults>,
+    /// When the link has carried all bytes accepted so far, by direction.
+    busy_until: [Mutex<Option<Instant>>; 2],
     stopped: AtomicBool,
 }
 
@@ -49,6 +53,21 @@
         }
     }
 
+    /// Waits until the link has carried `n` further bytes.
+    fn wait_carried(&self, direction: Direction, n: usize) {
+        let Some(rate) = self.faults().bytes_per_s else {
+            return;
+        };
+        let end = {
+            let queue = &self.busy_until[direction as usize];
+            let mut busy_until = queue.lock().unwrap_or_else(|e| e.into_inner());
+            let now = Instant::now();
+            let start = busy_until.map_or(now, |until| until.max(now));
+            *busy_until.insert(start + Duration::from_secs_f64(n as f64 / f64::from(rate)))
+        };
+        thread::sleep(end.saturating_duration_since(Instant::now()));
+    }
+
     fn is_closed(&self) -> bool {
         self.stopped.load(Ordering::Relaxed) || self.faults().cut
     }
@@ -75,6 +94,7 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             faults: Mutex::default(),
+            busy_until: Default::default(),
             stopped: AtomicBool::new(false),
         });
         let link = Self {
@@ -146,6 +166,7 @@
             Err(e) if is_timeout(&e) => continue,
             Err(_) => return,
         };
+        shared.wait_carried(direction, n);
         dropped |= shared.is_silent(direction);
         if !dropped && to.write_all(&buf[..n]).is_err() {
             return;
--- a/tests/peer_link.rs
+++ b/tests/peer_link.rs
@@ -70,6 +70,20 @@
             },
             echoes: false,
         },
+        Case {
+            faults: LinkFaults {
+                bytes_per_s: Some(1000),
+                ..no_faults
+            },
+            echoes: true,
+        },
+        Case {
+            faults: LinkFaults {
+                bytes_per_s: Some(1),
+                ..no_faults
+            },
+            echoes: false,
+        },
         Case {
             faults: no_faults,
             echoes: true,
