follow: fetch large changes compressed and apart from proofs

Cause: the class of a fan-out of whole values under timeouts shorter than their transfer. A poll of a reader carried the whole row to each of 31 daemons within 250 ms. On links of 10 Mbit/s no such transfer ended; each began anew at the next reader and at the store, and the links were full of bytes that were thrown away.

Ruled out: busy processors (5% of a core at most, of 10%), a late feed or a refused row (the data centre whose first reader has 200 Mbit/s was served in time). Weighed: all daemons read a large row from the store (125 calls and 42 MB a change, priced, and nothing for a host that the store turns away); longer polls (proofs and leaving targets would wait for the transfer).

Change: a proof has room for 8 KB of changes and names the tables of which there are more. These are fetched by a message of their own on the connections for bulk, beside the polls, with 1.2 s of time, compressed with zstd against the row that the receiver holds, so that a changed weight of 25,000 routes takes some bytes. A reader encodes each delta once. A fetch that fails makes the daemon read the store itself. Full lists of targets take the same way; they had the same fault at a start of all.

Why it works: what one reader sends falls from 31 x 250 KB to 31 x 40 KB, which its link carries in about a second, and no byte of it is sent twice.

Evidence: large_configuration_is_in_force_in_time_behind_narrow_links failed (30 of 30 daemons late) and passes.

--- a/src/daemon/front_tables.rs
+++ b/src/daemon/front_tables.rs
@@ -4,9 +4,9 @@
 
 use crate::{
     follow::{
-        follow_table, ConfigurationSink, FollowOptions, FollowParts, FollowedTable, MemberSink,
-        ProofHandler, ReaderParts, ReaderTask, SharedReaderRole, SharedTables, TargetSink,
-        MEMBERS_TABLE,
+        follow_table, ChangesHandler, ConfigurationSink, FollowOptions, FollowParts, FollowedTable,
+        MemberSink, ProofHandler, ReaderParts, ReaderTask, SharedReaderRole, SharedTables,
+        TargetSink, MEMBERS_TABLE,
     },
     peer::{MessageKind, PeerRouter},
     platform,
@@ -52,6 +52,7 @@
             clock: base.clock.clone(),
         };
         router.register(MessageKind::Proof, Rc::new(handler));
+        router.register(MessageKind::Changes, Rc::new(ChangesHandler::new(tables)));
         let role = SharedReaderRole::default();
         let parts = FollowParts {
             store: base.store.clone(),
--- a/src/follow/followed_table.rs
+++ b/src/follow/followed_table.rs
@@ -2,16 +2,22 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     rc::Rc,
 };
 
+use bytes::Bytes;
+
 use crate::{clock::BootTime, store::StoredRow};
 
-use super::{table_delta::RowChange, table_follower::TableSink, TableDelta};
+use super::{table_delta::RowChange, table_follower::TableSink, RowVersion, TableDelta};
 
 /// Tombstones of removed rows kept for other daemons; a daemon whose copy is older gets all rows.
 const MAX_TOMBSTONES: usize = 512;
+/// Minimum size of a row that other daemons' changes may be compressed against, in bytes.
+const LARGE_ROW_BYTES: usize = 4 * 1024;
+/// Replaced values of large rows kept for daemons that still hold them.
+const MAX_REPLACED: usize = 4;
 /// Rows of one delta, which keep a response well below the size limit of a peer message.
 const MAX_DELTA_ROWS: usize = 128;
 
@@ -32,6 +38,8 @@
     last_version: u64,
     rows: BTreeMap<String, StoredRow>,
     tombstones: VecDeque<StoredRow>,
+    /// Former values of large rows, oldest first.
+    replaced: VecDeque<StoredRow>,
     /// Tombstones up to this version are not kept.
     tombstones_since: u64,
     /// Range of versions whose changes were not observed. Of the rows removed in it, only those
@@ -49,9 +57,21 @@
         self.tombstones.push_back(row);
     }
 
+    /// Inserts a row, and keeps the value that it replaces if that is large.
+    fn insert(&mut self, row: &StoredRow) {
+        let former = self.rows.insert(row.key.clone(), row.clone());
+        let Some(former) = former.filter(|f| f.version != row.version && is_large(f)) else {
+            return;
+        };
+        if self.replaced.len() >= MAX_REPLACED {
+            self.replaced.pop_front();
+        }
+        self.replaced.push_back(former);
+    }
+
     fn put(&mut self, row: &StoredRow) {
         if row.value.is_some() {
-            self.rows.insert(row.key.clone(), row.clone());
+            self.insert(row);
         } else {
             // The tombstone is kept even if the row is unknown here: another daemon may hold a
             // row that was inserted and removed between two reads of this one.
@@ -62,12 +82,14 @@
 
     /// Replaces all rows by those of a full read as of `version`.
     fn replace(&mut self, rows: &[StoredRow], version: u64) {
-        let mut removed = std::mem::take(&mut self.rows);
+        let kept: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        let is_removed = |key: &&String| !kept.contains(key.as_str());
+        let removed: Vec<String> = self.rows.keys().filter(is_removed).cloned().collect();
         for row in rows {
-            removed.remove(&row.key);
-            self.rows.insert(row.key.clone(), row.clone());
+            self.insert(row);
         }
-        for key in removed.into_keys() {
+        for key in removed {
+            self.rows.remove(&key);
             self.add_tombstone(StoredRow {
                 key,
                 value: None,
@@ -104,6 +126,11 @@
     }
 }
 
+fn is_large(row: &StoredRow) -> bool {
+    let size = row.value.as_ref().map_or(0, Bytes::len);
+    size >= LARGE_ROW_BYTES
+}
+
 impl FollowedTable {
     /// Creates an empty copy of the table `name` that forwards each change to `sink`.
     pub fn new(name: &'static str, sink: Rc<dyn TableSink>) -> Self {
@@ -151,6 +178,22 @@
         self.sink.apply(rows, now);
     }
 
+    /// Returns the largest row, if it is large enough to compress changes against it.
+    pub fn large_row(&self) -> Option<StoredRow> {
+        let state = self.state.borrow();
+        let size = |row: &&StoredRow| row.value.as_ref().map_or(0, Bytes::len);
+        let largest = state.rows.values().max_by_key(size);
+        largest.filter(|row| is_large(row)).cloned()
+    }
+
+    /// Returns the value that a large row has or recently had at a version.
+    pub fn value_at(&self, at: &RowVersion) -> Option<Bytes> {
+        let state = self.state.borrow();
+        let is_same = |row: &&StoredRow| row.key == at.key && row.version == at.version;
+        let mut candidates = state.rows.get(&at.key).into_iter().chain(&state.replaced);
+        candidates.find(is_same)?.value.clone()
+    }
+
     /// Returns the changes since the version `held` by another daemon, or the first part of them;
     /// `None` if this copy needs a full read or is older than the other one.
     ///
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -1,6 +1,11 @@
 //! Replication of the store's tables to the daemons, directly or through other daemons.
 
+mod change_fetcher;
+mod change_message;
+mod changes_handler;
 mod configuration_sink;
+mod delta_codec;
+mod delta_encoder;
 mod followed_table;
 mod join;
 mod member_sink;
@@ -10,22 +15,27 @@
 mod reader_role;
 mod reader_selector;
 mod reader_task;
+mod shared_tables;
 mod store_connectivity;
 mod table_delta;
 mod table_follower;
 mod target_list;
 mod target_sink;
 
+pub use change_message::{ChangesRequest, ChangesResponse, EncodedDelta, HeldCopy, RowVersion};
+pub use changes_handler::ChangesHandler;
 pub use configuration_sink::ConfigurationSink;
+pub use delta_codec::{decode_delta, encode_delta};
 pub use followed_table::FollowedTable;
 pub use join::{join_fleet, JoinParts};
 pub use member_sink::MemberSink;
 pub use member_table::{MemberRow, MEMBERS_TABLE};
-pub use proof_handler::{ProofHandler, SharedTables};
-pub use proof_message::{ProofRequest, ProofResponse};
+pub use proof_handler::ProofHandler;
+pub use proof_message::{PendingChanges, ProofRequest, ProofResponse};
 pub use reader_role::{ReaderRole, SharedReaderRole};
 pub use reader_selector::ReaderSelector;
 pub use reader_task::{ReaderParts, ReaderTask};
+pub use shared_tables::SharedTables;
 pub use store_connectivity::StoreConnectivity;
 pub use table_delta::{RowChange, TableDelta};
 pub use table_follower::{follow_table, FollowOptions, FollowParts, ResponseTiming, TableSink};
--- a/src/follow/proof_handler.rs
+++ b/src/follow/proof_handler.rs
@@ -9,18 +9,14 @@
     store::BoxFuture,
 };
 
-use super::{FollowedTable, ProofRequest, ProofResponse, StoreConnectivity};
+use super::{
+    proof_message::PendingChanges, ProofRequest, ProofResponse, SharedTables, StoreConnectivity,
+    TableDelta,
+};
 
-/// The tables that daemons replicate to each other.
-#[derive(Clone)]
-pub struct SharedTables {
-    /// The configuration.
-    pub configuration: Rc<FollowedTable>,
-    /// The targets.
-    pub targets: Rc<FollowedTable>,
-    /// The daemons of the fleet.
-    pub members: Rc<FollowedTable>,
-}
+/// Bytes of changes in one response; more are fetched separately, so that the proof arrives in time
+/// on a narrow link.
+const MAX_INLINE_BYTES: usize = 8 * 1024;
 
 /// Responds to [`ProofRequest`]s of other daemons.
 pub struct ProofHandler {
@@ -38,12 +34,28 @@
     fn respond(&self, req: &ProofRequest) -> ProofResponse {
         let tables = &self.tables;
         let now = self.clock.now();
+        let mut left = MAX_INLINE_BYTES;
+        let mut split = |delta: Option<TableDelta>| {
+            let size = delta.as_ref().map_or(0, TableDelta::size);
+            let fits = size <= left;
+            left -= if fits { size } else { 0 };
+            (delta.filter(|_| fits), !fits)
+        };
+        let (targets, targets_pending) = split(tables.targets.delta_since(req.targets));
+        let (members, members_pending) = split(tables.members.delta_since(req.members));
+        let (configuration, configuration_pending) =
+            split(tables.configuration.delta_since(req.configuration));
         ProofResponse {
             age: self.view.freshness().age(now),
             direct: self.connectivity.is_connected(now),
-            configuration: tables.configuration.delta_since(req.configuration),
-            targets: tables.targets.delta_since(req.targets),
-            members: tables.members.delta_since(req.members),
+            configuration,
+            targets,
+            members,
+            pending: PendingChanges {
+                configuration: configuration_pending,
+                targets: targets_pending,
+                members: members_pending,
+            },
         }
     }
 }
--- a/src/follow/proof_message.rs
+++ b/src/follow/proof_message.rs
@@ -20,6 +20,24 @@
     pub members: Option<u64>,
 }
 
+/// The tables whose changes are too large for a [`ProofResponse`] and must be fetched.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PendingChanges {
+    /// The configuration.
+    pub configuration: bool,
+    /// The targets.
+    pub targets: bool,
+    /// The fleet's members.
+    pub members: bool,
+}
+
+impl PendingChanges {
+    /// Returns whether there is nothing to fetch.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
 /// A reader's freshness proof and the changes since the versions in the request.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,4 +54,7 @@
     pub targets: Option<TableDelta>,
     /// Changes of the fleet's members.
     pub members: Option<TableDelta>,
+    /// Changes to be fetched; left out if there are none, as daemons of earlier builds do.
+    #[serde(default, skip_serializing_if = "PendingChanges::is_empty")]
+    pub pending: PendingChanges,
 }
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -12,8 +12,8 @@
 };
 
 use super::{
-    FollowedTable, ProofRequest, ProofResponse, ReaderRole, ReaderSelector, RowChange,
-    SharedReaderRole, SharedTables, StoreConnectivity, TableDelta,
+    change_fetcher::ChangeFetcher, FollowedTable, ProofResponse, ReaderRole, ReaderSelector,
+    RowChange, SharedReaderRole, SharedTables, StoreConnectivity, TableDelta,
 };
 
 /// Time between two polls of the readers. Added to [`MAX_PROOF_AGE`] it stays below the operator's
@@ -37,8 +37,6 @@
 const STARTUP_RETRY_INTERVAL: Duration = Duration::from_millis(80);
 /// Timeout of one poll; four timeouts in a row stay below the operator's limits.
 const POLL_TIMEOUT: Duration = Duration::from_millis(250);
-/// The same for a poll that transfers all targets, which takes much of this time on a slow link.
-const FULL_POLL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two checks of whether the fleet's members are known.
 const MEMBERS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -70,7 +68,7 @@
     Direct { more: bool },
     /// A daemon that gets its data from other daemons responded with a recent proof.
     Indirect,
-    /// No response, a proof that is too old, or no list of targets yet.
+    /// No response, a proof that is too old, or a reader without a list of targets.
     Failed,
 }
 
@@ -79,6 +77,7 @@
 pub struct ReaderTask {
     parts: ReaderParts,
     selector: ReaderSelector,
+    fetcher: ChangeFetcher,
     started: BootTime,
     /// When a daemon that reads the store last responded.
     last_direct: BootTime,
@@ -91,9 +90,16 @@
     /// Creates the task.
     pub fn new(parts: ReaderParts) -> Self {
         let now = parts.clock.now();
+        let fetcher = ChangeFetcher::new(
+            parts.peers.clone(),
+            parts.tables.clone(),
+            parts.metrics.clone(),
+            parts.clock.clone(),
+        );
         Self {
             started: now,
             last_direct: now,
+            fetcher,
             parts,
             selector: ReaderSelector::default(),
             without_reader: false,
@@ -120,7 +126,11 @@
         let before = position.unwrap_or(readers.len());
         if let PollResult::Direct { more } = self.poll_until_direct(&readers[..before]).await {
             self.last_direct = self.parts.clock.now();
-            self.parts.role.set(ReaderRole::Relieved);
+            self.parts.role.set(if self.fetcher.needs_store() {
+                ReaderRole::Alone
+            } else {
+                ReaderRole::Relieved
+            });
             self.on_reader_found();
             return poll_delay(more, position.is_some());
         }
@@ -206,19 +216,9 @@
 
     async fn poll(&mut self, reader: &Rc<str>) -> PollResult {
         let sent = self.parts.clock.now();
-        let tables = &self.parts.tables;
-        let req = ProofRequest {
-            configuration: tables.configuration.version(),
-            targets: tables.targets.version(),
-            members: tables.members.version(),
-        };
-        let timeout = if req.targets.is_none() {
-            FULL_POLL_TIMEOUT
-        } else {
-            POLL_TIMEOUT
-        };
-        let peers = &self.parts.peers;
-        match peers.call(reader, MessageKind::Proof, &req, timeout).await {
+        let req = self.parts.tables.versions();
+        let (peers, kind) = (&self.parts.peers, MessageKind::Proof);
+        match peers.call(reader, kind, &req, POLL_TIMEOUT).await {
             Ok(res) => self.handle_response(reader, res, sent),
             Err(e) => {
                 let waited_ms = self.elapsed_ms(sent);
@@ -250,8 +250,8 @@
     }
 
     /// Applies the changes and then the proof, which is valid only for the configuration that
-    /// results from them.
-    fn handle_response(&self, reader: &str, res: ProofResponse, sent: BootTime) -> PollResult {
+    /// results from them. Starts to fetch the changes that the response has no room for.
+    fn handle_response(&self, reader: &Rc<str>, res: ProofResponse, sent: BootTime) -> PollResult {
         let Some(age) = res.age.filter(|age| *age <= MAX_PROOF_AGE) else {
             return PollResult::Failed;
         };
@@ -270,12 +270,19 @@
                 table.merge(delta, now);
             }
         }
-        if tables.targets.version().is_none() {
+        if res.pending.is_empty() {
+            self.fetcher.on_caught_up();
+        } else {
+            self.fetcher.start(reader);
+        }
+        if tables.targets.version().is_none() && !res.pending.targets {
             return PollResult::Failed;
         }
-        self.parts
-            .view
-            .update_freshness(|f| f.adopt_peer_proof(sent, age));
+        if !res.pending.configuration {
+            self.parts
+                .view
+                .update_freshness(|f| f.adopt_peer_proof(sent, age));
+        }
         if res.direct {
             PollResult::Direct { more }
         } else {
--- a/src/follow/table_delta.rs
+++ b/src/follow/table_delta.rs
@@ -62,3 +62,10 @@
     /// The rows.
     pub rows: Vec<RowChange>,
 }
+
+impl TableDelta {
+    /// Returns the size of the rows in bytes.
+    pub fn size(&self) -> usize {
+        self.rows.iter().map(RowChange::size).sum()
+    }
+}
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -46,8 +46,10 @@
     PeerAskBytes,
     /// Bytes sent and received in calls to the platform, including heads.
     PlatformBytes,
-    /// Bytes of table changes received from readers of the store.
+    /// Bytes of table changes received from readers of the store, as transferred.
     ChangeBytes,
+    /// Fetches of large table changes from readers of the store that failed.
+    ChangeFetchesFailed,
     /// Polls of readers of the store that failed.
     ReaderPollsFailed,
     /// Token requests to other daemons.
--- a/src/peer/envelope.rs
+++ b/src/peer/envelope.rs
@@ -27,6 +27,8 @@
     Failure,
     /// Proofs that the configuration is fresh.
     Proof,
+    /// Table changes that are too large for a proof.
+    Changes,
 }
 
 /// One message or reply with a MessagePack body, whose type depends on the kind.
--- a/src/peer/lane.rs
+++ b/src/peer/lane.rs
@@ -25,7 +25,7 @@
             | MessageKind::Poison
             | MessageKind::Failure
             | MessageKind::Proof => Self::Control,
-            MessageKind::Revision => Self::Bulk,
+            MessageKind::Revision | MessageKind::Changes => Self::Bulk,
         }
     }
 
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -7,8 +7,8 @@
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
     follow::{
-        ConfigurationSink, FollowedTable, MemberRow, MemberSink, ProofHandler, ReaderParts,
-        ReaderSelector, ReaderTask, SharedReaderRole, SharedTables, StoreConnectivity,
+        ChangesHandler, ConfigurationSink, FollowedTable, MemberRow, MemberSink, ProofHandler,
+        ReaderParts, ReaderSelector, ReaderTask, SharedReaderRole, SharedTables, StoreConnectivity,
         MEMBERS_TABLE,
     },
     metrics::Metrics,
@@ -107,6 +107,7 @@
         clock: clock.clone(),
     };
     router.register(MessageKind::Proof, Rc::new(handler));
+    router.register(MessageKind::Changes, Rc::new(ChangesHandler::new(&tables)));
     let server = PeerServer {
         secrets,
         router,
