platform: let a response of the store take as long as bytes arrive

Change: a call to the store has its time up to the response's head; the body may take 10 s while no 0.5 s pass without a byte. The largest response is 32 MB: a configuration of 25,000 routes did not fit into 4 MB. Probes and the other callers keep one timeout for the whole exchange, so that a target that sends without end holds nobody up. Evidence: large_configuration_is_read_from_the_store_over_a_narrow_link failed (404 on the new route at 2.5 s with 2.4 Mbit/s, and for good) and passes.

--- a/src/command/operator_client.rs
+++ b/src/command/operator_client.rs
@@ -47,6 +47,7 @@
         headers: &[("authorization", &bearer)],
         body: body.map_or_else(Bytes::new, |b| Bytes::from(b.to_string())),
         timeout: CALL_TIMEOUT,
+        transfer: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
     let runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build();
--- a/src/health/probe_task.rs
+++ b/src/health/probe_task.rs
@@ -48,6 +48,7 @@
         headers: &[],
         body: Bytes::new(),
         timeout: PROBE_TIMEOUT,
+        transfer: None,
         max_response_bytes: MAX_RESPONSE_BYTES,
     };
     let response = call(address, &req).await;
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,9 +1,9 @@
 //! One HTTP exchange on a new connection.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{future::Future, net::SocketAddr, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Method, StatusCode};
+use http::{response, HeaderMap, Method, StatusCode};
 use monoio::{io::Splitable, net::TcpStream, time::timeout};
 
 use super::{
@@ -17,6 +17,15 @@
 /// Timeout for opening a connection, below the 1 s after which the kernel retransmits a lost SYN.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Limits on the time in which a large response body arrives over a narrow link.
+#[derive(Debug, Clone, Copy)]
+pub struct TransferLimits {
+    /// Longest time without a further byte.
+    pub stall: Duration,
+    /// Longest time of the whole body.
+    pub total: Duration,
+}
+
 /// One request with its complete body.
 #[derive(Debug)]
 pub struct CallRequest<'a> {
@@ -28,8 +37,10 @@
     pub headers: &'a [(&'a str, &'a str)],
     /// Complete body.
     pub body: Bytes,
-    /// Timeout for the whole exchange.
+    /// Timeout for the whole exchange, or up to the response head if `transfer` is given.
     pub timeout: Duration,
+    /// Limits on the time that the response body takes; `None` if `timeout` covers the body, too.
+    pub transfer: Option<TransferLimits>,
     /// Maximum size of the response body in bytes.
     pub max_response_bytes: usize,
 }
@@ -53,13 +64,39 @@
 ///
 /// Returns an error if the exchange fails or does not complete before the timeout.
 pub async fn call(address: SocketAddr, req: &CallRequest<'_>) -> Result<CallResponse, HttpError> {
-    match timeout(req.timeout, exchange(address, req)).await {
-        Ok(res) => res,
-        Err(_) => Err(HttpError::Timeout),
-    }
+    let Some(limits) = req.transfer else {
+        return within(req.timeout, async {
+            let head = exchange_heads(address, req).await?;
+            read_rest(head, req, None).await
+        })
+        .await;
+    };
+    let head = within(req.timeout, exchange_heads(address, req)).await?;
+    within(limits.total, read_rest(head, req, Some(limits.stall))).await
+}
+
+async fn within<T>(
+    limit: Duration,
+    work: impl Future<Output = Result<T, HttpError>>,
+) -> Result<T, HttpError> {
+    timeout(limit, work)
+        .await
+        .unwrap_or(Err(HttpError::Timeout))
+}
+
+/// A response of which the head was read.
+struct StartedResponse {
+    head: response::Parts,
+    reader: HttpReader,
+    /// Kept open until the body is read.
+    _writer: HttpWriter,
+    bytes_sent: u64,
 }
 
-async fn exchange(address: SocketAddr, req: &CallRequest<'_>) -> Result<CallResponse, HttpError> {
+async fn exchange_heads(
+    address: SocketAddr,
+    req: &CallRequest<'_>,
+) -> Result<StartedResponse, HttpError> {
     let limit = CONNECT_TIMEOUT.min(req.timeout);
     let stream = match timeout(limit, TcpStream::connect_addr(address)).await {
         Ok(connected) => connected?,
@@ -83,15 +120,35 @@
         timeout: req.timeout,
     };
     let head = reader.read_response_head(&limits).await?;
+    Ok(StartedResponse {
+        head,
+        reader,
+        _writer: writer,
+        bytes_sent: sent,
+    })
+}
+
+async fn read_rest(
+    started: StartedResponse,
+    req: &CallRequest<'_>,
+    stall: Option<Duration>,
+) -> Result<CallResponse, HttpError> {
+    let StartedResponse {
+        head,
+        mut reader,
+        _writer,
+        bytes_sent,
+    } = started;
     let kind = response_body_kind(&req.method, &head)?;
+    let mut body = BodyDecoder::new(kind);
     let body = reader
-        .read_body(BodyDecoder::new(kind), req.max_response_bytes)
+        .read_body_within(&mut body, req.max_response_bytes, stall)
         .await?;
     Ok(CallResponse {
         status: head.status,
         headers: head.headers,
         body,
-        bytes_transferred: sent + reader.bytes_received(),
+        bytes_transferred: bytes_sent + reader.bytes_received(),
     })
 }
 
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -14,7 +14,7 @@
 
 pub use body_decoder::BodyDecoder;
 pub use body_kind::BodyKind;
-pub use client::{call, CallRequest, CallResponse};
+pub use client::{call, CallRequest, CallResponse, TransferLimits};
 pub use encode::{encode_request_head, encode_response_head, Framing};
 pub use error::HttpError;
 pub use forbidden::ForbiddenBytes;
--- a/src/http/reader.rs
+++ b/src/http/reader.rs
@@ -1,5 +1,7 @@
 //! Read half of an HTTP/1.1 connection.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 use http::{request, response};
 use monoio::{
@@ -184,6 +186,18 @@
         }
     }
 
+    async fn next_part_within(
+        &mut self,
+        body: &mut BodyDecoder,
+        stall: Option<Duration>,
+    ) -> Result<Option<Bytes>, HttpError> {
+        let Some(stall) = stall else {
+            return self.next_part(body).await;
+        };
+        let part = timeout(stall, self.next_part(body)).await;
+        part.unwrap_or(Err(HttpError::Timeout))
+    }
+
     /// Reads a complete body of at most `max_bytes`.
     ///
     /// # Errors
@@ -193,9 +207,23 @@
         &mut self,
         mut body: BodyDecoder,
         max_bytes: usize,
+    ) -> Result<Bytes, HttpError> {
+        self.read_body_within(&mut body, max_bytes, None).await
+    }
+
+    /// Reads a complete body of at most `max_bytes`, with at most `stall` between two parts of it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is malformed, truncated, too large or stalls.
+    pub async fn read_body_within(
+        &mut self,
+        body: &mut BodyDecoder,
+        max_bytes: usize,
+        stall: Option<Duration>,
     ) -> Result<Bytes, HttpError> {
         let mut content = BytesMut::new();
-        while let Some(part) = self.next_part(&mut body).await? {
+        while let Some(part) = self.next_part_within(body, stall).await? {
             if content.len() + part.len() > max_bytes {
                 return Err(HttpError::Malformed("body too large"));
             }
--- a/src/native/http_platform.rs
+++ b/src/native/http_platform.rs
@@ -93,6 +93,7 @@
             headers: &[("platform-caller", &self.host)],
             body,
             timeout,
+            transfer: None,
             max_response_bytes: MAX_RESPONSE_BYTES,
         };
         match call(self.address, &req).await {
--- a/src/platform/row_client.rs
+++ b/src/platform/row_client.rs
@@ -8,7 +8,7 @@
 use serde_with::{base64::Base64, serde_as, DurationSecondsWithFrac};
 
 use crate::{
-    http::{call, CallRequest},
+    http::{call, CallRequest, TransferLimits},
     metrics::{Counter, Metrics},
     store::{
         BoxFuture, FeedResponse, RowPage, RowPut, RowStore, StoreError, StoredRow, WriteOutcome,
@@ -21,8 +21,14 @@
 /// Added to the wait for the configuration it stays below the 3 s within which a host must detect a
 /// dead connection.
 const POLL_SLACK: Duration = Duration::from_millis(500);
-/// Largest response: 1 MB of rows in base64 and JSON.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Limits on the time of a response body, which may be a large configuration on a narrow link. A
+/// dead connection is still detected within the time that the limits on calls allow.
+const TRANSFER_LIMITS: TransferLimits = TransferLimits {
+    stall: Duration::from_millis(500),
+    total: Duration::from_secs(10),
+};
+/// Largest response: a configuration of 25,000 routes in base64 takes a quarter of it.
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
 /// Part of each table that holds the rows.
 const PART: &str = "";
 
@@ -114,6 +120,7 @@
             headers,
             body,
             timeout,
+            transfer: Some(TRANSFER_LIMITS),
             max_response_bytes: MAX_RESPONSE_BYTES,
         };
         self.metrics.count(Counter::StoreCalls);
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -1,6 +1,6 @@
 //! Distribution of a large configuration to the daemons of a data centre over narrow links.
 
-use std::{cell::Cell, mem::ManuallyDrop, rc::Rc, time::Duration};
+use std::{cell::Cell, mem::ManuallyDrop, path::Path, rc::Rc, thread, time::Duration};
 
 use bytes::Bytes;
 use chervillug::{
@@ -23,7 +23,7 @@
 };
 use monoio::{net::TcpListener, time::sleep, LegacyDriver, RuntimeBuilder};
 use serde_json::{json, Value};
-use standins::{configuration, free_address, Link};
+use standins::{configuration, free_address, EntryFleet, Link};
 
 /// Daemons of the data centre.
 const DAEMONS: usize = 31;
@@ -220,3 +220,27 @@
         assert_eq!(late(9), Vec::<String>::new(), "late with version 9");
     });
 }
+
+/// Bandwidth of the link to the store in the test of a single transfer, 2.4 Mbit/s: twice what one
+/// copy needs to arrive in time.
+const STORE_LINK_BYTES_PER_S: u32 = 300_000;
+
+#[test]
+fn large_configuration_is_read_from_the_store_over_a_narrow_link() {
+    let program = Path::new(env!("CARGO_BIN_EXE_chervillug"));
+    let fleet = EntryFleet::start(program, 2).expect("the fleet starts");
+    thread::sleep(Duration::from_secs(2));
+    for link in &fleet.store_links {
+        link.set_faults(|f| f.bytes_per_s = Some(STORE_LINK_BYTES_PER_S));
+    }
+    let mut cfg = large_configuration(6, 1);
+    cfg["routes"]["added"] = json!({"host": "shop.example", "prefix": "/added/", "type": "safe",
+        "timeoutS": 1.0, "sloS": 0.5, "priority": 1, "attempts": 2, "backend": "one",
+        "anonymous": false});
+    fleet.publish_configuration(&cfg);
+    thread::sleep(PROPAGATION_LIMIT);
+    for i in 0..2 {
+        let reply = fleet.request(i, "key-big", "GET", "/added/x", "added");
+        assert_eq!(reply.map_or(0, |r| r.status), 200, "daemon {i}");
+    }
+}
