--- a/standins/src/entry_target.rs
+++ b/standins/src/entry_target.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpStream},
     sync::{Arc, Mutex, MutexGuard},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use serde_json::json;
@@ -56,11 +56,15 @@
     pub deadline_ms: String,
     /// Body of the request.
     pub body: Vec<u8>,
+    /// When the request arrived.
+    pub arrived: Instant,
 }
 
 struct Shared {
     id: String,
     behaviour: Mutex<TargetBehaviour>,
+    /// Headers that are added to each response to a request.
+    extra_headers: Mutex<Vec<(String, String)>>,
     runs: Mutex<Vec<EntryRun>>,
     work: Duration,
 }
@@ -85,6 +89,7 @@
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             behaviour: Mutex::default(),
+            extra_headers: Mutex::default(),
             runs: Mutex::default(),
             work,
         });
@@ -116,6 +121,12 @@
         *lock(&self.shared.behaviour) = behaviour;
     }
 
+    /// Replaces the headers that are added to each response to a request.
+    pub fn set_extra_headers(&self, headers: &[(&str, &str)]) {
+        let owned = |(name, value): &(&str, &str)| ((*name).to_owned(), (*value).to_owned());
+        *lock(&self.shared.extra_headers) = headers.iter().map(owned).collect();
+    }
+
     /// Returns the requests executed so far.
     pub fn runs(&self) -> Vec<EntryRun> {
         lock(&self.shared.runs).clone()
@@ -136,9 +147,24 @@
             has_key: req.header("authorization").is_some(),
             deadline_ms: text("x-deadline-ms"),
             body: req.body.clone(),
+            arrived: Instant::now(),
         });
     }
 
+    /// Responds with `headers` and the extra ones.
+    fn respond(
+        &self,
+        stream: &mut TcpStream,
+        status: u16,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<ConnectionAction> {
+        let extra = lock(&self.extra_headers).clone();
+        let extra = extra.iter().map(|(name, value)| (&**name, &**value));
+        let all: Vec<(&str, &str)> = headers.iter().copied().chain(extra).collect();
+        respond(stream, status, &all, body)
+    }
+
     fn answer(
         &self,
         stream: &mut TcpStream,
@@ -151,7 +177,7 @@
             ("x-server-signature", signature.as_str()),
             ("x-server-load", "1,0,2"),
         ];
-        respond(stream, status, &headers, id.as_bytes())
+        self.respond(stream, status, &headers, id.as_bytes())
     }
 }
 
@@ -172,7 +198,9 @@
         let behaviour = *lock(&self.behaviour);
         match behaviour {
             TargetBehaviour::ClosesBeforeRun => return Ok(ConnectionAction::Close),
-            TargetBehaviour::Sheds => return respond(stream, 503, &[("x-not-executed", "1")], b""),
+            TargetBehaviour::Sheds => {
+                return self.respond(stream, 503, &[("x-not-executed", "1")], b"")
+            }
             _ => self.record(req),
         }
         thread::sleep(self.work);
