health: keep to the limits that targets name, over the whole fleet

Cause: the class of a ceiling of one target that many daemons share. Nothing read the header; what a daemon learns from a shed answer is a limit of its own, 1 at least, so that 48 daemons sum up to 48 at once.

Ruled out: retries past a known limit (no limit was known). Weighed: a limit that each daemon keeps by itself (48 times too much); a dispatcher of tokens for each target (a message before each request, and nothing while it is cut off); L/48 for each daemon (a token in 48 s at 1 a second, mostly at daemons without a request for it).

Change: the daemons are ranked for each target by rendezvous hashing of the members of the fleet, and the first floor(1.2 L + 3) may send to it, each L divided by their number, one request ahead. No messages are needed to agree, so that cuts, kills and restarts change nothing: in 4 s 4 L + 1.2 L + 3 arrive at most, of 6 L + 5 allowed. What a daemon hears is told to the fleet with the notices of failed targets, so that the others move away before they hear it themselves; an answer without a limit lifts it for all, and 15 s without news. health::throttle decides without sockets or clocks whether a target may be sent a request now. A request that no target accepts is refused at once, as not run (targets_limited), with the shortest wait as Retry-After, spread by up to a half.

--- a/src/daemon/health_parts.rs
+++ b/src/daemon/health_parts.rs
@@ -8,8 +8,8 @@
 use crate::{
     clock::Clock,
     health::{
-        balancer_task, probe_task, Balancer, BalancerHandle, FailureNotifier, Member, Profile,
-        SequentialDetector, SuspicionExchange, SuspicionHandler, SuspicionTask,
+        balancer_task, probe_task, Balancer, BalancerHandle, BalancerTaskParts, FailureNotifier,
+        Member, Profile, SequentialDetector, SuspicionExchange, SuspicionHandler, SuspicionTask,
     },
     metrics::Metrics,
     peer::{MessageKind, PeerClient, PeerRouter},
@@ -57,11 +57,14 @@
     monoio::spawn(balancer_task(
         state,
         balancer_rx,
-        balancer.clone(),
-        parts.clock.clone(),
-        parts.metrics.clone(),
-        suspicion_tx.clone(),
-        parts.failure_notifier,
+        BalancerTaskParts {
+            handle: balancer.clone(),
+            clock: parts.clock.clone(),
+            metrics: parts.metrics.clone(),
+            suspicions: suspicion_tx.clone(),
+            failure_notifier: parts.failure_notifier,
+            directory: parts.peers.directory().clone(),
+        },
     ));
     monoio::spawn(probe_task(balancer.clone(), parts.heads));
     let own = Member {
--- a/src/health/balancer/feedback.rs
+++ b/src/health/balancer/feedback.rs
@@ -6,8 +6,8 @@
 
 use super::{
     super::{
-        breaker::MAX_STAGGER, AttemptId, Lateness, Observation, Suspicion, Target, TargetId,
-        TargetState, WorkResult,
+        breaker::MAX_STAGGER, AttemptId, FleetShare, Lateness, LimitNews, Observation, Suspicion,
+        Target, TargetId, TargetState, WorkResult,
     },
     Balancer, DRAINING_PROBE_INTERVAL, MAX_SUSPICIONS, SILENT_FACTOR,
 };
@@ -161,6 +161,47 @@
         }
     }
 
+    /// Applies the limit on the fleet's requests that a target named in a response, or that it
+    /// names none; returns what the fleet should be told.
+    pub fn apply_named_limit(
+        &mut self,
+        id: TargetId,
+        limit_per_s: Option<f64>,
+        share: FleetShare,
+        now: BootTime,
+    ) -> Option<LimitNews> {
+        let level = self.rng.f64();
+        let target = self.targets.get_mut(&id)?;
+        match limit_per_s {
+            Some(limit) => target.throttle.record_named(limit, share, level, now),
+            None => {
+                let news = target.throttle.record_unnamed(now)?;
+                target.ramp_from = Some(now);
+                Some(news)
+            }
+        }
+    }
+
+    /// Applies what another daemon told about the limit of a target; returns whether it is news.
+    pub fn apply_limit_news(
+        &mut self,
+        name: &str,
+        news: LimitNews,
+        share: FleetShare,
+        now: BootTime,
+    ) -> bool {
+        let level = self.rng.f64();
+        let id = self.by_name.get(name);
+        let Some(target) = id.and_then(|id| self.targets.get_mut(id)) else {
+            return false;
+        };
+        let changed = target.throttle.apply_news(news, share, level, now);
+        if changed && news == LimitNews::Lifted {
+            target.ramp_from = Some(now);
+        }
+        changed
+    }
+
     /// Applies the state, and the load if any, that a target reported.
     pub fn update_state(
         &mut self,
--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -32,6 +32,8 @@
     NoTarget,
     /// This daemon has reached its concurrency limit at all targets.
     Busy,
+    /// All targets limited their requests, and none accepts one of this daemon for this time.
+    Throttled(Duration),
     /// The request was shed because the queue was full or too little time was left before its
     /// deadline.
     Overloaded,
--- a/src/health/balancer/pick.rs
+++ b/src/health/balancer/pick.rs
@@ -40,15 +40,16 @@
     ///
     /// # Errors
     ///
-    /// Returns [`PickError::NoTarget`] if no target accepts requests, and [`PickError::Busy`] if
-    /// this daemon has reached its concurrency limit at all of them.
+    /// Returns [`PickError::NoTarget`] if the service has no target, [`PickError::Throttled`] if no
+    /// target accepts a request of this daemon now, and [`PickError::Busy`] if this daemon has
+    /// reached its concurrency limit at all that do.
     pub fn pick(&mut self, req: &PickRequest<'_>, now: BootTime) -> Result<Choice, PickError> {
         let service = *self
             .service_ids
             .get(req.service)
             .ok_or(PickError::NoTarget)?;
         self.refresh_sets(service, now);
-        let trial = self.draw_trial(service, req);
+        let trial = self.draw_trial(service, req, now);
         let id = match trial.or_else(|| self.draw_half_open(service, req, now)) {
             Some(id) => id,
             None => self.draw(service, req, now)?,
@@ -61,6 +62,7 @@
         self.next_attempt += 1;
         let target = self.targets.get_mut(&id)?;
         target.idle_since.pop();
+        target.throttle.record_sent(now);
         target.in_flight.start(attempt, now);
         if let Some(service) = self.services.get_mut(&target.service) {
             service.record_dispatch(now);
@@ -74,7 +76,12 @@
     }
 
     /// Draws an idle target on trial for a small share of the idempotent first attempts.
-    fn draw_trial(&mut self, service: ServiceId, req: &PickRequest<'_>) -> Option<TargetId> {
+    fn draw_trial(
+        &mut self,
+        service: ServiceId,
+        req: &PickRequest<'_>,
+        now: BootTime,
+    ) -> Option<TargetId> {
         let on_trial = &self.services.get(&service)?.on_trial;
         let eligible = req.repeatable && req.avoid.is_empty() && !on_trial.is_empty();
         if !eligible || self.rng.f64() >= TRIAL_SHARE {
@@ -82,7 +89,7 @@
         }
         let id = on_trial[self.rng.usize(0..on_trial.len())];
         let target = self.targets.get(&id)?;
-        target.in_flight.is_empty().then_some(id)
+        (target.in_flight.is_empty() && target.accepts(now)).then_some(id)
     }
 
     /// Draws an idle target with a half-open breaker for a share of the idempotent first attempts,
@@ -98,7 +105,8 @@
         }
         let routing = &self.services.get(&service)?.routing;
         let found = routing.iter().filter_map(|id| self.targets.get(id));
-        let due = found.filter(|t| t.breaker.is_test_due(now) && t.in_flight.is_empty());
+        let idle = found.filter(|t| t.in_flight.is_empty() && t.accepts(now));
+        let due = idle.filter(|t| t.breaker.is_test_due(now));
         let due: Vec<TargetId> = due.map(|t| t.id).collect();
         let i = self.rng.usize(0..due.len().max(1));
         due.get(i).copied()
@@ -116,8 +124,9 @@
         }
         let targets = &self.targets;
         let closed = closed_targets(&service.routing, targets, self.floor, now);
+        let open = accepting_targets(&closed, targets, now).map_err(PickError::Throttled)?;
         let is_free = |id: &&TargetId| targets.get(id).is_some_and(|t| !t.is_full());
-        let all_free = || closed.iter().filter(is_free).copied();
+        let all_free = || open.iter().filter(is_free).copied();
         let mut free: Vec<TargetId> = all_free().filter(|id| !req.avoid.contains(id)).collect();
         if free.is_empty() {
             free = all_free().collect();
@@ -236,6 +245,30 @@
     set
 }
 
+/// Returns those of the targets `ids` that accept a request of this daemon now.
+///
+/// # Errors
+///
+/// Returns the shortest time until one of them does if there are none.
+fn accepting_targets(
+    ids: &[TargetId],
+    targets: &FxHashMap<TargetId, Target>,
+    now: BootTime,
+) -> Result<Vec<TargetId>, Duration> {
+    let mut accepting = Vec::with_capacity(ids.len());
+    let mut shortest = Duration::MAX;
+    for target in ids.iter().filter_map(|id| targets.get(id)) {
+        match target.throttle.wait(now) {
+            Duration::ZERO => accepting.push(target.id),
+            wait => shortest = shortest.min(wait),
+        }
+    }
+    if accepting.is_empty() {
+        return Err(shortest);
+    }
+    Ok(accepting)
+}
+
 /// Draws targets at random until one is accepted, with a probability equal to its weight. The
 /// last of [`MAX_DRAWS`] draws is accepted anyway.
 fn draw_weighted<'a>(
--- a/src/health/balancer/target_list.rs
+++ b/src/health/balancer/target_list.rs
@@ -7,7 +7,10 @@
 use crate::{clock::BootTime, store::ListedHost};
 
 use super::{
-    super::{Breaker, InFlightRequests, Service, ServiceId, Target, TargetId, TargetState},
+    super::{
+        Breaker, InFlightRequests, Service, ServiceId, Target, TargetId, TargetState,
+        TargetThrottle,
+    },
     Balancer,
 };
 
@@ -88,6 +91,7 @@
             state: TargetState::Serving,
             in_flight: InFlightRequests::default(),
             concurrency_limit: f64::from(slots),
+            throttle: TargetThrottle::default(),
             breaker: Breaker::default(),
             idle_since: Vec::new(),
             ramp_from: ramp_from.or(host.cold.then_some(now)),
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -8,13 +8,14 @@
 use crate::{
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
+    peer::PeerDirectory,
     proxy::TargetReport,
     store::ListedHost,
 };
 
 use super::{
-    AttemptId, Balancer, Decision, FailureNotifier, Observation, PickError, ScheduleRequest,
-    Scheduler, SuspicionEvent, TargetId, TargetState,
+    AttemptId, Balancer, Decision, FailureNotifier, FleetShare, LimitNews, Observation, PickError,
+    ScheduleRequest, Scheduler, SuspicionEvent, TargetId, TargetState,
 };
 
 /// Interval of the checks for overdue requests and expired deadlines.
@@ -35,8 +36,22 @@
     Release(TargetId, AttemptId),
     /// Records the result of a request.
     Observe(TargetId, AttemptId, Observation),
-    /// Applies state and load that a target reported in a response.
-    Report(TargetId, TargetReport),
+    /// Applies what a target reported in a response.
+    Report {
+        /// The target.
+        id: TargetId,
+        /// What it reported.
+        report: TargetReport,
+        /// Whether the response is an answer, so that a limit that it leaves out is lifted.
+        is_answer: bool,
+    },
+    /// Applies what another daemon told about the limit of a target.
+    PeerReportedLimit {
+        /// Name of the target.
+        target: String,
+        /// The limit.
+        news: LimitNews,
+    },
     /// Opens the breaker of a target that aborted a request of this daemon.
     TripBreaker(TargetId),
     /// Opens the breakers of these targets, which aborted requests of other daemons.
@@ -99,11 +114,13 @@
         self.handle.send(BalancerMessage::TripBreaker(self.id));
     }
 
-    /// Records state and load that the target reported in a response.
-    pub fn report(&self, report: TargetReport) {
-        if report.state.is_some() || report.load.is_some() {
-            self.handle.send(BalancerMessage::Report(self.id, report));
-        }
+    /// Records what the target reported in a response, which may be an answer to the request.
+    pub fn report(&self, report: TargetReport, is_answer: bool) {
+        self.handle.send(BalancerMessage::Report {
+            id: self.id,
+            report,
+            is_answer,
+        });
     }
 }
 
@@ -165,27 +182,42 @@
     metrics: Rc<Metrics>,
     suspicions: mpsc::unbounded::Tx<SuspicionEvent>,
     failure_notifier: Option<FailureNotifier>,
+    directory: PeerDirectory,
     ejections: u64,
     queued: u64,
 }
 
+/// Dependencies of [`balancer_task`].
+pub struct BalancerTaskParts {
+    /// Sends to the receiver of the task.
+    pub handle: BalancerHandle,
+    /// Source of time.
+    pub clock: Rc<dyn Clock>,
+    /// The counters.
+    pub metrics: Rc<Metrics>,
+    /// Receives suspicions of targets.
+    pub suspicions: mpsc::unbounded::Tx<SuspicionEvent>,
+    /// Notifies the fleet; `None` if each daemon judges targets by itself.
+    pub failure_notifier: Option<FailureNotifier>,
+    /// The daemons of the fleet, which share the limits that targets name.
+    pub directory: PeerDirectory,
+}
+
 /// Owns the balancer and the queues, and handles messages until all senders are dropped.
 pub async fn balancer_task(
     balancer: Balancer,
     mut rx: mpsc::unbounded::Rx<BalancerMessage>,
-    handle: BalancerHandle,
-    clock: Rc<dyn Clock>,
-    metrics: Rc<Metrics>,
-    suspicions: mpsc::unbounded::Tx<SuspicionEvent>,
-    failure_notifier: Option<FailureNotifier>,
+    parts: BalancerTaskParts,
 ) {
+    let BalancerTaskParts { handle, clock, .. } = parts;
     monoio::spawn(tick_task(handle.clone()));
     let mut task = BalancerTask {
         scheduler: Scheduler::new(balancer),
         handle,
-        metrics,
-        suspicions,
-        failure_notifier,
+        metrics: parts.metrics,
+        suspicions: parts.suspicions,
+        failure_notifier: parts.failure_notifier,
+        directory: parts.directory,
         ejections: 0,
         queued: 0,
     };
@@ -216,7 +248,23 @@
                 self.reply(decisions);
             }
             BalancerMessage::Observe(id, attempt, obs) => balancer.observe(id, attempt, &obs, now),
-            BalancerMessage::Report(id, report) => balancer.apply_report(id, report, now),
+            BalancerMessage::Report {
+                id,
+                report,
+                is_answer,
+            } => {
+                balancer.apply_report(id, report, now);
+                if is_answer || report.limit_per_s.is_some() {
+                    self.apply_named_limit(id, report.limit_per_s, now);
+                }
+            }
+            BalancerMessage::PeerReportedLimit { target, news } => {
+                let share = self.fleet_share(&target);
+                let balancer = &mut self.scheduler.balancer;
+                if balancer.apply_limit_news(&target, news, share, now) {
+                    log_limit(&target, news, share, false);
+                }
+            }
             BalancerMessage::TripBreaker(id) => balancer.trip_breaker(id, now),
             BalancerMessage::PeerReportedFailed(names) => balancer.trip_breakers(&names, now),
             BalancerMessage::PeerReportedRecovered(names) => balancer.close_breakers(&names, now),
@@ -237,6 +285,33 @@
         }
     }
 
+    /// Applies the limit that a target named in a response, or that it named none.
+    fn apply_named_limit(&mut self, id: TargetId, limit_per_s: Option<f64>, now: BootTime) {
+        let Some(target) = self.scheduler.balancer.target(id) else {
+            return;
+        };
+        if limit_per_s.is_none() && target.throttle.limit_per_s(now).is_none() {
+            return;
+        }
+        let name = target.name.clone();
+        let share = self.fleet_share(&name);
+        let balancer = &mut self.scheduler.balancer;
+        let Some(news) = balancer.apply_named_limit(id, limit_per_s, share, now) else {
+            return;
+        };
+        log_limit(&name, news, share, true);
+        if let Some(notifier) = &self.failure_notifier {
+            notifier.notify_limit(&name, news);
+        }
+    }
+
+    /// Returns the place of this daemon among those of the fleet for a target.
+    fn fleet_share(&self, target: &str) -> FleetShare {
+        let peers = self.directory.peers();
+        let others = peers.iter().filter(|p| !p.leaving).map(|p| &*p.host);
+        FleetShare::new(self.directory.own_host(), others, target)
+    }
+
     fn reply(&self, decisions: impl IntoIterator<Item = Decision<PickReply>>) {
         for Decision { item, res } in decisions {
             let _ = item.send(res.map(|choice| PickedTarget {
@@ -271,6 +346,19 @@
     }
 }
 
+fn log_limit(target: &str, news: LimitNews, share: FleetShare, heard_here: bool) {
+    match news {
+        LimitNews::Named(limit) => {
+            let part = share.rate_per_s(limit);
+            log::info!(target_name = target, limit_per_s = limit, part_per_s:? = part,
+                daemons = share.daemons, heard_here = heard_here; "target limits requests");
+        }
+        LimitNews::Lifted => {
+            log::info!(target_name = target, heard_here = heard_here; "target lifted its limit");
+        }
+    }
+}
+
 fn target_statuses(balancer: &Balancer, now: BootTime) -> Vec<TargetStatus> {
     let targets = balancer.targets(now);
     let status = targets.map(|(t, suspicion)| TargetStatus {
--- a/src/health/failure_notice.rs
+++ b/src/health/failure_notice.rs
@@ -9,13 +9,13 @@
     store::BoxFuture,
 };
 
-use super::{BalancerHandle, BalancerMessage};
+use super::{BalancerHandle, BalancerMessage, LimitNews};
 
 /// Delay before a notice is sent, so that further failures are batched into it.
 const BATCH_DELAY: Duration = Duration::from_millis(10);
 
-/// Targets that aborted requests, and targets that have recovered since.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Targets that aborted requests, targets that have recovered since, and limits that targets named.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FailureNotice {
     /// Names of targets that aborted requests.
     pub failed: Vec<String>,
@@ -23,6 +23,29 @@
     pub recovered: Vec<String>,
     /// Whether the receiver relays the notice to the other daemons of its data centre.
     pub relay: bool,
+    /// Limits that targets named or lifted; left out if there are none, as earlier builds do.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitNotice>,
+}
+
+/// The limit that a target names on the requests of the whole fleet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// Name of the target.
+    pub target: String,
+    /// Requests per second; `None` if the target names no limit any more.
+    pub limit_per_s: Option<f64>,
+}
+
+impl LimitNotice {
+    /// Returns the news in the notice; `None` if its limit is not a positive number.
+    pub fn news(&self) -> Option<LimitNews> {
+        match self.limit_per_s {
+            None => Some(LimitNews::Lifted),
+            Some(limit) if limit.is_finite() && limit > 0.0 => Some(LimitNews::Named(limit)),
+            Some(_) => None,
+        }
+    }
 }
 
 /// Batches the failures that this daemon observes, and broadcasts them to the fleet.
@@ -37,6 +60,7 @@
 struct Pending {
     failed: Vec<String>,
     recovered: Vec<String>,
+    limits: Vec<LimitNotice>,
     is_scheduled: bool,
 }
 
@@ -65,6 +89,21 @@
         self.schedule(&mut pending);
     }
 
+    /// Adds what `target` named or lifted to the next notice.
+    pub fn notify_limit(&self, target: &str, news: LimitNews) {
+        let limit_per_s = match news {
+            LimitNews::Named(limit) => Some(limit),
+            LimitNews::Lifted => None,
+        };
+        let mut pending = self.pending.borrow_mut();
+        pending.limits.retain(|limit| limit.target != target);
+        pending.limits.push(LimitNotice {
+            target: target.to_owned(),
+            limit_per_s,
+        });
+        self.schedule(&mut pending);
+    }
+
     fn schedule(&self, pending: &mut Pending) {
         if std::mem::replace(&mut pending.is_scheduled, true) {
             return;
@@ -77,6 +116,7 @@
                 failed: pending.failed.clone(),
                 recovered: pending.recovered.clone(),
                 relay,
+                limits: pending.limits.clone(),
             };
             let kind = MessageKind::Failure;
             let (own, other) = (notice(false), notice(true));
@@ -97,13 +137,23 @@
 }
 
 impl PeerHandler for FailureHandler {
-    fn handle<'a>(&'a self, _: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
+    fn handle<'a>(&'a self, from: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
         Box::pin(async move {
             let mut notice: FailureNotice = decode(body)?;
             let recovered = BalancerMessage::PeerReportedRecovered(notice.recovered.clone());
             self.balancer.send(recovered);
             let failed = BalancerMessage::PeerReportedFailed(notice.failed.clone());
             self.balancer.send(failed);
+            for limit in &notice.limits {
+                match limit.news() {
+                    Some(news) => self.balancer.send(BalancerMessage::PeerReportedLimit {
+                        target: limit.target.clone(),
+                        news,
+                    }),
+                    None => log::warn!(target_name = limit.target.as_str(), from = from;
+                        "unusable limit in a notice"),
+                }
+            }
             if notice.relay {
                 notice.relay = false;
                 let broadcast = self.broadcast.clone();
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -22,18 +22,21 @@
 mod suspicion_exchange;
 mod suspicion_task;
 mod target;
+mod throttle;
 mod verdict;
 mod work_counts;
 
 pub use balancer::{Balancer, Choice, PickError, PickRequest};
-pub use balancer_task::{balancer_task, BalancerHandle, BalancerMessage, PickedTarget};
+pub use balancer_task::{
+    balancer_task, BalancerHandle, BalancerMessage, BalancerTaskParts, PickedTarget,
+};
 pub use breaker::{Breaker, BreakerState};
 pub use byte_budget::ByteBudget;
 pub use consecutive::ConsecutiveFailureDetector;
 pub use decaying_sum::DecayingSum;
 pub use detector::{Assessment, Detector, Observation, TargetHealth, WorkResult};
 pub use evidence::{log_likelihood_ratio, Evidence, EVIDENCE_HALF_LIFE, FAULT_SHARES, SLOW_WEIGHT};
-pub use failure_notice::{FailureHandler, FailureNotice, FailureNotifier};
+pub use failure_notice::{FailureHandler, FailureNotice, FailureNotifier, LimitNotice};
 pub use fleet_evidence::{EvidenceReport, FleetEvidence};
 pub use floor::{routing_set, Candidate};
 pub use in_flight::{AttemptId, InFlightRequests, Lateness};
@@ -50,5 +53,6 @@
 };
 pub use suspicion_task::{SuspicionEvent, SuspicionHandler, SuspicionTask};
 pub use target::{Target, TargetId, TargetState, RAMP_DURATION};
+pub use throttle::{FleetShare, LimitNews, TargetThrottle};
 pub use verdict::Verdict;
 pub use work_counts::{WorkCounts, WorkTotals, BASELINE_HALF_LIFE};
--- a/src/health/target.rs
+++ b/src/health/target.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::BootTime;
 
-use super::{Breaker, InFlightRequests, ServiceId};
+use super::{Breaker, InFlightRequests, ServiceId, TargetThrottle};
 
 /// Time in which a cold target ramps up to its full share of requests.
 pub const RAMP_DURATION: Duration = Duration::from_secs(5);
@@ -56,6 +56,8 @@
     /// Maximum number of concurrent requests of this daemon, adapted to shed responses and
     /// successes.
     pub concurrency_limit: f64,
+    /// What the target asked of its callers.
+    pub throttle: TargetThrottle,
     /// Blocks requests after the target aborted one.
     pub breaker: Breaker,
     /// Times of last use of the connections that are expected to be idle, in ascending order.
@@ -83,6 +85,11 @@
         (RAMP_START + (1.0 - RAMP_START) * progress).min(1.0)
     }
 
+    /// Returns whether the target accepts a request of this daemon now, as far as it said.
+    pub fn accepts(&self, now: BootTime) -> bool {
+        self.throttle.wait(now).is_zero()
+    }
+
     /// Returns whether this daemon has reached its concurrency limit at the target.
     pub fn is_full(&self) -> bool {
         self.in_flight.len() as f64 >= self.concurrency_limit.min(f64::from(self.slots)).floor()
--- /dev/null
+++ b/src/health/throttle/fleet_share.rs
@@ -0,0 +1,53 @@
+//! Selection of the daemons that may send requests to a limited target.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Selected daemons for each request per second of a limit.
+const DAEMONS_PER_RATE: f64 = 1.2;
+/// Selected daemons in addition, so that a target with a low limit stays in use while some of its
+/// daemons are down.
+const MIN_DAEMONS: f64 = 3.0;
+
+/// The place of this daemon among all daemons of the fleet by rendezvous hashing for one target.
+///
+/// The fleet's members are the same for all daemons, connected or not, so that the selected ones
+/// keep to the limit together without exchanging messages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetShare {
+    /// Number of daemons that come before this one.
+    pub rank: usize,
+    /// Number of daemons of the fleet.
+    pub daemons: usize,
+}
+
+impl FleetShare {
+    /// The share of a fleet of one daemon.
+    pub const ALONE: Self = Self {
+        rank: 0,
+        daemons: 1,
+    };
+
+    /// Returns the place of the daemon on `own_host` beside those on `others`, for `target`.
+    pub fn new<'a>(own_host: &str, others: impl Iterator<Item = &'a str>, target: &str) -> Self {
+        let seed = xxh3_64_with_seed(target.as_bytes(), 0);
+        let hash = |host: &str| xxh3_64_with_seed(host.as_bytes(), seed);
+        let own = (hash(own_host), own_host);
+        let mut share = Self::ALONE;
+        for other in others.filter(|host| *host != own_host) {
+            share.daemons += 1;
+            share.rank += usize::from((hash(other), other) < own);
+        }
+        share
+    }
+
+    /// Returns this daemon's part of a limit on the whole fleet, in requests per second; `None` if
+    /// it is not selected.
+    ///
+    /// The number of selected daemons grows with the limit: each may send one request ahead of its
+    /// rate, and few of them have enough requests to use up the limit.
+    pub fn rate_per_s(&self, limit_per_s: f64) -> Option<f64> {
+        let selected = (limit_per_s * DAEMONS_PER_RATE + MIN_DAEMONS).floor();
+        let selected = selected.min(self.daemons as f64);
+        ((self.rank as f64) < selected).then(|| limit_per_s / selected)
+    }
+}
--- /dev/null
+++ b/src/health/throttle/mod.rs
@@ -0,0 +1,9 @@
+//! What targets ask of their callers, and whether this daemon may send them a request now.
+
+mod fleet_share;
+mod named_limit;
+mod target_throttle;
+
+pub use fleet_share::FleetShare;
+pub use named_limit::LimitNews;
+pub use target_throttle::TargetThrottle;
--- /dev/null
+++ b/src/health/throttle/target_throttle.rs
@@ -0,0 +1,101 @@
+//! The decision whether this daemon may send a target a request now.
+
+use std::time::Duration;
+
+use crate::clock::BootTime;
+
+use super::{named_limit::NamedLimit, FleetShare, LimitNews};
+
+/// What one target asked of its callers.
+#[derive(Debug, Clone, Default)]
+pub struct TargetThrottle {
+    limit: Option<NamedLimit>,
+}
+
+impl TargetThrottle {
+    /// Returns the limit in force on the requests of the whole fleet, in requests per second.
+    pub fn limit_per_s(&self, now: BootTime) -> Option<f64> {
+        self.limit_in_force(now).map(|limit| limit.limit_per_s)
+    }
+
+    /// Returns the time until this daemon may send the target a request; zero if it may now.
+    pub fn wait(&self, now: BootTime) -> Duration {
+        let limit = self.limit_in_force(now);
+        limit.map_or(Duration::ZERO, |limit| limit.wait(now))
+    }
+
+    /// Records that a request is sent to the target.
+    pub fn record_sent(&mut self, now: BootTime) {
+        if let Some(limit) = &mut self.limit {
+            limit.record_sent(now);
+        }
+    }
+
+    /// Records a response of the target that names `limit_per_s`; returns what the fleet should be
+    /// told. `level`, from 0 to 1, spreads the first requests of the selected daemons.
+    pub fn record_named(
+        &mut self,
+        limit_per_s: f64,
+        share: FleetShare,
+        level: f64,
+        now: BootTime,
+    ) -> Option<LimitNews> {
+        let former = self.limit_per_s(now);
+        let limit = self.set_limit(limit_per_s, share, level, now);
+        limit.record_named_here(now);
+        if former.is_some_and(|former| !limit.is_news(former, now)) {
+            return None;
+        }
+        limit.record_told(now);
+        Some(LimitNews::Named(limit_per_s))
+    }
+
+    /// Records an answer of the target that names no limit; returns what the fleet should be told.
+    pub fn record_unnamed(&mut self, now: BootTime) -> Option<LimitNews> {
+        let limit = self.limit_in_force(now)?;
+        if !limit.is_lifted_by_answer(now) {
+            return None;
+        }
+        self.limit = None;
+        Some(LimitNews::Lifted)
+    }
+
+    /// Applies what another daemon told; returns whether it changed whether there is a limit.
+    pub fn apply_news(
+        &mut self,
+        news: LimitNews,
+        share: FleetShare,
+        level: f64,
+        now: BootTime,
+    ) -> bool {
+        let was_limited = self.limit_in_force(now).is_some();
+        match news {
+            LimitNews::Named(limit_per_s) => {
+                let limit = self.set_limit(limit_per_s, share, level, now);
+                limit.record_told(now);
+                !was_limited
+            }
+            LimitNews::Lifted => {
+                self.limit = None;
+                was_limited
+            }
+        }
+    }
+
+    fn limit_in_force(&self, now: BootTime) -> Option<&NamedLimit> {
+        self.limit.as_ref().filter(|limit| !limit.is_expired(now))
+    }
+
+    fn set_limit(
+        &mut self,
+        limit_per_s: f64,
+        share: FleetShare,
+        level: f64,
+        now: BootTime,
+    ) -> &mut NamedLimit {
+        let held = self.limit.take().filter(|limit| !limit.is_expired(now));
+        let mut limit = held.unwrap_or_else(|| NamedLimit::new(limit_per_s, share, level, now));
+        limit.update(limit_per_s, share, now);
+        self.limit.insert(limit)
+    }
+}
--- a/src/limit/token_bucket.rs
+++ b/src/limit/token_bucket.rs
@@ -47,6 +47,16 @@
         Err(Duration::try_from_secs_f64(wait_s).unwrap_or(Duration::MAX))
     }
 
+    /// Returns the time until the next token is due; zero if there is one.
+    pub fn wait(&self, now: BootTime) -> Duration {
+        let gained = now.since(self.refilled_at).as_secs_f64() * self.rate_per_s;
+        let missing = 1.0 - (self.level + gained).min(self.burst);
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(missing / self.rate_per_s).unwrap_or(Duration::MAX)
+    }
+
     /// Returns the level at `now`.
     pub fn level(&mut self, now: BootTime) -> f64 {
         self.refill(now);
--- a/src/platform/head_format.rs
+++ b/src/platform/head_format.rs
@@ -28,6 +28,9 @@
 /// A target's running requests, waiting requests and slots, separated by commas.
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
 
+/// Requests per second that a target takes from the whole fleet, as long as it sends this header.
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+
 /// The platform's format of HTTP heads towards callers and targets.
 pub struct PlatformHeadFormat;
 
@@ -83,12 +86,15 @@
         TargetReport {
             state: None,
             load: load.and_then(share_of_slots),
+            limit_per_s: named_limit(headers),
         }
     }
 
     fn prepare_for_caller(&self, head: &mut response::Parts, _: &str) {
         strip_hop_by_hop(&mut head.headers);
-        head.headers.remove(LOAD);
+        for name in [LOAD, LIMIT] {
+            head.headers.remove(name);
+        }
     }
 
     fn error_response(
@@ -109,6 +115,12 @@
     }
 }
 
+/// Returns the limit that a target names; of several headers the first one counts.
+fn named_limit(headers: &HeaderMap) -> Option<f64> {
+    let limit: f64 = headers.get(LIMIT)?.to_str().ok()?.trim().parse().ok()?;
+    (limit.is_finite() && limit > 0.0).then_some(limit)
+}
+
 /// Returns the running and waiting requests of a target as a share of its slots.
 fn share_of_slots(text: &str) -> Option<f64> {
     let mut numbers = text.split(',').map(|n| n.trim().parse::<f64>());
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -35,8 +35,13 @@
             return self.step(Event::CallerDisconnected);
         };
         let heads = &self.cx.heads;
-        attempt.picked.report(heads.target_report(&head.headers));
-        match heads.classify(&head, self.dispatch.request_id) {
+        let class = heads.classify(&head, self.dispatch.request_id);
+        if class != ResponseClass::WrongTarget {
+            let report = heads.target_report(&head.headers);
+            let is_answer = class == ResponseClass::Answer;
+            attempt.picked.report(report, is_answer);
+        }
+        match class {
             ResponseClass::Answer => {}
             ResponseClass::NotRun => {
                 self.observe(WorkResult::Shed);
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -56,6 +56,8 @@
 pub(super) enum DispatchError {
     /// The caller receives this error.
     Failed(ErrorKind),
+    /// All targets limit their requests; one may take the request after this time.
+    Throttled(Duration),
     /// An earlier request holds the claim.
     ClaimConflict(ErrorKind, FirstRequest),
     /// The caller disconnected.
@@ -103,6 +105,7 @@
             body,
             caller,
             tried: Vec::new(),
+            throttled_for: Duration::ZERO,
             attempt: None,
             response_head: None,
         };
@@ -130,6 +133,8 @@
     pub(super) body: &'a mut RequestBody,
     caller: &'a mut HttpReader,
     tried: Vec<TargetId>,
+    /// Time until a target may take the request, if all limit their requests.
+    throttled_for: Duration,
     pub(super) attempt: Option<CurrentAttempt>,
     pub(super) response_head: Option<response::Parts>,
 }
@@ -145,6 +150,9 @@
                 Action::AwaitHead => self.await_response_head().await,
                 Action::CheckBudget(reason) => self.check_budget(reason),
                 Action::Relay => return self.take_response(),
+                Action::RespondError(ErrorKind::TargetsLimited) => {
+                    return Err(DispatchError::Throttled(self.throttled_for))
+                }
                 Action::RespondError(kind) => return Err(DispatchError::Failed(kind)),
                 Action::AbortResponse | Action::Cancel | Action::Finish => {
                     return Err(DispatchError::CallerDisconnected)
@@ -168,6 +176,10 @@
         let picked = match self.cx.balancer.pick(self.schedule_request()).await {
             Ok(picked) => picked,
             Err(PickError::NoTarget) => return self.step(Event::NoTarget),
+            Err(PickError::Throttled(wait)) => {
+                self.throttled_for = wait;
+                return self.step(Event::Throttled);
+            }
             Err(PickError::Busy | PickError::Overloaded) => return self.step(Event::Overloaded),
         };
         let now = self.cx.clock.now();
--- a/src/proxy/head_format.rs
+++ b/src/proxy/head_format.rs
@@ -16,13 +16,15 @@
     pub request_id: &'a str,
 }
 
-/// State and load that a target reports in a response.
-#[derive(Debug, Clone, Copy, PartialEq)]
+/// What a target reports about itself in a response.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct TargetReport {
     /// Whether the target accepts new requests; `None` if it does not report it.
     pub state: Option<TargetState>,
     /// Running and queued requests at the target, as a fraction of its slots.
     pub load: Option<f64>,
+    /// Requests per second that the target takes from the whole fleet; `None` if it names no limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Classification of a response head with respect to its request.
@@ -58,7 +60,7 @@
     /// Classifies a response head with respect to the request `request_id`.
     fn classify(&self, head: &response::Parts, request_id: &str) -> ResponseClass;
 
-    /// Returns the state and load that a target reports.
+    /// Returns what a target reports about itself.
     fn target_report(&self, headers: &HeaderMap) -> TargetReport;
 
     /// Converts a target's response head to the head sent to the caller.
--- a/src/proxy/request_handler.rs
+++ b/src/proxy/request_handler.rs
@@ -23,6 +23,10 @@
     request_body::{BodyReceiver, ReceivedBody},
 };
 
+/// Largest part of its wait that a caller waits in addition, so that those refused together do not
+/// return together.
+const RETRY_SPREAD: f64 = 0.5;
+
 /// Properties of a request besides its head.
 pub(super) struct RequestInfo<'a> {
     /// Id of the request.
@@ -162,6 +166,13 @@
                     .respond_claim_conflict(kind, &first, &error_params)
                     .await;
             }
+            Err(DispatchError::Throttled(wait)) => {
+                let refusal = Refusal {
+                    kind: ErrorKind::TargetsLimited,
+                    retry_after: Some(wait.mul_f64(1.0 + RETRY_SPREAD * fastrand::f64())),
+                };
+                return self.conn.respond_error(refusal, &error_params).await;
+            }
             Err(DispatchError::Failed(kind)) => {
                 return self.conn.respond_error(kind.into(), &error_params).await;
             }
--- a/src/retry/event.rs
+++ b/src/retry/event.rs
@@ -13,6 +13,8 @@
     NoTarget,
     /// All targets are busy.
     Overloaded,
+    /// All targets limit their requests.
+    Throttled,
     /// A connection is available.
     Connected {
         /// Whether the connection carried a request before.
--- a/src/retry/state_machine.rs
+++ b/src/retry/state_machine.rs
@@ -85,6 +85,9 @@
             (Phase::Picking, Event::Overloaded) => {
                 self.respond_error(self.pick_error(ErrorKind::Overloaded))
             }
+            (Phase::Picking, Event::Throttled) => {
+                self.respond_error(self.send_error(ErrorKind::TargetsLimited))
+            }
             (Phase::Connecting, Event::Connected { reused }) => self.on_connected(reused),
             (Phase::Connecting, Event::Failed(AttemptFailure::Connect)) => {
                 self.on_failure(AttemptFailure::Connect, false, false)
--- a/tests/entry_target_limit.rs
+++ b/tests/entry_target_limit.rs
@@ -81,14 +81,15 @@
     responses.into_inner().unwrap()
 }
 
+struct Case {
+    /// Limits that the targets `one-0` and `one-1` name.
+    limits: [Option<f64>; 2],
+    /// Minimum share of the requests that are answered.
+    min_answered: f64,
+}
+
 #[test]
 fn target_gets_no_more_requests_of_the_fleet_than_it_names() {
-    struct Case {
-        /// Limits that the targets `one-0` and `one-1` name.
-        limits: [Option<f64>; 2],
-        /// Minimum share of the requests that are answered.
-        min_answered: f64,
-    }
     let cases = [
         Case {
             limits: [Some(1.0), None],
@@ -103,41 +104,47 @@
             min_answered: 0.04,
         },
     ];
-    for case in &cases {
-        let program = Path::new(env!("CARGO_BIN_EXE_chervillug"));
-        let fleet = EntryFleet::start(program, DAEMONS).expect("the fleet starts");
-        for (target, limit) in fleet.targets.iter().zip(case.limits) {
-            if let Some(limit) = limit {
-                target.set_extra_headers(&[("server-limit", &limit.to_string())]);
-            }
+    thread::scope(|scope| {
+        for case in &cases {
+            scope.spawn(|| check(case));
         }
-        let started = Instant::now();
-        let responses = load(&fleet, SETTLING_TIME + WINDOW * 2);
-        for (target, limit) in fleet.targets.iter().zip(case.limits) {
-            let Some(limit) = limit else { continue };
-            let most = most_in_window(target, started + SETTLING_TIME);
-            assert!(
-                most <= max_in_window(limit),
-                "{} got {most} requests in a window, allowed {} at {limit} 1/s",
-                target.id,
-                max_in_window(limit)
-            );
+    });
+}
+
+fn check(case: &Case) {
+    let program = Path::new(env!("CARGO_BIN_EXE_chervillug"));
+    let fleet = EntryFleet::start(program, DAEMONS).expect("the fleet starts");
+    for (target, limit) in fleet.targets.iter().zip(case.limits) {
+        if let Some(limit) = limit {
+            target.set_extra_headers(&[("server-limit", &limit.to_string())]);
         }
-        let answered = responses.iter().filter(|r| r.status == 200).count();
-        let share = answered as f64 / responses.len() as f64;
+    }
+    let started = Instant::now();
+    let responses = load(&fleet, SETTLING_TIME + WINDOW * 2);
+    for (target, limit) in fleet.targets.iter().zip(case.limits) {
+        let Some(limit) = limit else { continue };
+        let most = most_in_window(target, started + SETTLING_TIME);
         assert!(
-            share >= case.min_answered,
-            "{share} answered, limits {:?}",
-            case.limits
+            most <= max_in_window(limit),
+            "{} got {most} requests in a window, allowed {} at {limit} 1/s",
+            target.id,
+            max_in_window(limit)
         );
-        for rejected in responses.iter().filter(|r| r.status != 200) {
-            assert_eq!(rejected.status, 503, "limits {:?}", case.limits);
-            assert!(
-                rejected.took <= MAX_REJECTION_TIME,
-                "took {:?}",
-                rejected.took
-            );
-            assert!(rejected.retry_after.is_some(), "without retry-after");
-        }
+    }
+    let answered = responses.iter().filter(|r| r.status == 200).count();
+    let share = answered as f64 / responses.len() as f64;
+    assert!(
+        share >= case.min_answered,
+        "{share} answered, limits {:?}",
+        case.limits
+    );
+    for rejected in responses.iter().filter(|r| r.status != 200) {
+        assert_eq!(rejected.status, 503, "limits {:?}", case.limits);
+        assert!(
+            rejected.took <= MAX_REJECTION_TIME,
+            "took {:?}",
+            rejected.took
+        );
+        assert!(rejected.retry_after.is_some(), "without retry-after");
     }
 }
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -106,8 +106,8 @@
             let busy_slots = self.busy_slots.entry(name.clone()).or_default();
             *busy_slots -= 1;
             let report = TargetReport {
-                state: None,
                 load: Some(f64::from(*busy_slots) / f64::from(load.slots)),
+                ..TargetReport::default()
             };
             let balancer = &mut self.daemons[ended.daemon];
             let (id, attempt) = (ended.choice.id, ended.choice.attempt);
