platform: take a refusal only for the request whose id it bears

Callers could be told 'not run, try again' for a request that a target was running (REFUSED), or it ran at a second target (TWICE): a faulty target that writes an earlier refusal once more on a kept connection was believed, as refusals (x-not-executed, 421) were looked at before the id.

Cause: the class of a response that is matched to its request by its place on the connection alone. Ruled out: bytes that arrive while the connection is idle (a connection with unread bytes is not taken again). Change: a refusal counts if it echoes the request's id, or bears no id and is the first response on its connection. Any other is not a response to this request: unknown, the connection is closed, nothing runs again. Open: the native interface has no id in a target's response, so that the same target fault there can't be told apart.

--- a/src/native/head_format.rs
+++ b/src/native/head_format.rs
@@ -67,7 +67,7 @@
         headers.insert(DEADLINE_MS, HeaderValue::from(left.as_millis() as u64));
     }
 
-    fn classify(&self, head: &response::Parts, _: &str) -> ResponseClass {
+    fn classify(&self, head: &response::Parts, _: &str, _: bool) -> ResponseClass {
         let shed = head.headers.get(TARGET_SHED);
         if shed.is_some_and(|v| v.as_bytes() == b"not-run") {
             return ResponseClass::NotRun;
--- a/src/platform/head_format.rs
+++ b/src/platform/head_format.rs
@@ -65,15 +65,17 @@
         headers.insert(DEADLINE_MS, HeaderValue::from(left.as_millis() as u64));
     }
 
-    fn classify(&self, head: &response::Parts, request_id: &str) -> ResponseClass {
-        if head.status == http::StatusCode::MISDIRECTED_REQUEST {
+    fn classify(&self, head: &response::Parts, request_id: &str, reused: bool) -> ResponseClass {
+        let echo = head.headers.get(REQUEST_ID);
+        let is_own = echo.is_some_and(|v| v.as_bytes() == request_id.as_bytes());
+        // A refusal without an id may be that of an earlier request on the connection.
+        let is_refusal_of_request = is_own || (echo.is_none() && !reused);
+        if head.status == http::StatusCode::MISDIRECTED_REQUEST && is_refusal_of_request {
             return ResponseClass::WrongTarget;
         }
-        if head.headers.contains_key(NOT_RUN) {
+        if head.headers.contains_key(NOT_RUN) && is_refusal_of_request {
             return ResponseClass::NotRun;
         }
-        let echo = head.headers.get(REQUEST_ID);
-        let is_own = echo.is_some_and(|v| v.as_bytes() == request_id.as_bytes());
         let encoded = head.headers.contains_key(header::CONTENT_ENCODING);
         if !is_own || encoded || !head.headers.contains_key(SIGNATURE) {
             return ResponseClass::Invalid;
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -35,7 +35,8 @@
             return self.step(Event::CallerDisconnected);
         };
         let heads = &self.cx.heads;
-        let class = heads.classify(&head, self.dispatch.request_id);
+        let reused = attempt.conn.as_ref().is_none_or(|conn| conn.reused);
+        let class = heads.classify(&head, self.dispatch.request_id, reused);
         if class != ResponseClass::WrongTarget {
             let report = heads.target_report(&head.headers);
             let is_answer = class == ResponseClass::Answer;
--- a/src/proxy/head_format.rs
+++ b/src/proxy/head_format.rs
@@ -57,8 +57,9 @@
     /// Adds the headers for one target, including the time left until the deadline.
     fn address_to_target(&self, headers: &mut HeaderMap, target: &str, left: Duration);
 
-    /// Classifies a response head with respect to the request `request_id`.
-    fn classify(&self, head: &response::Parts, request_id: &str) -> ResponseClass;
+    /// Classifies a response head with respect to the request `request_id`, which was sent on a
+    /// connection that may have carried requests before (`reused`).
+    fn classify(&self, head: &response::Parts, request_id: &str, reused: bool) -> ResponseClass;
 
     /// Returns what a target reports about itself.
     fn target_report(&self, headers: &HeaderMap) -> TargetReport;
--- a/standins/src/entry_target.rs
+++ b/standins/src/entry_target.rs
@@ -37,6 +37,10 @@
     TruncatesBody,
     /// Sends a second response after the first.
     AnswersTwice,
+    /// Sends the refusal of another request, then runs the request and answers.
+    RepeatsRefusal,
+    /// Sends a refusal without an id, then runs the request and answers.
+    RefusesWithoutId,
     /// Does not respond.
     Hangs,
 }
@@ -199,7 +203,8 @@
         match behaviour {
             TargetBehaviour::ClosesBeforeRun => return Ok(ConnectionAction::Close),
             TargetBehaviour::Sheds => {
-                return self.respond(stream, 503, &[("x-not-executed", "1")], b"")
+                let headers = [("x-not-executed", "1"), ("x-request-id", id.as_str())];
+                return self.respond(stream, 503, &headers, b"");
             }
             _ => self.record(req),
         }
@@ -223,6 +228,15 @@
                 self.answer(stream, 200, &id)?;
                 self.answer(stream, 200, "late")
             }
+            TargetBehaviour::RepeatsRefusal => {
+                let headers = [("x-not-executed", "1"), ("x-request-id", "earlier")];
+                self.respond(stream, 503, &headers, b"")?;
+                self.answer(stream, 200, &id)
+            }
+            TargetBehaviour::RefusesWithoutId => {
+                self.respond(stream, 503, &[("x-not-executed", "1")], b"")?;
+                self.answer(stream, 200, &id)
+            }
             TargetBehaviour::Hangs => {
                 thread::sleep(Duration::from_secs(20));
                 Ok(ConnectionAction::Close)
--- a/tests/entry_targets.rs
+++ b/tests/entry_targets.rs
@@ -198,3 +198,47 @@
     let moved = fleet.targets[0].runs();
     assert!(moved.iter().all(|r| !r.request_id.starts_with("moved")));
 }
+
+#[test]
+fn refusal_of_an_earlier_request_is_not_taken_for_that_of_the_next() {
+    struct Case {
+        behaviour: TargetBehaviour,
+        /// Whether the connection carried a request before.
+        kept_connection: bool,
+    }
+    let cases = [
+        Case {
+            behaviour: TargetBehaviour::RepeatsRefusal,
+            kept_connection: true,
+        },
+        Case {
+            behaviour: TargetBehaviour::RepeatsRefusal,
+            kept_connection: false,
+        },
+        Case {
+            behaviour: TargetBehaviour::RefusesWithoutId,
+            kept_connection: true,
+        },
+    ];
+    for (n, case) in cases.iter().enumerate() {
+        let fleet = start(1);
+        if case.kept_connection {
+            for i in 0..8 {
+                let reply = fleet.request(0, "key-big", "POST", "/two/x", &format!("warm-{i}"));
+                assert_eq!(reply.expect("a response").status, 200);
+            }
+        }
+        for target in &fleet.targets {
+            target.set_behaviour(case.behaviour);
+        }
+        let id = format!("refused-{n}");
+        let reply = fleet
+            .request(0, "key-big", "POST", "/two/x", &id)
+            .expect("a response");
+        assert_eq!(fleet.run_count(&id), 1, "case {n}: run more than once");
+        assert!(
+            ![429, 503].contains(&reply.status),
+            "case {n}: 'not run' for a request that ran"
+        );
+    }
+}
