platform: skip a target's entry that another writer left odd

Callers were sent to an address that no target has: an entry with a field nested 20,000 deep, a number too large in a field that is not read, or port 0 was taken for a target.

Cause: only the fields that are read were checked; the rest of the value was skipped unread. Ruled out: stack overflow (the reader's depth is bounded), a list that can't be decoded any more (values are decoded one by one, and a bad one is skipped with a line). Change: an entry is read as a whole value first, which bounds depth and numbers; a port of 0, more than 100,000 slots, and a seq or born that is no whole number are invalid. Evidence: odd_entry_among_the_targets_neither_ends_daemons_nor_stops_them_from_following failed (503 from attempts at such an entry) and passes.

--- a/src/platform/target_entry.rs
+++ b/src/platform/target_entry.rs
@@ -3,9 +3,13 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use serde_json::Value;
 
 use crate::{proxy::is_valid_header_value, store::ListedHost};
 
+/// Most slots of a target; an entry with more is one of another writer.
+const MAX_SLOTS: u32 = 100_000;
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Entry {
@@ -19,6 +23,12 @@
     /// Remaining time of the slow phase after the target's start, s.
     #[serde(default)]
     warmup_left_s: f64,
+    /// Counter of the entry's writes; only its type is checked.
+    #[serde(default, rename = "seq")]
+    _seq: Option<u64>,
+    /// Start of the target, Unix time in ms; only its type is checked.
+    #[serde(default, rename = "born")]
+    _born: Option<u64>,
 }
 
 /// Decodes the entry of the target `id`.
@@ -30,14 +40,19 @@
     if !is_valid_header_value(id) {
         return Err("id: expected text that a header can hold".to_owned());
     }
-    let entry: Entry = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    // A value of its own bounds the depth and the numbers of the fields that are not read, too.
+    let value: Value = serde_json::from_slice(body).map_err(|e| e.to_string())?;
+    let entry = Entry::deserialize(value).map_err(|e| e.to_string())?;
     let leaving = match entry.state.as_str() {
         "ready" => false,
         "draining" => true,
         other => return Err(format!("state {other}: expected ready or draining")),
     };
-    if entry.slots == 0 {
-        return Err("slots: expected at least 1".to_owned());
+    if entry.slots == 0 || entry.slots > MAX_SLOTS {
+        return Err(format!("slots: expected 1 to {MAX_SLOTS}"));
+    }
+    if entry.addr.port() == 0 {
+        return Err("addr: expected a port from 1 to 65535".to_owned());
     }
     Ok(ListedHost {
         name: id.to_owned(),
--- a/tests/entry_targets.rs
+++ b/tests/entry_targets.rs
@@ -242,3 +242,60 @@
         );
     }
 }
+
+#[test]
+fn odd_entry_among_the_targets_neither_ends_daemons_nor_stops_them_from_following() {
+    let entry = |addr: &str, slots: &str, more: &str| {
+        format!(
+            r#"{{"backend":"one","addr":"{addr}","zone":"a","version":"v1","slots":{slots},
+            "state":"ready","warmupLeftS":0,"seq":1{more}}}"#
+        )
+    };
+    let nested = format!(r#","x":{}{}"#, "[".repeat(20_000), "]".repeat(20_000));
+    let nested_objects = format!(r#","x":{}1{}"#, r#"{"a":"#.repeat(9_000), "}".repeat(9_000));
+    let long_number = format!(r#","born":{}"#, "9".repeat(10_000));
+    let odd_entries = [
+        entry("127.0.0.1:9", "2", &nested),
+        entry("127.0.0.1:9", "2", &nested_objects),
+        nested[5..].to_owned(),
+        entry("127.0.0.1:70000", "2", ""),
+        entry("127.0.0.1:-1", "2", ""),
+        entry("127.0.0.1:0", "2", ""),
+        entry("127.0.0.1:9", "1e400", ""),
+        entry("127.0.0.1:9", "99999999999999999999999", ""),
+        entry("127.0.0.1:9", "-1", ""),
+        entry("127.0.0.1:9", "2", &long_number),
+        entry("127.0.0.1:9", "2", r#","warmupLeftS":1e999"#),
+        entry("127.0.0.1:9", "2", r#","seq":-1e308"#),
+        "\u{0}".to_owned(),
+        String::new(),
+    ];
+    let mut fleet = start(4);
+    for (n, odd) in odd_entries.iter().enumerate() {
+        fleet
+            .store
+            .put("servers", &format!("i-odd-{n}"), odd.as_bytes());
+    }
+    fleet.store.put(
+        "servers",
+        "i-\u{7f}\n",
+        entry("127.0.0.1:9", "2", "").as_bytes(),
+    );
+    std::thread::sleep(Duration::from_secs(2));
+    fleet.targets[0].register(&fleet.store, "draining");
+    std::thread::sleep(Duration::from_secs(3));
+    for i in 0..4 {
+        assert!(fleet.daemons[i].is_running(), "daemon {i} ended");
+        let id = format!("odd-{i}");
+        for _ in 0..8 {
+            let reply = fleet.request(i, "key-big", "GET", "/one/x", &id);
+            assert_eq!(reply.expect("a response").status, 200, "daemon {i}");
+        }
+        let late = fleet.targets[0].runs().iter().any(|r| r.request_id == id);
+        assert!(!late, "daemon {i} does not follow the list any more");
+    }
+    fleet.daemons[0].restart().expect("restarted");
+    fleet
+        .wait_serving()
+        .expect("a restarted daemon serves beside odd entries");
+}
