follow: adopt the proof that came before a fetch once the changes are there

Ruled out: a higher age at which a daemon reads the store itself (keys and withdrawals hang on it). Change: the fetch adopts the proof once it has merged the changes, which are of the same reader and no older.

--- a/src/follow/change_fetcher.rs
+++ b/src/follow/change_fetcher.rs
@@ -8,11 +8,12 @@
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
     peer::{MessageKind, PeerClient},
+    routing::ConfigurationView,
 };
 
 use super::{
-    change_message::HeldCopy, delta_codec::decode_delta, ChangesRequest, ChangesResponse,
-    EncodedDelta, FollowedTable, RowVersion, SharedTables,
+    change_message::HeldCopy, delta_codec::decode_delta, reader_task::ReaderParts, ChangesRequest,
+    ChangesResponse, EncodedDelta, FollowedTable, RowVersion, SharedTables,
 };
 
 /// Timeout of one fetch. With the polls before it and a read of the store after it, it stays below
@@ -27,11 +28,28 @@
     Failed,
 }
 
+/// A proof of another daemon that the configuration is up to date.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PeerProof {
+    /// When the proof was requested.
+    pub(super) requested_at: BootTime,
+    /// Its age at that time.
+    pub(super) age: Duration,
+}
+
+impl PeerProof {
+    /// Adopts the proof for the configuration in `view`.
+    pub(super) fn adopt(&self, view: &ConfigurationView) {
+        view.update_freshness(|f| f.adopt_peer_proof(self.requested_at, self.age));
+    }
+}
+
 /// Fetches changes from readers, one fetch at a time, while proofs go on being polled.
 #[derive(Clone)]
 pub(super) struct ChangeFetcher {
     peers: PeerClient,
     tables: SharedTables,
+    view: ConfigurationView,
     metrics: Rc<Metrics>,
     clock: Rc<dyn Clock>,
     state: Rc<Cell<FetchState>>,
@@ -60,36 +78,33 @@
 }
 
 impl ChangeFetcher {
-    /// Creates a fetcher that merges changes into `tables`.
-    pub(super) fn new(
-        peers: PeerClient,
-        tables: SharedTables,
-        metrics: Rc<Metrics>,
-        clock: Rc<dyn Clock>,
-    ) -> Self {
+    /// Creates a fetcher that merges changes into the tables of `parts`.
+    pub(super) fn new(parts: &ReaderParts) -> Self {
         Self {
-            peers,
-            tables,
-            metrics,
-            clock,
+            peers: parts.peers.clone(),
+            tables: parts.tables.clone(),
+            view: parts.view.clone(),
+            metrics: parts.metrics.clone(),
+            clock: parts.clock.clone(),
             state: Rc::new(Cell::new(FetchState::Idle)),
         }
     }
 
-    /// Starts a fetch from `reader` unless one is running.
-    pub(super) fn start(&self, reader: &Rc<str>) {
+    /// Starts a fetch from `reader` unless one is running. `proof` came with the response that left
+    /// the changes out, and is adopted once they are merged.
+    pub(super) fn start(&self, reader: &Rc<str>, proof: PeerProof) {
         if self.state.replace(FetchState::Running) == FetchState::Running {
             return;
         }
         let (fetcher, reader) = (self.clone(), reader.clone());
         monoio::spawn(async move {
             let ok = fetcher.fetch(&reader).await;
-            let state = if ok {
+            fetcher.state.set(if ok {
+                proof.adopt(&fetcher.view);
                 FetchState::Idle
             } else {
                 FetchState::Failed
-            };
-            fetcher.state.set(state);
+            });
         });
     }
 
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -12,8 +12,9 @@
 };
 
 use super::{
-    change_fetcher::ChangeFetcher, FollowedTable, ProofResponse, ReaderRole, ReaderSelector,
-    RowChange, SharedReaderRole, SharedTables, StoreConnectivity, TableDelta,
+    change_fetcher::{ChangeFetcher, PeerProof},
+    FollowedTable, ProofResponse, ReaderRole, ReaderSelector, RowChange, SharedReaderRole,
+    SharedTables, StoreConnectivity, TableDelta,
 };
 
 /// Time between two polls of the readers. Added to [`MAX_PROOF_AGE`] it stays below the operator's
@@ -90,12 +91,7 @@
     /// Creates the task.
     pub fn new(parts: ReaderParts) -> Self {
         let now = parts.clock.now();
-        let fetcher = ChangeFetcher::new(
-            parts.peers.clone(),
-            parts.tables.clone(),
-            parts.metrics.clone(),
-            parts.clock.clone(),
-        );
+        let fetcher = ChangeFetcher::new(&parts);
         Self {
             started: now,
             last_direct: now,
@@ -270,18 +266,20 @@
                 table.merge(delta, now);
             }
         }
+        let proof = PeerProof {
+            requested_at: sent,
+            age,
+        };
         if res.pending.is_empty() {
             self.fetcher.on_caught_up();
         } else {
-            self.fetcher.start(reader);
+            self.fetcher.start(reader, proof);
         }
         if tables.targets.version().is_none() && !res.pending.targets {
             return PollResult::Failed;
         }
         if !res.pending.configuration {
-            self.parts
-                .view
-                .update_freshness(|f| f.adopt_peer_proof(sent, age));
+            proof.adopt(&self.parts.view);
         }
         if res.direct {
             PollResult::Direct { more }
