proxy: refuse a request whose id is a key, before the id is logged

Callers who put their key into x-request-id by mistake had it in the logs of each daemon they reached: the id was taken from the head unchecked, before the check that refuses exposed keys, and that refusal logged it, too.

Cause: a text of the caller that is logged, outside the rule that keys stay out of logs. Ruled out: a form that ids must have (callers' ids are theirs; keys are letters and digits as well). Change: an id that contains the request's own key, plain or percent-encoded, or is a key of any workspace, makes the request key_exposed (400, not run), logged under an id of ours. Evidence: key_in_place_of_a_request_id_is_not_logged failed (401, and the key in the log) and passes. Open: a withdrawn or mistyped key in place of an id can't be told from an id.

--- a/src/native/policy.rs
+++ b/src/native/policy.rs
@@ -92,6 +92,11 @@
         Ok(())
     }
 
+    fn is_key(&self, text: &[u8]) -> bool {
+        let hash = self.hasher.hash(text);
+        self.catalog.get().workspace_of(&hash).is_some()
+    }
+
     fn is_ready(&self, now: BootTime) -> bool {
         self.catalog.is_ready(now)
     }
--- a/src/proxy/access_policy.rs
+++ b/src/proxy/access_policy.rs
@@ -99,6 +99,9 @@
     /// Returns the reason if the request is no longer allowed.
     fn reauthorize(&self, authorized: &AuthorizedRequest, now: BootTime) -> Result<(), ErrorKind>;
 
+    /// Returns whether `text` is a key of any workspace.
+    fn is_key(&self, text: &[u8]) -> bool;
+
     /// Returns whether the policy can currently authorize requests.
     fn is_ready(&self, now: BootTime) -> bool;
 
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{header, request, response, HeaderValue, Method, Version};
+use http::{header, request, response, HeaderMap, HeaderValue, Method, Version};
 use monoio::{
     io::Splitable,
     net::TcpStream,
@@ -23,6 +23,7 @@
 use super::{
     access_log::log_error_response,
     admit::Refusal,
+    headers::contains_key,
     idempotency::add_first_request_headers,
     request_handler::{RequestHandler, RequestInfo},
     ProxyContext,
@@ -145,8 +146,9 @@
             Err(e) => return self.refuse_bad_head(&e, &id).await,
         };
         self.cx.metrics.count(Counter::Requests);
-        if let Some(caller_id) = self.cx.heads.request_id(&head.headers) {
-            id = caller_id.to_owned();
+        match self.caller_id(&head.headers) {
+            Ok(caller_id) => id = caller_id.map_or(id, str::to_owned),
+            Err(kind) => return self.refuse_unparsed(kind, &id).await,
         }
         let Ok(kind) = request_body_kind(&head) else {
             return self.refuse_unparsed(ErrorKind::BadRequest, &id).await;
@@ -170,6 +172,23 @@
         RequestHandler { conn: self }.run(head, &info).await
     }
 
+    /// Returns the request id that the caller set, if any.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for refusing a request whose id must not be logged.
+    fn caller_id<'a>(&self, headers: &'a HeaderMap) -> Result<Option<&'a str>, ErrorKind> {
+        let cx = &self.cx;
+        let Some(id) = cx.heads.request_id(headers) else {
+            return Ok(None);
+        };
+        let key = cx.heads.key(headers).unwrap_or_default();
+        if contains_key(id.as_bytes(), key) || cx.policy.is_key(id.as_bytes()) {
+            return Err(ErrorKind::KeyExposed);
+        }
+        Ok(Some(id))
+    }
+
     async fn refuse_bad_head(&mut self, e: &HttpError, id: &str) -> ConnectionFate {
         let kind = match e {
             HttpError::HeadTooLarge => ErrorKind::HeadTooLarge,
--- a/src/proxy/headers.rs
+++ b/src/proxy/headers.rs
@@ -52,24 +52,26 @@
         .then_some(key.trim_ascii())
 }
 
-/// Returns whether `key` appears anywhere in the head other than in its own header.
-pub(crate) fn exposes_key(head: &request::Parts, key: &[u8]) -> bool {
-    let contains_key = |bytes: &[u8]| {
-        let decoded: Cow<'_, [u8]> = percent_decode(bytes).into();
-        memmem::find(&decoded, key).is_some() || memmem::find(bytes, key).is_some()
-    };
+/// Returns whether `bytes` contain `key`, as they are or percent-encoded.
+pub(crate) fn contains_key(bytes: &[u8], key: &[u8]) -> bool {
     if key.is_empty() {
         return false;
     }
+    let decoded: Cow<'_, [u8]> = percent_decode(bytes).into();
+    memmem::find(&decoded, key).is_some() || memmem::find(bytes, key).is_some()
+}
+
+/// Returns whether `key` appears anywhere in the head other than in its own header.
+pub(crate) fn exposes_key(head: &request::Parts, key: &[u8]) -> bool {
     let target = head.uri.path_and_query();
-    if target.is_some_and(|p| contains_key(p.as_str().as_bytes())) {
+    if target.is_some_and(|p| contains_key(p.as_str().as_bytes(), key)) {
         return true;
     }
     head.headers
         .iter()
         .filter(|(name, _)| **name != header::AUTHORIZATION)
         .any(|(name, value)| {
-            contains_key(value.as_bytes()) || contains_key(name.as_str().as_bytes())
+            contains_key(value.as_bytes(), key) || contains_key(name.as_str().as_bytes(), key)
         })
 }
 
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -136,6 +136,11 @@
         Ok(())
     }
 
+    fn is_key(&self, text: &[u8]) -> bool {
+        let hash = self.view.hasher().hash(text);
+        self.view.table().workspace_by_key(&hash).is_some()
+    }
+
     fn is_ready(&self, now: BootTime) -> bool {
         self.view.is_fresh(now)
     }
--- a/tests/entry_logs.rs
+++ b/tests/entry_logs.rs
@@ -247,3 +247,54 @@
     assert_eq!(limiter.try_take(at(later)), Some(1000 - written as u64));
     assert_eq!(limiter.try_take(at(later)), Some(0));
 }
+
+#[test]
+fn key_in_place_of_a_request_id_is_not_logged() {
+    let fleet = EntryFleet::start(program(), 1).expect("the fleet starts");
+    struct Case {
+        key: &'static str,
+        path: &'static str,
+        id: &'static str,
+    }
+    let cases = [
+        Case {
+            key: "key-big",
+            path: "/one/x",
+            id: "key-big",
+        },
+        Case {
+            key: "key-big",
+            path: "/one/x",
+            id: "id-key%2Dbig-2",
+        },
+        Case {
+            key: "key-none",
+            path: "/one/x",
+            id: "key-small",
+        },
+        Case {
+            key: "",
+            path: "/open/x",
+            id: "key-small",
+        },
+        Case {
+            key: "key-unknown",
+            path: "/one/x",
+            id: "1-key-unknown",
+        },
+    ];
+    for case in &cases {
+        let reply = fleet.request(0, case.key, "GET", case.path, case.id);
+        let reply = reply.expect("a response");
+        assert_eq!(reply.status, 400, "id {}", case.id);
+        assert_eq!(reply.json()["reason"], "key_exposed", "id {}", case.id);
+        assert_eq!(fleet.run_count(case.id), 0, "id {}", case.id);
+    }
+    std::thread::sleep(Duration::from_millis(300));
+    for secret in ["key-big", "key-small", "key%2Dbig", "key-unknown"] {
+        assert!(
+            !fleet.daemons[0].log().contains(secret),
+            "{secret} in the log"
+        );
+    }
+}
