health: send nothing more to a target that says that it leaves

Change: the header makes the target leaving on this daemon for the rest of its start, which id and born tell (born is read now). Its waiting requests and retries go elsewhere, its probes end, its idle connections are closed and the answering one isn't kept. The fleet is told with the notices of failed targets, a name and a born each; a notice of an earlier start is ignored. A listed 'ready' doesn't bring the target back, a later start does. Ruled out: TargetState::Leaving of the native interface, from which a target may come back.

--- a/examples/measure/capacity.rs
+++ b/examples/measure/capacity.rs
@@ -194,6 +194,7 @@
         slots: 4,
         leaving: false,
         cold: false,
+        born: None,
     }
 }
 
--- a/examples/measure/gray_fleet/mod.rs
+++ b/examples/measure/gray_fleet/mod.rs
@@ -176,6 +176,7 @@
                 slots: site.slots,
                 leaving: i == 0 && self.is_faulty_removed,
                 cold: false,
+                born: None,
             })
             .collect();
         for daemon in &mut self.daemons {
--- a/src/follow/member_sink.rs
+++ b/src/follow/member_sink.rs
@@ -47,6 +47,7 @@
                     slots: 0,
                     leaving: member.leaving,
                     cold: false,
+                    born: None,
                 };
                 members.insert(row.key, host);
             }
--- a/src/health/balancer/feedback.rs
+++ b/src/health/balancer/feedback.rs
@@ -202,6 +202,29 @@
         changed
     }
 
+    /// Records that a target leaves for good; returns whether this is news.
+    pub fn apply_leaving(&mut self, id: TargetId) -> bool {
+        let Some(target) = self.targets.get_mut(&id) else {
+            return false;
+        };
+        let is_news = target.throttle.record_leaving();
+        let service = target.service;
+        if is_news {
+            self.invalidate(service);
+        }
+        is_news
+    }
+
+    /// Records what another daemon told of a target that leaves for good, unless it has started
+    /// again since; returns whether this is news.
+    pub fn apply_leaving_news(&mut self, name: &str, born: Option<u64>) -> bool {
+        let Some(target) = self.target_by_name(name) else {
+            return false;
+        };
+        let id = target.id;
+        target.born == born && self.apply_leaving(id)
+    }
+
     /// Applies the state, and the load if any, that a target reported.
     pub fn update_state(
         &mut self,
@@ -241,7 +264,8 @@
             let age = now.since(t.load_at);
             t.state == TargetState::Leaving && age >= DRAINING_PROBE_INTERVAL
         };
-        let live = self.targets.values().filter(|t| !t.listed_leaving);
+        let stays = |t: &&Target| !t.listed_leaving && !t.throttle.is_leaving();
+        let live = self.targets.values().filter(stays);
         let due = live.filter(|t| is_due_draining(t) || self.detector.needs_probe(t.id, now));
         due.map(|t| (t.id, t.address)).collect()
     }
--- a/src/health/balancer/target_list.rs
+++ b/src/health/balancer/target_list.rs
@@ -56,7 +56,8 @@
         let service = self.service_id(service);
         let known = self.by_name.get(host.name.as_str()).copied();
         if let Some(target) = known.and_then(|id| self.targets.get_mut(&id)) {
-            if target.address == host.address && target.service == service {
+            let is_same_start = target.born == host.born || host.born.is_none();
+            if target.address == host.address && target.service == service && is_same_start {
                 let slots = host.slots.max(1);
                 let changed = target.slots != slots || target.listed_leaving != host.leaving;
                 target.slots = slots;
@@ -85,6 +86,7 @@
             service,
             name: Rc::from(host.name.as_str()),
             address: host.address,
+            born: host.born,
             data_centre: Rc::from(host.data_centre.as_str()),
             slots,
             listed_leaving: host.leaving,
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -14,8 +14,8 @@
 };
 
 use super::{
-    AttemptId, Balancer, Decision, FailureNotifier, FleetShare, LimitNews, Observation, PickError,
-    ScheduleRequest, Scheduler, SuspicionEvent, TargetId, TargetState,
+    AttemptId, Balancer, Decision, FailureNotifier, FleetShare, LeavingNotice, LimitNews,
+    Observation, PickError, ScheduleRequest, Scheduler, SuspicionEvent, TargetId, TargetState,
 };
 
 /// Interval of the checks for overdue requests and expired deadlines.
@@ -45,6 +45,8 @@
         /// Whether the response is an answer, so that a limit that it leaves out is lifted.
         is_answer: bool,
     },
+    /// Records a target that another daemon reported as leaving for good.
+    PeerReportedLeaving(LeavingNotice),
     /// Applies what another daemon told about the limit of a target.
     PeerReportedLimit {
         /// Name of the target.
@@ -254,10 +256,19 @@
                 is_answer,
             } => {
                 balancer.apply_report(id, report, now);
+                if report.leaving {
+                    self.apply_leaving(id);
+                }
                 if is_answer || report.limit_per_s.is_some() {
                     self.apply_named_limit(id, report.limit_per_s, now);
                 }
             }
+            BalancerMessage::PeerReportedLeaving(LeavingNotice { target, born }) => {
+                if balancer.apply_leaving_news(&target, born) {
+                    log::info!(target_name = target.as_str(), heard_here = false;
+                        "target leaves");
+                }
+            }
             BalancerMessage::PeerReportedLimit { target, news } => {
                 let share = self.fleet_share(&target);
                 let balancer = &mut self.scheduler.balancer;
@@ -285,6 +296,20 @@
         }
     }
 
+    /// Records that a target leaves for good, and tells the fleet.
+    fn apply_leaving(&mut self, id: TargetId) {
+        if !self.scheduler.balancer.apply_leaving(id) {
+            return;
+        }
+        let Some(target) = self.scheduler.balancer.target(id) else {
+            return;
+        };
+        log::info!(target_name = &*target.name, heard_here = true; "target leaves");
+        if let Some(notifier) = &self.failure_notifier {
+            notifier.notify_leaving(&target.name, target.born);
+        }
+    }
+
     /// Applies the limit that a target named in a response, or that it named none.
     fn apply_named_limit(&mut self, id: TargetId, limit_per_s: Option<f64>, now: BootTime) {
         let Some(target) = self.scheduler.balancer.target(id) else {
--- a/src/health/failure_notice.rs
+++ b/src/health/failure_notice.rs
@@ -14,7 +14,8 @@
 /// Delay before a notice is sent, so that further failures are batched into it.
 const BATCH_DELAY: Duration = Duration::from_millis(10);
 
-/// Targets that aborted requests, targets that have recovered since, and limits that targets named.
+/// Targets that aborted requests, targets that have recovered since, and what targets said of
+/// themselves.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct FailureNotice {
     /// Names of targets that aborted requests.
@@ -23,9 +24,34 @@
     pub recovered: Vec<String>,
     /// Whether the receiver relays the notice to the other daemons of its data centre.
     pub relay: bool,
-    /// Limits that targets named or lifted; left out if there are none, as earlier builds do.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    /// What targets said of themselves; left out if there is nothing, as earlier builds do.
+    #[serde(default, skip_serializing_if = "TargetNews::is_empty")]
+    pub news: TargetNews,
+}
+
+/// What targets said of themselves in their responses.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TargetNews {
+    /// Limits that targets named or lifted.
     pub limits: Vec<LimitNotice>,
+    /// Targets that leave for good.
+    pub leaving: Vec<LeavingNotice>,
+}
+
+impl TargetNews {
+    /// Returns whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty() && self.leaving.is_empty()
+    }
+}
+
+/// A target that leaves for good.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingNotice {
+    /// Name of the target.
+    pub target: String,
+    /// Start of the target, which tells its incarnations apart, if known.
+    pub born: Option<u64>,
 }
 
 /// The limit that a target names on the requests of the whole fleet.
@@ -60,7 +86,7 @@
 struct Pending {
     failed: Vec<String>,
     recovered: Vec<String>,
-    limits: Vec<LimitNotice>,
+    news: TargetNews,
     is_scheduled: bool,
 }
 
@@ -96,14 +122,25 @@
             LimitNews::Lifted => None,
         };
         let mut pending = self.pending.borrow_mut();
-        pending.limits.retain(|limit| limit.target != target);
-        pending.limits.push(LimitNotice {
+        let limits = &mut pending.news.limits;
+        limits.retain(|limit| limit.target != target);
+        limits.push(LimitNotice {
             target: target.to_owned(),
             limit_per_s,
         });
         self.schedule(&mut pending);
     }
 
+    /// Adds `target` to the next notice as leaving for good.
+    pub fn notify_leaving(&self, target: &str, born: Option<u64>) {
+        let mut pending = self.pending.borrow_mut();
+        pending.news.leaving.push(LeavingNotice {
+            target: target.to_owned(),
+            born,
+        });
+        self.schedule(&mut pending);
+    }
+
     fn schedule(&self, pending: &mut Pending) {
         if std::mem::replace(&mut pending.is_scheduled, true) {
             return;
@@ -116,7 +153,7 @@
                 failed: pending.failed.clone(),
                 recovered: pending.recovered.clone(),
                 relay,
-                limits: pending.limits.clone(),
+                news: pending.news.clone(),
             };
             let kind = MessageKind::Failure;
             let (own, other) = (notice(false), notice(true));
@@ -144,7 +181,12 @@
             self.balancer.send(recovered);
             let failed = BalancerMessage::PeerReportedFailed(notice.failed.clone());
             self.balancer.send(failed);
-            for limit in &notice.limits {
+            for leaving in &notice.news.leaving {
+                let leaving = leaving.clone();
+                self.balancer
+                    .send(BalancerMessage::PeerReportedLeaving(leaving));
+            }
+            for limit in &notice.news.limits {
                 match limit.news() {
                     Some(news) => self.balancer.send(BalancerMessage::PeerReportedLimit {
                         target: limit.target.clone(),
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -36,7 +36,9 @@
 pub use decaying_sum::DecayingSum;
 pub use detector::{Assessment, Detector, Observation, TargetHealth, WorkResult};
 pub use evidence::{log_likelihood_ratio, Evidence, EVIDENCE_HALF_LIFE, FAULT_SHARES, SLOW_WEIGHT};
-pub use failure_notice::{FailureHandler, FailureNotice, FailureNotifier, LimitNotice};
+pub use failure_notice::{
+    FailureHandler, FailureNotice, FailureNotifier, LeavingNotice, LimitNotice, TargetNews,
+};
 pub use fleet_evidence::{EvidenceReport, FleetEvidence};
 pub use floor::{routing_set, Candidate};
 pub use in_flight::{AttemptId, InFlightRequests, Lateness};
--- a/src/health/target.rs
+++ b/src/health/target.rs
@@ -43,6 +43,8 @@
     pub name: Rc<str>,
     /// Address that it serves requests on.
     pub address: SocketAddr,
+    /// Start of the target, which tells its incarnations apart, if known.
+    pub born: Option<u64>,
     /// Data centre of its host.
     pub data_centre: Rc<str>,
     /// Requests that it runs concurrently.
@@ -70,7 +72,7 @@
 impl Target {
     /// Returns whether the target is leaving, by the list or by its own report.
     pub fn is_leaving(&self) -> bool {
-        self.listed_leaving || self.state == TargetState::Leaving
+        self.listed_leaving || self.throttle.is_leaving() || self.state == TargetState::Leaving
     }
 
     /// Returns the share of its normal load that the target may receive, from 0 to 1.
--- a/src/health/throttle/target_throttle.rs
+++ b/src/health/throttle/target_throttle.rs
@@ -10,6 +10,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct TargetThrottle {
     limit: Option<NamedLimit>,
+    leaving: bool,
 }
 
 impl TargetThrottle {
@@ -18,6 +19,16 @@
         self.limit_in_force(now).map(|limit| limit.limit_per_s)
     }
 
+    /// Returns whether the target leaves for good.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Records that the target leaves for good; returns whether this is news.
+    pub fn record_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.leaving, true)
+    }
+
     /// Returns the time until this daemon may send the target a request; zero if it may now.
     pub fn wait(&self, now: BootTime) -> Duration {
         let limit = self.limit_in_force(now);
--- a/src/native/head_format.rs
+++ b/src/native/head_format.rs
@@ -79,7 +79,7 @@
         TargetReport {
             state: target_state(headers),
             load: target_load(headers),
-            limit_per_s: None,
+            ..TargetReport::default()
         }
     }
 
--- a/src/platform/head_format.rs
+++ b/src/platform/head_format.rs
@@ -31,6 +31,9 @@
 /// Requests per second that a target takes from the whole fleet, as long as it sends this header.
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
+/// Sent with the value 1 by a target that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+
 /// The platform's format of HTTP heads towards callers and targets.
 pub struct PlatformHeadFormat;
 
@@ -89,12 +92,13 @@
             state: None,
             load: load.and_then(share_of_slots),
             limit_per_s: named_limit(headers),
+            leaving: headers.get(LEAVING).is_some_and(|v| v == "1"),
         }
     }
 
     fn prepare_for_caller(&self, head: &mut response::Parts, _: &str) {
         strip_hop_by_hop(&mut head.headers);
-        for name in [LOAD, LIMIT] {
+        for name in [LOAD, LIMIT, LEAVING] {
             head.headers.remove(name);
         }
     }
--- a/src/platform/target_entry.rs
+++ b/src/platform/target_entry.rs
@@ -26,9 +26,9 @@
     /// Counter of the entry's writes; only its type is checked.
     #[serde(default, rename = "seq")]
     _seq: Option<u64>,
-    /// Start of the target, Unix time in ms; only its type is checked.
-    #[serde(default, rename = "born")]
-    _born: Option<u64>,
+    /// Start of the target, Unix time in ms.
+    #[serde(default)]
+    born: Option<u64>,
 }
 
 /// Decodes the entry of the target `id`.
@@ -62,5 +62,6 @@
         slots: entry.slots,
         leaving,
         cold: entry.warmup_left_s > 0.0,
+        born: entry.born,
     })
 }
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -41,6 +41,10 @@
             let report = heads.target_report(&head.headers);
             let is_answer = class == ResponseClass::Answer;
             attempt.picked.report(report, is_answer);
+            if report.leaving {
+                let (address, now) = (attempt.picked.address, self.cx.clock.now());
+                self.cx.pool.close_unused_since(address, now);
+            }
         }
         match class {
             ResponseClass::Answer => {}
--- a/src/proxy/head_format.rs
+++ b/src/proxy/head_format.rs
@@ -25,6 +25,8 @@
     pub load: Option<f64>,
     /// Requests per second that the target takes from the whole fleet; `None` if it names no limit.
     pub limit_per_s: Option<f64>,
+    /// Whether the target leaves for good; another start of it is another target.
+    pub leaving: bool,
 }
 
 /// Classification of a response head with respect to its request.
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -56,7 +56,9 @@
     let Ok(kind) = response_body_kind(params.method, &head) else {
         return RelayResult::Malformed;
     };
-    let reusable = params.target_reusable && kind != BodyKind::UntilClose && allows_reuse(&head);
+    let leaving = cx.heads.target_report(&head.headers).leaving;
+    let is_whole = params.target_reusable && kind != BodyKind::UntilClose;
+    let reusable = is_whole && !leaving && allows_reuse(&head);
     let framing = caller_framing(kind, params, &head);
     let keep_alive = params.keep_alive && !(framing == Framing::None && kind != BodyKind::Empty);
     cx.heads.prepare_for_caller(&mut head, params.request_id);
--- a/src/store/host_list.rs
+++ b/src/store/host_list.rs
@@ -27,6 +27,9 @@
     /// Whether a target started recently and is still slow.
     #[serde(default)]
     pub cold: bool,
+    /// Start of a target, which tells its incarnations apart; `None` if it is not known.
+    #[serde(default)]
+    pub born: Option<u64>,
 }
 
 /// The platform's list of live and leaving hosts, which may be out of date.
--- a/standins/src/entry_target.rs
+++ b/standins/src/entry_target.rs
@@ -113,9 +113,15 @@
 
     /// Registers the target in the store; `state` is `ready` or `draining`.
     pub fn register(&self, store: &RowStore, state: &str) {
+        self.register_start(store, state, 1_700_000_000_000);
+    }
+
+    /// The same for the start of the target at `born`, Unix time in ms.
+    pub fn register_start(&self, store: &RowStore, state: &str, born: u64) {
         let entry = json!({
             "backend": self.service, "addr": self.address().to_string(), "zone": "a",
             "version": "v1", "slots": 2, "state": state, "warmupLeftS": 0, "seq": 1,
+            "born": born,
         });
         store.put("servers", &self.id, entry.to_string().as_bytes());
     }
--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -98,6 +98,7 @@
         slots: 2,
         leaving: false,
         cold: false,
+        born: None,
     };
     (0..targets).map(host).collect()
 }
--- a/tests/floor.rs
+++ b/tests/floor.rs
@@ -95,6 +95,7 @@
                 slots: u32::from(slots) + u32::from(n % 3),
                 leaving: leaving >> n & 1 == 1,
                 cold: false,
+                born: None,
             })
             .collect();
         let previous = std::mem::take(&mut self.model);
--- a/tests/placing.rs
+++ b/tests/placing.rs
@@ -80,6 +80,7 @@
             slots: load.slots,
             leaving: false,
             cold: false,
+            born: None,
         };
         let hosts: Vec<ListedHost> = (0..load.targets).map(host).collect();
         let daemon = |i: usize| {
--- a/tests/target_limit.rs
+++ b/tests/target_limit.rs
@@ -84,6 +84,7 @@
             slots: 4,
             leaving: false,
             cold: false,
+            born: None,
         })
         .collect();
     let detector = Box::new(SequentialDetector::new(
--- a/tests/target_list.rs
+++ b/tests/target_list.rs
@@ -17,6 +17,7 @@
         slots: 2,
         leaving: false,
         cold: false,
+        born: None,
     }
 }
 
