health: keep to the pause that a target asks for

Change: the time is held for the target on this daemon, from the response, 600 s at most, and decided in the same place as limits and leaving (health::throttle). A request that has not run goes elsewhere within its budget; where no target accepts it is refused at once (targets_limited) with the shortest time left. Fractions count, zero asks for nothing; of several headers the longest counts; a date, a negative number or other text is counted, logged and ignored, for Server-Limit, too (of several limits the lowest counts). Ruled out: telling the fleet, as the pause is one daemon's.

--- a/src/health/balancer/feedback.rs
+++ b/src/health/balancer/feedback.rs
@@ -202,6 +202,13 @@
         changed
     }
 
+    /// Records that a target wants no requests of this daemon for `pause`.
+    pub fn apply_pause(&mut self, id: TargetId, pause: Duration, now: BootTime) {
+        if let Some(target) = self.targets.get_mut(&id) {
+            target.throttle.record_pause(pause, now);
+        }
+    }
+
     /// Records that a target leaves for good; returns whether this is news.
     pub fn apply_leaving(&mut self, id: TargetId) -> bool {
         let Some(target) = self.targets.get_mut(&id) else {
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -256,6 +256,9 @@
                 is_answer,
             } => {
                 balancer.apply_report(id, report, now);
+                if let Some(pause) = report.pause {
+                    self.apply_pause(id, pause, now);
+                }
                 if report.leaving {
                     self.apply_leaving(id);
                 }
@@ -296,6 +299,16 @@
         }
     }
 
+    fn apply_pause(&mut self, id: TargetId, pause: Duration, now: BootTime) {
+        let balancer = &mut self.scheduler.balancer;
+        balancer.apply_pause(id, pause, now);
+        self.metrics.count(Counter::TargetPauses);
+        if let Some(target) = balancer.target(id) {
+            log::info!(target_name = &*target.name, pause_ms = pause.as_millis() as u64;
+                "target asked for a pause");
+        }
+    }
+
     /// Records that a target leaves for good, and tells the fleet.
     fn apply_leaving(&mut self, id: TargetId) {
         if !self.scheduler.balancer.apply_leaving(id) {
--- a/src/health/probe_task.rs
+++ b/src/health/probe_task.rs
@@ -55,6 +55,6 @@
     let healthy = response.as_ref().is_ok_and(|r| r.status.is_success());
     let state = response
         .ok()
-        .and_then(|r| heads.target_report(&r.headers).state);
+        .and_then(|r| heads.target_report(r.status, &r.headers).state);
     balancer.send(BalancerMessage::ProbeResult { id, healthy, state });
 }
--- a/src/health/throttle/target_throttle.rs
+++ b/src/health/throttle/target_throttle.rs
@@ -6,11 +6,15 @@
 
 use super::{named_limit::NamedLimit, FleetShare, LimitNews};
 
+/// Longest pause that a target may ask for.
+const MAX_PAUSE: Duration = Duration::from_secs(600);
+
 /// What one target asked of its callers.
 #[derive(Debug, Clone, Default)]
 pub struct TargetThrottle {
     limit: Option<NamedLimit>,
     leaving: bool,
+    paused_until: Option<BootTime>,
 }
 
 impl TargetThrottle {
@@ -29,10 +33,18 @@
         !std::mem::replace(&mut self.leaving, true)
     }
 
+    /// Records that the target wants no requests of this daemon for `pause`, which is bounded.
+    pub fn record_pause(&mut self, pause: Duration, now: BootTime) {
+        let until = now + pause.min(MAX_PAUSE);
+        self.paused_until = self.paused_until.max(Some(until));
+    }
+
     /// Returns the time until this daemon may send the target a request; zero if it may now.
     pub fn wait(&self, now: BootTime) -> Duration {
         let limit = self.limit_in_force(now);
-        limit.map_or(Duration::ZERO, |limit| limit.wait(now))
+        let limited = limit.map_or(Duration::ZERO, |limit| limit.wait(now));
+        let paused = self.paused_until.map(|until| until.since(now));
+        paused.unwrap_or_default().max(limited)
     }
 
     /// Records that a request is sent to the target.
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -62,6 +62,10 @@
     GrantsLate,
     /// Sessions of this daemon that were fenced or removed by another daemon.
     SessionsFenced,
+    /// Headers of targets about themselves whose value could not be used.
+    TargetHeadersUnusable,
+    /// Pauses that targets asked for.
+    TargetPauses,
     /// Targets ejected or put on trial.
     Ejections,
     /// Messages about suspected targets sent to other daemons.
--- a/src/native/head_format.rs
+++ b/src/native/head_format.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{header, request, response, HeaderMap, HeaderName, HeaderValue};
+use http::{header, request, response, HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::{
     health::TargetState,
@@ -75,7 +75,7 @@
         ResponseClass::Answer
     }
 
-    fn target_report(&self, headers: &HeaderMap) -> TargetReport {
+    fn target_report(&self, _: StatusCode, headers: &HeaderMap) -> TargetReport {
         TargetReport {
             state: target_state(headers),
             load: target_load(headers),
--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -48,7 +48,8 @@
     NoTarget,
     /// All targets were busy for too long, or the queue for them was full.
     Overloaded,
-    /// All targets limit the requests of the fleet, and take none of this daemon now.
+    /// All targets limit the requests of the fleet or asked for a pause, and take none of this
+    /// daemon now.
     TargetsLimited,
     /// No connection to a target could be opened.
     ConnectFailed,
@@ -121,7 +122,12 @@
             Self::BufferFull => (503, NotRun, Some(1), "too many request bodies are buffered"),
             Self::NoTarget => (503, NotRun, Some(1), "no target can take the request now"),
             Self::Overloaded => (503, NotRun, Some(1), "all targets are busy"),
-            Self::TargetsLimited => (503, NotRun, Some(1), "all targets limit their requests"),
+            Self::TargetsLimited => (
+                503,
+                NotRun,
+                Some(1),
+                "the targets take no more requests now",
+            ),
             Self::ConnectFailed => (503, NotRun, Some(1), "no target could be connected"),
             Self::TargetShed => (503, NotRun, Some(1), "the targets shed the request"),
             Self::DeadlineBeforeRun => (504, NotRun, Some(0), "the deadline passed before the run"),
--- a/src/platform/head_format.rs
+++ b/src/platform/head_format.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{header, request, response, HeaderMap, HeaderName, HeaderValue};
+use http::{header, request, response, HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::{
     outcome::{problem_response, ErrorKind},
@@ -73,7 +73,7 @@
         let is_own = echo.is_some_and(|v| v.as_bytes() == request_id.as_bytes());
         // A refusal without an id may be that of an earlier request on the connection.
         let is_refusal_of_request = is_own || (echo.is_none() && !reused);
-        if head.status == http::StatusCode::MISDIRECTED_REQUEST && is_refusal_of_request {
+        if head.status == StatusCode::MISDIRECTED_REQUEST && is_refusal_of_request {
             return ResponseClass::WrongTarget;
         }
         if head.headers.contains_key(NOT_RUN) && is_refusal_of_request {
@@ -86,13 +86,22 @@
         ResponseClass::Answer
     }
 
-    fn target_report(&self, headers: &HeaderMap) -> TargetReport {
+    fn target_report(&self, status: StatusCode, headers: &HeaderMap) -> TargetReport {
         let load = headers.get(LOAD).and_then(|v| v.to_str().ok());
+        let (limits, bad_limits) = positive_numbers(headers, &LIMIT);
+        let (pauses, bad_pauses) = if status == StatusCode::SERVICE_UNAVAILABLE {
+            positive_numbers(headers, &header::RETRY_AFTER)
+        } else {
+            (Vec::new(), 0)
+        };
+        let longest_s = pauses.into_iter().reduce(f64::max);
         TargetReport {
             state: None,
             load: load.and_then(share_of_slots),
-            limit_per_s: named_limit(headers),
+            limit_per_s: limits.into_iter().reduce(f64::min),
             leaving: headers.get(LEAVING).is_some_and(|v| v == "1"),
+            pause: longest_s.map(|s| Duration::try_from_secs_f64(s).unwrap_or(Duration::MAX)),
+            unusable: bad_limits + bad_pauses,
         }
     }
 
@@ -121,10 +130,19 @@
     }
 }
 
-/// Returns the limit that a target names; of several headers the first one counts.
-fn named_limit(headers: &HeaderMap) -> Option<f64> {
-    let limit: f64 = headers.get(LIMIT)?.to_str().ok()?.trim().parse().ok()?;
-    (limit.is_finite() && limit > 0.0).then_some(limit)
+/// Returns the values of the header `name` that are positive numbers, and the number of those that
+/// are no numbers or negative. Zero asks for nothing.
+fn positive_numbers(headers: &HeaderMap, name: &HeaderName) -> (Vec<f64>, u32) {
+    let (mut numbers, mut unusable) = (Vec::new(), 0);
+    for value in headers.get_all(name) {
+        let text = value.to_str().ok().map(str::trim);
+        match text.and_then(|text| text.parse::<f64>().ok()) {
+            Some(n) if n.is_finite() && n > 0.0 => numbers.push(n),
+            Some(0.0) => {}
+            _ => unusable += 1,
+        }
+    }
+    (numbers, unusable)
 }
 
 /// Returns the running and waiting requests of a target as a share of its slots.
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     health::{Observation, WorkResult},
-    metrics::Latency,
+    metrics::{Counter, Latency},
     poison::Verdict,
     retry::{Action, AttemptFailure, Event},
 };
@@ -38,9 +38,15 @@
         let reused = attempt.conn.as_ref().is_none_or(|conn| conn.reused);
         let class = heads.classify(&head, self.dispatch.request_id, reused);
         if class != ResponseClass::WrongTarget {
-            let report = heads.target_report(&head.headers);
+            let report = heads.target_report(head.status, &head.headers);
             let is_answer = class == ResponseClass::Answer;
             attempt.picked.report(report, is_answer);
+            if report.unusable > 0 {
+                let n = u64::from(report.unusable);
+                self.cx.metrics.add(Counter::TargetHeadersUnusable, n);
+                log::info!(request_id = self.dispatch.request_id,
+                    target_name = &*attempt.picked.name, headers = n; "unusable target headers");
+            }
             if report.leaving {
                 let (address, now) = (attempt.picked.address, self.cx.clock.now());
                 self.cx.pool.close_unused_since(address, now);
--- a/src/proxy/head_format.rs
+++ b/src/proxy/head_format.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{request, response, HeaderMap};
+use http::{request, response, HeaderMap, StatusCode};
 
 use crate::{health::TargetState, outcome::ErrorKind};
 
@@ -27,6 +27,10 @@
     pub limit_per_s: Option<f64>,
     /// Whether the target leaves for good; another start of it is another target.
     pub leaving: bool,
+    /// Time for which the target wants no requests of this daemon.
+    pub pause: Option<Duration>,
+    /// Number of headers about the target whose value cannot be used.
+    pub unusable: u32,
 }
 
 /// Classification of a response head with respect to its request.
@@ -64,7 +68,7 @@
     fn classify(&self, head: &response::Parts, request_id: &str, reused: bool) -> ResponseClass;
 
     /// Returns what a target reports about itself.
-    fn target_report(&self, headers: &HeaderMap) -> TargetReport;
+    fn target_report(&self, status: StatusCode, headers: &HeaderMap) -> TargetReport;
 
     /// Converts a target's response head to the head sent to the caller.
     fn prepare_for_caller(&self, head: &mut response::Parts, request_id: &str);
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -56,7 +56,7 @@
     let Ok(kind) = response_body_kind(params.method, &head) else {
         return RelayResult::Malformed;
     };
-    let leaving = cx.heads.target_report(&head.headers).leaving;
+    let leaving = cx.heads.target_report(head.status, &head.headers).leaving;
     let is_whole = params.target_reusable && kind != BodyKind::UntilClose;
     let reusable = is_whole && !leaving && allows_reuse(&head);
     let framing = caller_framing(kind, params, &head);
--- a/standins/src/entry_target.rs
+++ b/standins/src/entry_target.rs
@@ -70,6 +70,8 @@
     /// Headers that are added to each response to a request.
     extra_headers: Mutex<Vec<(String, String)>>,
     runs: Mutex<Vec<EntryRun>>,
+    /// Ids and times of the requests that were refused.
+    refusals: Mutex<Vec<(String, Instant)>>,
     work: Duration,
 }
 
@@ -95,6 +97,7 @@
             behaviour: Mutex::default(),
             extra_headers: Mutex::default(),
             runs: Mutex::default(),
+            refusals: Mutex::default(),
             work,
         });
         let server = Server::start(address, shared.clone())?;
@@ -137,6 +140,11 @@
         *lock(&self.shared.extra_headers) = headers.iter().map(owned).collect();
     }
 
+    /// Returns the ids of the requests refused so far, with the times at which they arrived.
+    pub fn refusals(&self) -> Vec<(String, Instant)> {
+        lock(&self.shared.refusals).clone()
+    }
+
     /// Returns the requests executed so far.
     pub fn runs(&self) -> Vec<EntryRun> {
         lock(&self.shared.runs).clone()
@@ -209,6 +217,7 @@
         match behaviour {
             TargetBehaviour::ClosesBeforeRun => return Ok(ConnectionAction::Close),
             TargetBehaviour::Sheds => {
+                lock(&self.refusals).push((id.clone(), Instant::now()));
                 let headers = [("x-not-executed", "1"), ("x-request-id", id.as_str())];
                 return self.respond(stream, 503, &headers, b"");
             }
