health: tell the fleet only the last event of a target

Callers of other daemons were kept away from a target for up to 9 s that had recovered: a failure and a recovery within one batch of 10 ms were told together, and the receiver applies recoveries first, which left the breaker open.

Change: the content of the next notice is a type of its own (PendingNotice), in which a recovery takes a failure of the same target out and the other way round. Evidence: last_event_of_a_target_in_one_notice_decides_its_breaker_elsewhere. The code before had no place to test it without sockets; its two lists kept both names, by reading.

--- a/src/health/failure_notice.rs
+++ b/src/health/failure_notice.rs
@@ -9,7 +9,7 @@
     store::BoxFuture,
 };
 
-use super::{BalancerHandle, BalancerMessage, LimitNews};
+use super::{BalancerHandle, BalancerMessage, LimitNews, PendingNotice};
 
 /// Delay before a notice is sent, so that further failures are batched into it.
 const BATCH_DELAY: Duration = Duration::from_millis(10);
@@ -81,12 +81,9 @@
     pending: Rc<RefCell<Pending>>,
 }
 
-/// Content of the next notice.
 #[derive(Default)]
 struct Pending {
-    failed: Vec<String>,
-    recovered: Vec<String>,
-    news: TargetNews,
+    notice: PendingNotice,
     is_scheduled: bool,
 }
 
@@ -101,43 +98,27 @@
 
     /// Adds `target` to the next notice as failed.
     pub fn notify_failed(&self, target: &str) {
-        let mut pending = self.pending.borrow_mut();
-        if !pending.failed.iter().any(|t| t == target) {
-            pending.failed.push(target.to_owned());
-        }
-        self.schedule(&mut pending);
+        self.add(|notice| notice.add_failed(target));
     }
 
     /// Adds `target` to the next notice as recovered.
     pub fn notify_recovered(&self, target: &str) {
-        let mut pending = self.pending.borrow_mut();
-        pending.recovered.push(target.to_owned());
-        self.schedule(&mut pending);
+        self.add(|notice| notice.add_recovered(target));
     }
 
     /// Adds what `target` named or lifted to the next notice.
     pub fn notify_limit(&self, target: &str, news: LimitNews) {
-        let limit_per_s = match news {
-            LimitNews::Named(limit) => Some(limit),
-            LimitNews::Lifted => None,
-        };
-        let mut pending = self.pending.borrow_mut();
-        let limits = &mut pending.news.limits;
-        limits.retain(|limit| limit.target != target);
-        limits.push(LimitNotice {
-            target: target.to_owned(),
-            limit_per_s,
-        });
-        self.schedule(&mut pending);
+        self.add(|notice| notice.add_limit(target, news));
     }
 
     /// Adds `target` to the next notice as leaving for good.
     pub fn notify_leaving(&self, target: &str, born: Option<u64>) {
+        self.add(|notice| notice.add_leaving(target, born));
+    }
+
+    fn add(&self, change: impl FnOnce(&mut PendingNotice)) {
         let mut pending = self.pending.borrow_mut();
-        pending.news.leaving.push(LeavingNotice {
-            target: target.to_owned(),
-            born,
-        });
+        change(&mut pending.notice);
         self.schedule(&mut pending);
     }
 
@@ -148,12 +129,16 @@
         let notifier = self.clone();
         monoio::spawn(async move {
             monoio::time::sleep(BATCH_DELAY).await;
-            let pending = notifier.pending.take();
+            let PendingNotice {
+                failed,
+                recovered,
+                news,
+            } = notifier.pending.take().notice;
             let notice = |relay| FailureNotice {
-                failed: pending.failed.clone(),
-                recovered: pending.recovered.clone(),
+                failed: failed.clone(),
+                recovered: recovered.clone(),
                 relay,
-                news: pending.news.clone(),
+                news: news.clone(),
             };
             let kind = MessageKind::Failure;
             let (own, other) = (notice(false), notice(true));
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -12,6 +12,7 @@
 mod fleet_evidence;
 mod floor;
 mod in_flight;
+mod pending_notice;
 mod probe_only;
 mod probe_task;
 mod profile;
@@ -42,6 +43,7 @@
 pub use fleet_evidence::{EvidenceReport, FleetEvidence};
 pub use floor::{routing_set, Candidate};
 pub use in_flight::{AttemptId, InFlightRequests, Lateness};
+pub use pending_notice::PendingNotice;
 pub use probe_only::ProbeOnlyDetector;
 pub use probe_task::probe_task;
 pub use profile::{Profile, SequentialOptions};
--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -4,7 +4,9 @@
 
 use chervillug::{
     clock::BootTime,
-    health::{Balancer, Breaker, BreakerState, PickRequest, Profile, SequentialDetector},
+    health::{
+        Balancer, Breaker, BreakerState, PendingNotice, PickRequest, Profile, SequentialDetector,
+    },
     store::ListedHost,
 };
 
@@ -229,3 +231,42 @@
     let first = served.first().expect("a request served by the target");
     assert!((2000..3000).contains(first), "{first}");
 }
+
+#[test]
+fn last_event_of_a_target_in_one_notice_decides_its_breaker_elsewhere() {
+    struct Case {
+        /// Whether the target failed, or recovered, in this order.
+        failures: &'static [bool],
+        failed: bool,
+    }
+    let cases = [
+        Case {
+            failures: &[true],
+            failed: true,
+        },
+        Case {
+            failures: &[true, false],
+            failed: false,
+        },
+        Case {
+            failures: &[false, true],
+            failed: true,
+        },
+        Case {
+            failures: &[true, false, true, false],
+            failed: false,
+        },
+    ];
+    for case in &cases {
+        let mut notice = PendingNotice::default();
+        for failed in case.failures {
+            if *failed {
+                notice.add_failed("t0");
+            } else {
+                notice.add_recovered("t0");
+            }
+        }
+        assert_eq!(notice.failed.len(), usize::from(case.failed));
+        assert_eq!(notice.recovered.len(), usize::from(!case.failed));
+    }
+}
