store: believe that nothing took effect only where a status promises it

A daemon could take a write for not done that may have been: each unexpected status of the store, 500 and 504 too, came back as "refused, nothing took effect". The native list of hosts was read whatever the status was.

Change: 4xx, 503 and 507 are refusals; any other status without a result is one after which a write may have taken effect, with a log line. The native list needs a 200. Evidence: only_a_status_that_promises_it_means_that_nothing_took_effect failed (500 as refused) and passes. The status of the native list has no test of its own: its stand-in answers 200 alone.

--- a/src/native/http_platform.rs
+++ b/src/native/http_platform.rs
@@ -203,9 +203,13 @@
                 Some(version) => format!("/v1/hosts?version={version}"),
                 None => "/v1/hosts".to_owned(),
             };
-            let (_, body) = self
+            let (status, body) = self
                 .send(Method::GET, &path, Bytes::new(), CALL_TIMEOUT)
                 .await?;
+            if status != StatusCode::OK {
+                log::warn!(status = status.as_u16(); "the list of hosts cannot be read");
+                return Err(StoreError::Refused);
+            }
             let res: HostsResponse =
                 serde_json::from_slice(&body).map_err(|_| StoreError::BadAnswer)?;
             let mut cached = self.hosts.borrow_mut();
--- a/src/platform/row_client.rs
+++ b/src/platform/row_client.rs
@@ -142,7 +142,7 @@
         match status {
             StatusCode::OK => Ok(FeedResponse::Changed(decode::<RowsResponse>(&body)?.into())),
             StatusCode::GONE => Ok(FeedResponse::HistoryCompacted),
-            _ => Err(StoreError::Refused),
+            status => Err(unexpected(status)),
         }
     }
 }
@@ -217,12 +217,25 @@
                     let res = decode::<ConflictResponse>(&body)?;
                     Ok(WriteOutcome::Conflict(stored_rows(res.rows)))
                 }
-                _ => Err(StoreError::Refused),
+                status => Err(unexpected(status)),
             }
         })
     }
 }
 
+/// Returns the error for a status without a result. Only a status that promises it means that
+/// nothing took effect.
+fn unexpected(status: StatusCode) -> StoreError {
+    let did_nothing = status.is_client_error()
+        || status == StatusCode::SERVICE_UNAVAILABLE
+        || status == StatusCode::INSUFFICIENT_STORAGE;
+    if did_nothing {
+        return StoreError::Refused;
+    }
+    log::warn!(status = status.as_u16(); "unexpected status from the store");
+    StoreError::BadAnswer
+}
+
 fn row_version<'a>(put: &'a RowPut, ver: u64) -> RowVersion<'a> {
     RowVersion {
         table: put.table,
