routing: don't overflow on the highest ranks of route and workspace

A configuration with a priority near the largest number made each request of its workspace end a build with overflow checks (the connection closed without an answer), and wrapped to an urgent rank in others. Change: the combined rank saturates. Evidence: request_with_the_highest_ranks_of_route_and_workspace_is_served failed (connection closed) and passes.

--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -117,7 +117,9 @@
             repeatable: route.repeatable,
             max_attempts: route.max_attempts,
             timeout: route.timeout,
-            rank: workspace_rank * RANKS_PER_WORKSPACE_RANK + route.rank,
+            rank: workspace_rank
+                .saturating_mul(RANKS_PER_WORKSPACE_RANK)
+                .saturating_add(route.rank),
         })
     }
 
--- a/tests/entry_path.rs
+++ b/tests/entry_path.rs
@@ -307,3 +307,16 @@
         );
     }
 }
+
+#[test]
+fn request_with_the_highest_ranks_of_route_and_workspace_is_served() {
+    let mut fleet = start(1);
+    let mut cfg = configuration(2);
+    cfg["routes"]["safe"]["priority"] = serde_json::json!(u32::MAX);
+    cfg["tenants"]["big"]["priority"] = serde_json::json!(u32::MAX);
+    fleet.publish_configuration(&cfg);
+    std::thread::sleep(Duration::from_secs(2));
+    let reply = fleet.request(0, "key-big", "GET", "/one/x", "ranked");
+    assert_eq!(reply.expect("a response").status, 200);
+    assert!(fleet.daemons[0].is_running(), "the daemon ended");
+}
