health: ignore a suspicion report with an infinite rate

An infinite work rate of a peer was accepted. By trace it is held for that report's term alone: one_unusable_report_does_not_silence_the_evidence_of_others passes before the change as well, so that no caller saw harm; the number no longer enters the sums.

--- a/src/health/suspicion_exchange.rs
+++ b/src/health/suspicion_exchange.rs
@@ -108,7 +108,8 @@
         let Some(member) = own.or(peer) else {
             return;
         };
-        let is_valid = report.nats.is_finite() && report.nats > 0.0 && report.work_per_s >= 0.0;
+        let is_rate = report.work_per_s.is_finite() && report.work_per_s >= 0.0;
+        let is_valid = report.nats.is_finite() && report.nats > 0.0 && is_rate;
         if !is_valid {
             return;
         }
--- a/tests/health_peers.rs
+++ b/tests/health_peers.rs
@@ -6,8 +6,8 @@
 use chervillug::{
     clock::BootTime,
     health::{
-        EvidenceReport, FleetEvidence, Member, Suspicion, SuspicionExchange, BURST_BYTES,
-        BYTES_PER_S, MESSAGE_OVERHEAD_BYTES,
+        EvidenceReport, FleetEvidence, Member, Suspicion, SuspicionExchange, SuspicionReport,
+        BURST_BYTES, BYTES_PER_S, MESSAGE_OVERHEAD_BYTES,
     },
 };
 
@@ -160,3 +160,34 @@
     assert!(sent as f64 <= max_sent, "{sent} messages");
     const { assert!(BYTES_PER_S < 2000.0) };
 }
+
+#[test]
+fn one_unusable_report_does_not_silence_the_evidence_of_others() {
+    let member = |i: u32| Member {
+        host: format!("entry-{i}").into(),
+        data_centre: format!("dc-{}", i % 3).into(),
+    };
+    for work_per_s in [f32::INFINITY, f32::NAN, -1.0] {
+        let mut exchange = SuspicionExchange::new(member(0), THRESHOLD, at(0));
+        exchange.set_peers((1..36).map(member).collect());
+        let report = |work_per_s| SuspicionReport {
+            service: "one".to_owned(),
+            target: "t0".to_owned(),
+            nats: FAILURE_NATS as f32,
+            siblings: TARGETS,
+            work_per_s,
+        };
+        exchange.add_report("entry-1", &report(work_per_s), at(0));
+        let mut alarmed = false;
+        for ms in (500..10_000).step_by(500) {
+            for i in 2..36 {
+                exchange.add_report(&format!("entry-{i}"), &report(1.0), at(ms));
+            }
+            alarmed |= !exchange.run_round(at(ms)).alarms.is_empty();
+        }
+        assert!(
+            alarmed,
+            "no alarm after a report of {work_per_s} requests a second"
+        );
+    }
+}
