health: lend tokens of limited targets to daemons without any

Callers were refused (targets_limited) at daemons that had no part of a limit while others had tokens left: with all targets of a service limited and requests at two of eight daemons, a quarter of the limits was used.

Cause: the parts of a limit are fixed, the requests are not where the parts are. Ruled out: using limited targets before others (tried, noise); more daemons with smaller parts (the sum of their first requests would pass what the users allow). The lender's token is taken, so that the sum over the fleet stays.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -15,7 +15,7 @@
     clock::{Clock, SystemClock},
     config::{self, FrontSettings, KEY_PROOF_MARGIN},
     follow::{join_fleet, JoinParts, MemberRow, StoreConnectivity},
-    health::{BalancerHandle, FailureHandler, FailureNotifier},
+    health::{BalancerHandle, FailureHandler, FailureNotifier, LendHandler, TokenBorrower},
     lifecycle::{readiness_server_task, ReadinessServer, ShutdownSignal, Signals},
     membership::Incarnation,
     metrics::Metrics,
@@ -229,6 +229,11 @@
             broadcast,
         };
         router.register(MessageKind::Failure, Rc::new(handler));
+        let handler = LendHandler {
+            balancer: handle.clone(),
+            metrics: base.metrics.clone(),
+        };
+        router.register(MessageKind::Lend, Rc::new(handler));
         BalancerParts {
             handle,
             failure_notifier,
@@ -274,6 +279,14 @@
         })
     }
 
+    fn token_borrower(&self, balancer: BalancerHandle) -> TokenBorrower {
+        TokenBorrower {
+            balancer,
+            peers: self.peers.clone(),
+            metrics: self.base.metrics.clone(),
+        }
+    }
+
     fn start_poison(&self, router: &mut PeerRouter) -> PoisonTracker {
         let base = &self.base;
         let centre = &base.settings.data_centre;
@@ -298,7 +311,7 @@
             policy: base.policy.clone(),
             heads: base.heads.clone(),
             limiter: Box::new(limiter),
-            balancer: balancer.handle,
+            balancer: self.token_borrower(balancer.handle),
             pool: PoolHandle::new(pool_tx),
             // Aborting work that a target has started costs more than a slow response.
             retry_on_silence: false,
--- a/src/health/balancer/pick.rs
+++ b/src/health/balancer/pick.rs
@@ -58,11 +58,16 @@
     }
 
     fn start(&mut self, id: TargetId, now: BootTime) -> Option<Choice> {
+        self.targets.get_mut(&id)?.throttle.record_sent(now);
+        self.start_granted(id, now)
+    }
+
+    /// Starts a request in flight on a target for which another daemon gave a token.
+    pub fn start_granted(&mut self, id: TargetId, now: BootTime) -> Option<Choice> {
         let attempt = AttemptId(self.next_attempt);
         self.next_attempt += 1;
         let target = self.targets.get_mut(&id)?;
         target.idle_since.pop();
-        target.throttle.record_sent(now);
         target.in_flight.start(attempt, now);
         if let Some(service) = self.services.get_mut(&target.service) {
             service.record_dispatch(now);
@@ -75,6 +80,34 @@
         })
     }
 
+    /// Returns the targets of a service that only their limit keeps from this daemon, each with its
+    /// limit.
+    pub fn borrowable_targets(
+        &self,
+        service: &str,
+        avoid: &[TargetId],
+        now: BootTime,
+    ) -> Vec<(&Target, f64)> {
+        let service = self.service_ids.get(service);
+        let routing = service.and_then(|id| self.services.get(id));
+        let routing = routing.map_or(&[][..], |service| &service.routing);
+        let found = routing.iter().filter_map(|id| self.targets.get(id));
+        let usable = found.filter(|t| {
+            let is_closed = t.breaker.state(now) == BreakerState::Closed;
+            is_closed && !t.is_leaving() && !avoid.contains(&t.id)
+        });
+        let limited = usable.filter_map(|t| Some((t, t.throttle.borrowable_limit(now)?)));
+        limited.collect()
+    }
+
+    /// Takes a token of a limited target for a request of another daemon; returns whether there was
+    /// one.
+    pub fn lend_token(&mut self, name: &str, now: BootTime) -> bool {
+        let id = self.by_name.get(name);
+        let target = id.and_then(|id| self.targets.get_mut(id));
+        target.is_some_and(|t| t.throttle.lend(now))
+    }
+
     /// Draws an idle target on trial for a small share of the idempotent first attempts.
     fn draw_trial(
         &mut self,
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -1,183 +1,26 @@
 //! Task that owns the balancer.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use local_sync::{mpsc, oneshot};
-use serde::Serialize;
+use local_sync::mpsc;
 
 use crate::{
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
     peer::PeerDirectory,
-    proxy::TargetReport,
-    store::ListedHost,
 };
 
 use super::{
-    AttemptId, Balancer, Decision, FailureNotifier, FleetShare, LeavingNotice, LimitNews,
-    Observation, PickError, ScheduleRequest, Scheduler, SuspicionEvent, TargetId, TargetState,
+    balancer_handle::PickReply, Balancer, BalancerHandle, BalancerMessage, Decision,
+    FailureNotifier, FleetShare, LeavingNotice, Lender, LimitNews, PickError, PickedTarget,
+    ScheduleRequest, Scheduler, SuspicionEvent, Target, TargetId, TargetStatus,
 };
 
+/// Most daemons that are asked for a token for one request.
+const MAX_LENDERS: usize = 2;
 /// Interval of the checks for overdue requests and expired deadlines.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// A message to the task that owns the balancer.
-pub enum BalancerMessage {
-    /// Replaces the target list with the platform's.
-    SetTargets(Rc<Vec<ListedHost>>),
-    /// Requests a target.
-    Pick {
-        /// Request that needs the target.
-        req: ScheduleRequest,
-        /// Receives the picked target.
-        reply: oneshot::Sender<Result<PickedTarget, PickError>>,
-    },
-    /// Ends a request in flight.
-    Release(TargetId, AttemptId),
-    /// Records the result of a request.
-    Observe(TargetId, AttemptId, Observation),
-    /// Applies what a target reported in a response.
-    Report {
-        /// The target.
-        id: TargetId,
-        /// What it reported.
-        report: TargetReport,
-        /// Whether the response is an answer, so that a limit that it leaves out is lifted.
-        is_answer: bool,
-    },
-    /// Records a target that another daemon reported as leaving for good.
-    PeerReportedLeaving(LeavingNotice),
-    /// Applies what another daemon told about the limit of a target.
-    PeerReportedLimit {
-        /// Name of the target.
-        target: String,
-        /// The limit.
-        news: LimitNews,
-    },
-    /// Opens the breaker of a target that aborted a request of this daemon.
-    TripBreaker(TargetId),
-    /// Opens the breakers of these targets, which aborted requests of other daemons.
-    PeerReportedFailed(Vec<String>),
-    /// Closes the half-open breakers of these targets, which have recovered for other daemons.
-    PeerReportedRecovered(Vec<String>),
-    /// Applies an alarm against this target from the combined evidence of several daemons.
-    FleetAlarm(String),
-    /// Requests the targets to probe.
-    TargetsToProbe(oneshot::Sender<Vec<(TargetId, SocketAddr)>>),
-    /// Records the result of a probe.
-    ProbeResult {
-        /// Probed target.
-        id: TargetId,
-        /// Whether the probe succeeded.
-        healthy: bool,
-        /// State that the target reported.
-        state: Option<TargetState>,
-    },
-    /// Triggers the periodic checks.
-    Tick,
-    /// Requests the status of all targets.
-    Status(oneshot::Sender<Vec<TargetStatus>>),
-}
-
-/// The status of one target.
-#[derive(Debug, Clone, Serialize)]
-pub struct TargetStatus {
-    /// Name of the target.
-    pub name: String,
-    /// Whether the target is leaving.
-    pub leaving: bool,
-    /// Number of requests of this daemon in flight.
-    pub in_flight: u32,
-    /// Suspicion; a target with 1 or more is ejected, unless the floor keeps it.
-    pub suspicion: f64,
-}
-
-/// A picked target with a request in flight, which ends when this is dropped.
-pub struct PickedTarget {
-    /// Identity of the target.
-    pub id: TargetId,
-    /// Address of the target.
-    pub address: SocketAddr,
-    /// Name of the target.
-    pub name: Rc<str>,
-    attempt: AttemptId,
-    handle: BalancerHandle,
-}
-
-impl PickedTarget {
-    /// Records the result of the request.
-    pub fn observe(&self, obs: Observation) {
-        self.handle
-            .send(BalancerMessage::Observe(self.id, self.attempt, obs));
-    }
-
-    /// Opens the breaker of the target in this daemon, after it aborted a request.
-    pub fn trip_breaker(&self) {
-        self.handle.send(BalancerMessage::TripBreaker(self.id));
-    }
-
-    /// Records what the target reported in a response, which may be an answer to the request.
-    pub fn report(&self, report: TargetReport, is_answer: bool) {
-        self.handle.send(BalancerMessage::Report {
-            id: self.id,
-            report,
-            is_answer,
-        });
-    }
-}
-
-impl Drop for PickedTarget {
-    fn drop(&mut self) {
-        self.handle
-            .send(BalancerMessage::Release(self.id, self.attempt));
-    }
-}
-
-/// Handle to the task that owns the balancer.
-#[derive(Clone)]
-pub struct BalancerHandle {
-    tx: mpsc::unbounded::Tx<BalancerMessage>,
-}
-
-impl BalancerHandle {
-    /// Creates a handle that sends to the receiver of `tx`.
-    pub fn new(tx: mpsc::unbounded::Tx<BalancerMessage>) -> Self {
-        Self { tx }
-    }
-
-    /// Sends a message, which is dropped if the task has ended.
-    pub fn send(&self, msg: BalancerMessage) {
-        let _ = self.tx.send(msg);
-    }
-
-    /// Picks a target, and waits in the queue of the service while all targets are busy.
-    ///
-    /// # Errors
-    ///
-    /// Returns why no target was picked.
-    pub async fn pick(&self, req: ScheduleRequest) -> Result<PickedTarget, PickError> {
-        let (reply, rx) = oneshot::channel();
-        self.send(BalancerMessage::Pick { req, reply });
-        rx.await.unwrap_or(Err(PickError::NoTarget))
-    }
-
-    /// Returns the targets to probe now.
-    pub async fn targets_to_probe(&self) -> Vec<(TargetId, SocketAddr)> {
-        let (reply, rx) = oneshot::channel();
-        self.send(BalancerMessage::TargetsToProbe(reply));
-        rx.await.unwrap_or_default()
-    }
-
-    /// Returns the status of all targets.
-    pub async fn status(&self) -> Vec<TargetStatus> {
-        let (reply, rx) = oneshot::channel();
-        self.send(BalancerMessage::Status(reply));
-        rx.await.unwrap_or_default()
-    }
-}
-
-type PickReply = oneshot::Sender<Result<PickedTarget, PickError>>;
-
 struct BalancerTask {
     scheduler: Scheduler<PickReply>,
     handle: BalancerHandle,
@@ -245,6 +88,16 @@
                 let decisions = self.scheduler.submit(req, reply, now);
                 self.reply(decisions);
             }
+            BalancerMessage::FindLenders(req, reply) => {
+                let _ = reply.send(self.find_lenders(&req, now));
+            }
+            BalancerMessage::PickGranted(id, reply) => {
+                let res = balancer.start_granted(id, now).ok_or(PickError::NoTarget);
+                self.reply([Decision { item: reply, res }]);
+            }
+            BalancerMessage::LendToken(target, reply) => {
+                let _ = reply.send(balancer.lend_token(&target, now));
+            }
             BalancerMessage::Release(id, attempt) => {
                 let decisions = self.scheduler.release(id, attempt, now);
                 self.reply(decisions);
@@ -299,6 +152,31 @@
         }
     }
 
+    /// Returns a few daemons, drawn at random, that may have tokens of limited targets.
+    fn find_lenders(&self, req: &ScheduleRequest, now: BootTime) -> Vec<Lender> {
+        let balancer = &self.scheduler.balancer;
+        let mut targets = balancer.borrowable_targets(&req.service, &req.avoid, now);
+        fastrand::shuffle(&mut targets);
+        targets.truncate(MAX_LENDERS);
+        let peers = self.directory.peers();
+        let own = self.directory.own_host();
+        let hosts = || {
+            let others = peers.iter().filter(|p| !p.leaving).map(|p| &*p.host);
+            others.chain([own])
+        };
+        let lender = |(target, limit): (&Target, f64)| {
+            let selected = FleetShare::selected(hosts(), &target.name, limit);
+            let others: Vec<&str> = selected.into_iter().filter(|host| *host != own).collect();
+            let host = others.get(fastrand::usize(0..others.len().max(1)))?;
+            Some(Lender {
+                id: target.id,
+                target: target.name.clone(),
+                host: Rc::from(*host),
+            })
+        };
+        targets.into_iter().filter_map(lender).collect()
+    }
+
     fn apply_pause(&mut self, id: TargetId, pause: Duration, now: BootTime) {
         let balancer = &mut self.scheduler.balancer;
         balancer.apply_pause(id, pause, now);
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -1,6 +1,7 @@
 //! Health assessment of targets, and load balancing among them.
 
 mod balancer;
+mod balancer_handle;
 mod balancer_task;
 mod breaker;
 mod byte_budget;
@@ -28,9 +29,8 @@
 mod work_counts;
 
 pub use balancer::{Balancer, Choice, PickError, PickRequest};
-pub use balancer_task::{
-    balancer_task, BalancerHandle, BalancerMessage, BalancerTaskParts, PickedTarget,
-};
+pub use balancer_handle::{BalancerHandle, BalancerMessage, PickedTarget, TargetStatus};
+pub use balancer_task::{balancer_task, BalancerTaskParts};
 pub use breaker::{Breaker, BreakerState};
 pub use byte_budget::ByteBudget;
 pub use consecutive::ConsecutiveFailureDetector;
@@ -57,6 +57,8 @@
 };
 pub use suspicion_task::{SuspicionEvent, SuspicionHandler, SuspicionTask};
 pub use target::{Target, TargetId, TargetState, RAMP_DURATION};
-pub use throttle::{FleetShare, LimitNews, TargetThrottle};
+pub use throttle::{
+    FleetShare, LendHandler, LendRequest, Lender, LimitNews, TargetThrottle, TokenBorrower,
+};
 pub use verdict::Verdict;
 pub use work_counts::{WorkCounts, WorkTotals, BASELINE_HALF_LIFE};
--- a/src/health/throttle/fleet_share.rs
+++ b/src/health/throttle/fleet_share.rs
@@ -29,25 +29,46 @@
 
     /// Returns the place of the daemon on `own_host` beside those on `others`, for `target`.
     pub fn new<'a>(own_host: &str, others: impl Iterator<Item = &'a str>, target: &str) -> Self {
-        let seed = xxh3_64_with_seed(target.as_bytes(), 0);
-        let hash = |host: &str| xxh3_64_with_seed(host.as_bytes(), seed);
-        let own = (hash(own_host), own_host);
+        let own = rank_key(own_host, target);
         let mut share = Self::ALONE;
         for other in others.filter(|host| *host != own_host) {
             share.daemons += 1;
-            share.rank += usize::from((hash(other), other) < own);
+            share.rank += usize::from(rank_key(other, target) < own);
         }
         share
     }
 
+    /// Returns the selected daemons among those on `hosts` for a `target` with a limit.
+    pub fn selected<'a>(
+        hosts: impl Iterator<Item = &'a str>,
+        target: &str,
+        limit_per_s: f64,
+    ) -> Vec<&'a str> {
+        let mut hosts: Vec<&str> = hosts.collect();
+        hosts.sort_by_key(|host| rank_key(host, target));
+        hosts.truncate(selected_count(limit_per_s, hosts.len()));
+        hosts
+    }
+
     /// Returns this daemon's part of a limit on the whole fleet, in requests per second; `None` if
     /// it is not selected.
     ///
     /// The number of selected daemons grows with the limit: each may send one request ahead of its
     /// rate, and few of them have enough requests to use up the limit.
     pub fn rate_per_s(&self, limit_per_s: f64) -> Option<f64> {
-        let selected = (limit_per_s * DAEMONS_PER_RATE + MIN_DAEMONS).floor();
-        let selected = selected.min(self.daemons as f64);
-        ((self.rank as f64) < selected).then(|| limit_per_s / selected)
+        let selected = selected_count(limit_per_s, self.daemons);
+        (self.rank < selected).then(|| limit_per_s / selected as f64)
     }
 }
+
+/// Returns the number of selected daemons of a fleet of `daemons`.
+fn selected_count(limit_per_s: f64, daemons: usize) -> usize {
+    let selected = (limit_per_s * DAEMONS_PER_RATE + MIN_DAEMONS).floor();
+    selected.min(daemons as f64) as usize
+}
+
+/// Returns the key by which daemons are ranked for a target.
+fn rank_key<'a>(host: &'a str, target: &str) -> (u64, &'a str) {
+    let seed = xxh3_64_with_seed(target.as_bytes(), 0);
+    (xxh3_64_with_seed(host.as_bytes(), seed), host)
+}
--- a/src/health/throttle/mod.rs
+++ b/src/health/throttle/mod.rs
@@ -3,7 +3,9 @@
 mod fleet_share;
 mod named_limit;
 mod target_throttle;
+mod token_lending;
 
 pub use fleet_share::FleetShare;
 pub use named_limit::LimitNews;
 pub use target_throttle::TargetThrottle;
+pub use token_lending::{LendHandler, LendRequest, Lender, TokenBorrower};
--- a/src/health/throttle/named_limit.rs
+++ b/src/health/throttle/named_limit.rs
@@ -102,6 +102,12 @@
         Duration::try_from_secs_f64(wait_s).map_or(EXPIRY, |wait| wait.min(EXPIRY))
     }
 
+    /// Takes a token for a request of another daemon; returns whether there was one.
+    pub(super) fn lend(&mut self, now: BootTime) -> bool {
+        let bucket = self.bucket.as_mut();
+        bucket.is_some_and(|bucket| bucket.take(now).is_ok())
+    }
+
     /// Records that a request is sent.
     pub(super) fn record_sent(&mut self, now: BootTime) {
         if let Some(bucket) = &mut self.bucket {
--- a/src/health/throttle/target_throttle.rs
+++ b/src/health/throttle/target_throttle.rs
@@ -47,6 +47,20 @@
         paused.unwrap_or_default().max(limited)
     }
 
+    /// Returns the limit, if the limit alone keeps this daemon from sending a request now.
+    pub fn borrowable_limit(&self, now: BootTime) -> Option<f64> {
+        let paused = self.paused_until.is_some_and(|until| until > now);
+        let limit = self.limit_in_force(now)?;
+        let is_held_back = !paused && !self.leaving && !limit.wait(now).is_zero();
+        is_held_back.then_some(limit.limit_per_s)
+    }
+
+    /// Takes a token for a request of another daemon; returns whether there was one.
+    pub fn lend(&mut self, now: BootTime) -> bool {
+        let limit = self.limit.as_mut().filter(|limit| !limit.is_expired(now));
+        limit.is_some_and(|limit| limit.lend(now))
+    }
+
     /// Records that a request is sent to the target.
     pub fn record_sent(&mut self, now: BootTime) {
         if let Some(limit) = &mut self.limit {
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -66,6 +66,10 @@
     TargetHeadersUnusable,
     /// Pauses that targets asked for.
     TargetPauses,
+    /// Tokens of limited targets requested from other daemons.
+    TokensAsked,
+    /// Tokens of limited targets given to other daemons.
+    TokensLent,
     /// Targets ejected or put on trial.
     Ejections,
     /// Messages about suspected targets sent to other daemons.
--- a/src/peer/envelope.rs
+++ b/src/peer/envelope.rs
@@ -29,6 +29,8 @@
     Proof,
     /// Table changes that are too large for a proof.
     Changes,
+    /// Requests for tokens of a limited target.
+    Lend,
 }
 
 /// One message or reply with a MessagePack body, whose type depends on the kind.
--- a/src/peer/lane.rs
+++ b/src/peer/lane.rs
@@ -19,7 +19,7 @@
     /// Returns the lane for a message kind.
     pub(super) fn for_kind(kind: MessageKind) -> Self {
         match kind {
-            MessageKind::Ask | MessageKind::Handover => Self::Ask,
+            MessageKind::Ask | MessageKind::Handover | MessageKind::Lend => Self::Ask,
             MessageKind::Heartbeat
             | MessageKind::Suspicion
             | MessageKind::Poison
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -6,7 +6,7 @@
     claim::ClaimStore,
     clock::{BootTime, Clock},
     config::LimitSettings,
-    health::{BalancerHandle, FailureNotifier},
+    health::{FailureNotifier, TokenBorrower},
     http::HeadLimits,
     lifecycle::{BoundedCounter, PauseDetector, ShutdownSignal},
     limit::Limiter,
@@ -37,7 +37,7 @@
     /// Enforces rate limits.
     pub limiter: Box<dyn Limiter>,
     /// Picks targets.
-    pub balancer: BalancerHandle,
+    pub balancer: TokenBorrower,
     /// Whether repeatable requests are retried at another target when a target goes silent.
     pub retry_on_silence: bool,
     /// Pool of idle connections to targets.
@@ -86,7 +86,7 @@
     /// Limits on the retries of each service.
     pub retry_budget: RetryBudgetConfig,
     /// Picks targets.
-    pub balancer: BalancerHandle,
+    pub balancer: TokenBorrower,
     /// Whether repeatable requests are retried at another target when a target goes silent.
     pub retry_on_silence: bool,
     /// Pool of idle connections to targets.
--- a/tests/entry_target_limit.rs
+++ b/tests/entry_target_limit.rs
@@ -148,3 +148,39 @@
         assert!(rejected.retry_after.is_some(), "without retry-after");
     }
 }
+
+/// Share of the limits that a fleet with enough requests must use: each daemon asks two others for
+/// a token, so that few are left.
+const MIN_USED: f64 = 0.8;
+
+#[test]
+fn daemons_without_tokens_use_those_that_others_have_left() {
+    let limits = [2.5, 4.0];
+    let program = Path::new(env!("CARGO_BIN_EXE_chervillug"));
+    let fleet = EntryFleet::start(program, DAEMONS).expect("the fleet starts");
+    for (target, limit) in fleet.targets.iter().zip(limits) {
+        target.set_extra_headers(&[("server-limit", &f64::to_string(&limit))]);
+    }
+    load(&fleet, SETTLING_TIME);
+    // Two daemons get the requests, the others have the most of the tokens.
+    let from = Instant::now();
+    let end = from + WINDOW * 2;
+    let mut answered = 0;
+    while Instant::now() < end {
+        for i in 0..2 {
+            let reply = fleet.request(i, "key-big", "GET", "/one/x", "few");
+            answered += usize::from(reply.expect("a response").status == 200);
+        }
+        sleep(REQUEST_INTERVAL / 2);
+    }
+    let used = answered as f64 / (end - from).as_secs_f64() / limits.iter().sum::<f64>();
+    assert!(used >= MIN_USED, "{used} of the limits used");
+    for (target, limit) in fleet.targets.iter().zip(limits) {
+        let most = most_in_window(target, from);
+        assert!(
+            most <= max_in_window(limit),
+            "{most} requests in a window at {}",
+            target.id
+        );
+    }
+}
