follow: adopt a proof only with the reader's changes of the configuration

A daemon could take keys for fresh that a newer version had withdrawn: a reader whose copy needs a full read (the store dropped its history) has no changes to give, but gave the age of its proof, and the daemon adopted it for the older version that it held.

Cause: a proof is valid for the configuration that it came with, and nothing tied the two where there was none. Ruled out: a reader that gives no proof then (a daemon with the same or a newer version would lose a valid one; it has the next after the reader's read, milliseconds later). Change: adopted if the response, or the fetch behind it, has changes of the configuration, be they empty. Evidence: proof_of_a_reader_that_cannot_pass_its_configuration_on_is_not_adopted failed (a proof of 0.69 s where the last valid one was 1.5 s and more ago) and passes.

--- a/src/follow/change_fetcher.rs
+++ b/src/follow/change_fetcher.rs
@@ -44,6 +44,15 @@
     }
 }
 
+/// Result of one fetch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FetchResult {
+    /// The changes were merged; `configuration` if those of the configuration were among them.
+    Merged { configuration: bool },
+    /// No response, or unreadable changes.
+    Failed,
+}
+
 /// Fetches changes from readers, one fetch at a time, while proofs go on being polled.
 #[derive(Clone)]
 pub(super) struct ChangeFetcher {
@@ -98,12 +107,14 @@
         }
         let (fetcher, reader) = (self.clone(), reader.clone());
         monoio::spawn(async move {
-            let ok = fetcher.fetch(&reader).await;
-            fetcher.state.set(if ok {
-                proof.adopt(&fetcher.view);
-                FetchState::Idle
-            } else {
-                FetchState::Failed
+            fetcher.state.set(match fetcher.fetch(&reader).await {
+                FetchResult::Merged { configuration } => {
+                    if configuration {
+                        proof.adopt(&fetcher.view);
+                    }
+                    FetchState::Idle
+                }
+                FetchResult::Failed => FetchState::Failed,
             });
         });
     }
@@ -120,7 +131,7 @@
         self.state.get() == FetchState::Failed
     }
 
-    async fn fetch(&self, reader: &str) -> bool {
+    async fn fetch(&self, reader: &str) -> FetchResult {
         let sent = self.clock.now();
         let copies = [
             RequestedCopy::new(&self.tables.configuration),
@@ -142,7 +153,7 @@
                 let waited_ms = self.elapsed_ms(sent);
                 log::warn!(reader = reader, reason:? = e, waited_ms = waited_ms;
                     "fetching changes failed, reading the store");
-                false
+                FetchResult::Failed
             }
         }
     }
@@ -153,8 +164,9 @@
         copies: &[RequestedCopy<'_>; 3],
         res: ChangesResponse,
         sent: BootTime,
-    ) -> bool {
+    ) -> FetchResult {
         let took_ms = self.elapsed_ms(sent);
+        let configuration = res.configuration.is_some();
         let deltas = [res.configuration, res.targets, res.members];
         for (copy, encoded) in copies.iter().zip(deltas) {
             let Some(encoded) = encoded else { continue };
@@ -169,11 +181,11 @@
                     let reason = e.to_string();
                     log::warn!(reader = reader, table = table, reason = reason.as_str();
                         "unreadable changes, reading the store");
-                    return false;
+                    return FetchResult::Failed;
                 }
             }
         }
-        true
+        FetchResult::Merged { configuration }
     }
 
     /// Merges one delta and returns the number of its rows.
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -253,6 +253,8 @@
         };
         let now = self.parts.clock.now();
         let tables = &self.parts.tables;
+        // Without its changes, the reader's proof says nothing about this daemon's configuration.
+        let proves_own = res.configuration.is_some();
         let deltas: [(&FollowedTable, Option<TableDelta>); 3] = [
             (&tables.configuration, res.configuration),
             (&tables.targets, res.targets),
@@ -278,7 +280,7 @@
         if tables.targets.version().is_none() && !res.pending.targets {
             return PollResult::Failed;
         }
-        if !res.pending.configuration {
+        if proves_own {
             proof.adopt(&self.parts.view);
         }
         if res.direct {
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -190,22 +190,33 @@
     runtime.block_on(test);
 }
 
+/// Starts all daemons with a small configuration; returns the reader and the others.
+async fn start_fleet(newest: &Rc<Cell<Option<StoredRow>>>) -> (Rc<Node>, Vec<Rc<Node>>) {
+    let mut nodes: Vec<Rc<Node>> = start_nodes().into_iter().map(Rc::new).collect();
+    let hosts: Vec<Rc<str>> = nodes.iter().map(|node| node.host.clone()).collect();
+    let first = ReaderSelector::default().select(&hosts, SystemClock.now())[0].clone();
+    let reader = nodes
+        .iter()
+        .find(|node| node.host == first)
+        .unwrap()
+        .clone();
+    let small = configuration_row(&configuration(4), 4);
+    let now = SystemClock.now();
+    reader.tables.configuration.replace(vec![small], 4, now);
+    monoio::spawn(feed_reader(reader.clone(), newest.clone()));
+    nodes.retain(|node| node.host != first);
+    sleep(Duration::from_secs(2)).await;
+    for node in &nodes {
+        assert_eq!(node.view.version(), 4, "{} before the change", node.host);
+    }
+    (reader, nodes)
+}
+
 #[test]
 fn large_configuration_is_in_force_in_time_behind_narrow_links() {
     run(async {
-        let mut nodes: Vec<Rc<Node>> = start_nodes().into_iter().map(Rc::new).collect();
-        let hosts: Vec<Rc<str>> = nodes.iter().map(|node| node.host.clone()).collect();
-        let first = ReaderSelector::default().select(&hosts, SystemClock.now())[0].clone();
-        let reader = nodes.iter().find(|node| node.host == first).unwrap();
-        let (newest, now) = (Rc::new(Cell::new(None)), SystemClock.now());
-        let small = configuration_row(&configuration(4), 4);
-        reader.tables.configuration.replace(vec![small], 4, now);
-        monoio::spawn(feed_reader(reader.clone(), newest.clone()));
-        nodes.retain(|node| node.host != first);
-        sleep(Duration::from_secs(2)).await;
-        for node in &nodes {
-            assert_eq!(node.view.version(), 4, "{} before the change", node.host);
-        }
+        let newest = Rc::new(Cell::new(None));
+        let (_reader, nodes) = start_fleet(&newest).await;
 
         newest.set(Some(configuration_row(&large_configuration(6, 1), 6)));
         sleep(Duration::from_secs(1)).await;
@@ -221,6 +232,27 @@
     });
 }
 
+/// Time in which each daemon polls the reader at least once.
+const TWO_POLLS: Duration = Duration::from_millis(1500);
+
+#[test]
+fn proof_of_a_reader_that_cannot_pass_its_configuration_on_is_not_adopted() {
+    run(async {
+        let newest = Rc::new(Cell::new(None));
+        let (reader, nodes) = start_fleet(&newest).await;
+        let changed = configuration_row(&configuration(6), 6);
+        let now = SystemClock.now();
+        reader.tables.configuration.apply(vec![changed], 6, now);
+        reader.tables.configuration.invalidate();
+        sleep(TWO_POLLS).await;
+        let now = SystemClock.now();
+        for node in nodes.iter().filter(|node| node.view.version() < 6) {
+            let age = node.view.freshness().age(now).expect("a proof");
+            assert!(age >= TWO_POLLS, "{} has a proof of {age:?}", node.host);
+        }
+    });
+}
+
 /// Bandwidth of the link to the store in the test of a single transfer, 2.4 Mbit/s: twice what one
 /// copy needs to arrive in time.
 const STORE_LINK_BYTES_PER_S: u32 = 300_000;
