health: remember a low limit for as long as it takes to hear of it again

A target that names a limit far below one request in 15 s got requests of the whole fleet each 15 s: nobody hears of the limit in that time, so that all daemons forgot it at about the same moment. Change: the time grows by that in which the fleet sends five requests within the limit, up to 600 s. Evidence: limit_below_one_request_in_its_window_is_not_forgotten failed (6 in 4 s at 0.02 a second, allowed 5) and passes.

--- a/src/health/throttle/named_limit.rs
+++ b/src/health/throttle/named_limit.rs
@@ -8,8 +8,13 @@
 
 /// Requests that a daemon may send at once.
 const BURST: f64 = 1.0;
-/// Time after which a limit that nobody heard of again is forgotten.
+/// Time after which a limit that nobody heard of again is forgotten, in addition to that in which
+/// the fleet sends [`EXPIRY_REQUESTS`] within the limit.
 const EXPIRY: Duration = Duration::from_secs(15);
+/// See [`EXPIRY`]; all of them may fail to bring news.
+const EXPIRY_REQUESTS: f64 = 5.0;
+/// Longest time for which a limit is remembered without news.
+const MAX_EXPIRY: Duration = Duration::from_secs(600);
 /// Time without the target naming its limit to this daemon after which an answer without a limit
 /// lifts it.
 const LIFT_AFTER: Duration = Duration::from_secs(1);
@@ -89,7 +94,9 @@
 
     /// Returns whether nobody heard of the limit for so long that it is forgotten.
     pub(super) fn is_expired(&self, now: BootTime) -> bool {
-        now.since(self.heard_at) >= EXPIRY
+        let sending = Duration::try_from_secs_f64(EXPIRY_REQUESTS / self.limit_per_s);
+        let expiry = sending.map_or(MAX_EXPIRY, |s| (EXPIRY + s).min(MAX_EXPIRY));
+        now.since(self.heard_at) >= expiry
     }
 
     /// Returns the time until this daemon may send a request. Without a part of the limit, this is
--- a/tests/target_limit.rs
+++ b/tests/target_limit.rs
@@ -258,6 +258,23 @@
     }
 }
 
+#[test]
+fn limit_below_one_request_in_its_window_is_not_forgotten() {
+    for limit in [0.02, 0.05, 0.2] {
+        let mut fleet = Fleet::new(1, Outages::default());
+        fleet.limits[..TARGETS - UNLIMITED].fill(Some(limit));
+        fleet.run();
+        for target in 0..TARGETS - UNLIMITED {
+            let most = fleet.most_in_window(target);
+            let allowed = (1.5 * limit * WINDOW as f64 / 1000.0 + 5.0) as usize;
+            assert!(
+                most <= allowed,
+                "{most} at {target}, allowed {allowed} at {limit} 1/s"
+            );
+        }
+    }
+}
+
 #[test]
 fn requests_go_to_targets_without_a_limit_while_these_have_room() {
     for seed in 1..=10 {
