proxy: answer an error for a response that breaks off early, and end relays at the deadline

Cause: the head of a response was sent to the caller as soon as it was complete. A bare line feed in a head was noticed only at the end of the head, or at its timeout. Ruled out: heads cut within (each byte, close and reset): 502 before, too; nothing of them looks whole. Change: a body of known length up to 16 KB is received whole, of others the first part, before the head is relayed; if that fails the attempt failed, with a retry where the request may run again. A relay ends 100 ms behind the request's deadline at the latest, with a reset. A bare line feed is refused when it arrives. Two cases of earlier tests expected a cut connection for a short body that breaks off; they expect a whole 502 now, which tells the caller more.

--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -86,17 +86,15 @@
     Ok(true)
 }
 
-/// Checks the line ends in the raw bytes of a complete head.
+/// Checks the line ends in the raw bytes of a head, or of its beginning, from the offset `from` on.
 ///
 /// # Errors
 ///
 /// Returns [`HttpError::Malformed`] on a line feed without a carriage return, which the head
 /// decoder would accept as a line end.
-pub(super) fn check_line_ends(head: &[u8]) -> Result<(), HttpError> {
-    let bare = head
-        .iter()
-        .enumerate()
-        .any(|(i, b)| *b == b'\n' && (i == 0 || head[i - 1] != b'\r'));
+pub(super) fn check_line_ends(head: &[u8], from: usize) -> Result<(), HttpError> {
+    let is_bare = |i: usize| head[i] == b'\n' && (i == 0 || head[i - 1] != b'\r');
+    let bare = (from..head.len()).any(is_bare);
     if bare {
         return Err(HttpError::Malformed("line feed without carriage return"));
     }
--- a/src/http/reader.rs
+++ b/src/http/reader.rs
@@ -158,8 +158,10 @@
                 if end > max_bytes {
                     return Err(HttpError::HeadTooLarge);
                 }
-                return framing::check_line_ends(&self.buf[..end]);
+                return framing::check_line_ends(&self.buf[..end], from);
             }
+            // A head with a bare line feed is malformed whatever follows.
+            framing::check_line_ends(&self.buf, from)?;
             if self.buf.len() >= max_bytes {
                 return Err(HttpError::HeadTooLarge);
             }
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -4,12 +4,17 @@
 
 use crate::{
     health::{Observation, WorkResult},
+    http::response_body_kind,
     metrics::{Counter, Latency},
     poison::Verdict,
     retry::{Action, AttemptFailure, Event},
 };
 
-use super::{crash_detection::target_crashed, dispatch::RequestRun, head_format::ResponseClass};
+use super::{
+    crash_detection::target_crashed,
+    dispatch::{RequestRun, StartedResponse},
+    head_format::ResponseClass,
+};
 
 impl RequestRun<'_> {
     /// Opens the circuit breaker of the target; with `notify_fleet`, at all daemons, which is for
@@ -29,8 +34,8 @@
         }
     }
 
-    /// Handles a response head.
-    pub(super) fn on_response_head(&mut self, head: response::Parts) -> Action {
+    /// Handles a response head, and receives the beginning of the body of an answer.
+    pub(super) async fn on_response_head(&mut self, head: response::Parts) -> Action {
         let Some(attempt) = &self.attempt else {
             return self.step(Event::CallerDisconnected);
         };
@@ -64,8 +69,19 @@
                 return self.step(Event::Failed(AttemptFailure::Malformed));
             }
         }
-        let now = self.cx.clock.now();
-        let latency = now.since(attempt.started);
+        let Ok(kind) = response_body_kind(&self.head.method, &head) else {
+            self.observe(WorkResult::Lost);
+            return self.step(Event::Failed(AttemptFailure::Malformed));
+        };
+        let (started, now) = (attempt.started, self.cx.clock.now());
+        let Some(exchange) = self.exchange() else {
+            return self.step(Event::CallerDisconnected);
+        };
+        let body = match exchange.receive_beginning(kind).await {
+            Ok(body) => body,
+            Err(event) => return self.on_attempt_ended(event).await,
+        };
+        let latency = now.since(started);
         self.cx
             .metrics
             .record_latency(Latency::TargetLatencyS, latency);
@@ -76,7 +92,7 @@
         } else {
             WorkResult::Success
         });
-        self.response_head = Some(head);
+        self.response = Some(StartedResponse { head, kind, body });
         self.step(Event::ResponseHead)
     }
 
--- a/src/proxy/claimed_dispatch.rs
+++ b/src/proxy/claimed_dispatch.rs
@@ -106,7 +106,7 @@
         let store = store.clone();
         let in_flight = self.cx.in_flight.try_acquire();
         if let Ok(response) = result {
-            let status = response.head.status.as_u16();
+            let status = response.started.head.status.as_u16();
             monoio::spawn(async move {
                 store.finish(claim, status).await;
                 drop(in_flight);
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -8,7 +8,7 @@
     claim::FirstRequest,
     clock::BootTime,
     health::{PickError, PickedTarget, ScheduleRequest, TargetId},
-    http::{HttpError, HttpReader},
+    http::{BodyKind, HttpError, HttpReader},
     metrics::Counter,
     outcome::ErrorKind,
     pool::{TargetConnection, MAX_IDLE, MAX_RECENT_IDLE},
@@ -22,7 +22,7 @@
     access_log::{log_placed, log_retry, PlacedEntry},
     admitted_request::AdmittedRequest,
     deadline::Deadline,
-    exchange::Exchange,
+    exchange::{Exchange, ResponseBody},
     request_body::RequestBody,
     ProxyContext,
 };
@@ -41,11 +41,21 @@
     pub(super) deadline: Deadline,
 }
 
-/// A target's response, whose body is still to be read.
-pub(super) struct TargetResponse {
+/// A response with the beginning of its body.
+pub(super) struct StartedResponse {
     /// Response head.
     pub(super) head: response::Parts,
-    /// Connection from which the body is read.
+    /// Framing of the body.
+    pub(super) kind: BodyKind,
+    /// The body.
+    pub(super) body: ResponseBody,
+}
+
+/// A target's response, of which the rest of the body is still to be read.
+pub(super) struct TargetResponse {
+    /// The response as far as it was received.
+    pub(super) started: StartedResponse,
+    /// Connection from which the rest is read.
     pub(super) conn: TargetConnection,
     /// The picked target, which counts the request as in flight until this is dropped.
     pub(super) picked: PickedTarget,
@@ -107,7 +117,7 @@
             tried: Vec::new(),
             throttled_for: Duration::ZERO,
             attempt: None,
-            response_head: None,
+            response: None,
         };
         RunResult {
             result: run.execute().await,
@@ -136,7 +146,7 @@
     /// Time until a target may take the request, if all limit their requests.
     throttled_for: Duration,
     pub(super) attempt: Option<CurrentAttempt>,
-    pub(super) response_head: Option<response::Parts>,
+    pub(super) response: Option<StartedResponse>,
 }
 
 impl RequestRun<'_> {
@@ -262,7 +272,7 @@
         };
         match exchange.send().await {
             Ok(None) => next,
-            Ok(Some(head)) => self.on_response_head(head),
+            Ok(Some(head)) => self.on_response_head(head).await,
             Err(event) => self.on_attempt_ended(event).await,
         }
     }
@@ -273,7 +283,7 @@
             return self.step(Event::CallerDisconnected);
         };
         match exchange.await_head(timeout).await {
-            Ok(head) => self.on_response_head(head),
+            Ok(head) => self.on_response_head(head).await,
             Err(Event::SilenceTimeout) => {
                 if let Some(attempt) = &mut self.attempt {
                     attempt.silence_handled = true;
@@ -284,7 +294,7 @@
         }
     }
 
-    fn exchange(&mut self) -> Option<Exchange<'_>> {
+    pub(super) fn exchange(&mut self) -> Option<Exchange<'_>> {
         let attempt = self.attempt.as_mut()?;
         Some(Exchange {
             conn: attempt.conn.as_mut()?,
@@ -339,8 +349,8 @@
             .take()
             .ok_or(DispatchError::CallerDisconnected)?;
         Ok(TargetResponse {
-            head: self
-                .response_head
+            started: self
+                .response
                 .take()
                 .ok_or(DispatchError::CallerDisconnected)?,
             conn: attempt.conn.ok_or(DispatchError::CallerDisconnected)?,
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use http::{request, response, StatusCode};
 use monoio::time::timeout;
 
 use crate::{
     config::LimitSettings,
-    http::{encode_request_head, HeadLimits, HttpError, HttpReader},
+    http::{encode_request_head, BodyDecoder, BodyKind, HeadLimits, HttpError, HttpReader},
     pool::TargetConnection,
     retry::{AttemptFailure, Event},
 };
@@ -18,6 +18,17 @@
 /// Maximum number of bytes of pipelined requests that are read while waiting for a response.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 
+/// Largest body of a response that is received whole before its head is relayed, in bytes.
+const MAX_WHOLE_BODY_BYTES: u64 = 16 * 1024;
+
+/// The body of a response, whose beginning has been received.
+pub(super) struct ResponseBody {
+    /// Decodes the rest of the body.
+    pub(super) decoder: BodyDecoder,
+    /// The first part of the body; all of it if it is short and of known length.
+    pub(super) first: Option<Bytes>,
+}
+
 /// The exchange with the target of one attempt: sends the request and awaits the response head.
 pub(super) struct Exchange<'a> {
     /// Connection to the target.
@@ -70,6 +81,21 @@
         }
     }
 
+    /// Receives the beginning of a body of `kind`, so that a response that breaks off there can
+    /// still become an error or a retry.
+    ///
+    /// # Errors
+    ///
+    /// Returns the event that occurred instead.
+    pub(super) async fn receive_beginning(self, kind: BodyKind) -> Result<ResponseBody, Event> {
+        let reader = &mut self.conn.reader;
+        monoio::select! {
+            body = read_beginning(reader, kind) => body,
+            () = caller_disconnected(self.caller) => Err(Event::CallerDisconnected),
+            () = monoio::time::sleep(self.time_left) => Err(Event::DeadlinePassed),
+        }
+    }
+
     async fn send_all(&mut self) -> Result<Option<response::Parts>, Event> {
         self.send_head().await?;
         if let RequestBody::Streamed(..) = self.body {
@@ -134,6 +160,31 @@
     std::future::pending::<()>().await;
 }
 
+/// Reads a short body of known length, or the first part of another one.
+async fn read_beginning(reader: &mut HttpReader, kind: BodyKind) -> Result<ResponseBody, Event> {
+    let mut decoder = BodyDecoder::new(kind);
+    let is_short = matches!(kind, BodyKind::Fixed(n) if n <= MAX_WHOLE_BODY_BYTES);
+    let mut first = BytesMut::new();
+    while let Some(part) = reader.next_part(&mut decoder).await.map_err(body_event)? {
+        if !is_short {
+            return Ok(ResponseBody {
+                decoder,
+                first: Some(part),
+            });
+        }
+        first.extend_from_slice(&part);
+    }
+    let first = Some(first.freeze()).filter(|first| !first.is_empty());
+    Ok(ResponseBody { decoder, first })
+}
+
+fn body_event(e: HttpError) -> Event {
+    Event::Failed(match e {
+        HttpError::Io(_) | HttpError::UnexpectedEof | HttpError::Timeout => AttemptFailure::Lost,
+        _ => AttemptFailure::Malformed,
+    })
+}
+
 /// Reads response heads up to the first one that is not informational.
 async fn read_final_head(
     reader: &mut HttpReader,
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -1,17 +1,27 @@
 //! Relaying of responses from targets to callers.
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use http::{header, response, HeaderValue, Method, Version};
 use monoio::time::timeout;
 
 use crate::{
-    config::LimitSettings,
-    http::{encode_response_head, response_body_kind, BodyDecoder, BodyKind, Framing, HttpWriter},
+    http::{encode_response_head, BodyKind, Framing, HttpError, HttpWriter},
     metrics::Counter,
     pool::TargetConnection,
 };
 
-use super::{dispatch::TargetResponse, ProxyContext};
+use super::{
+    deadline::Deadline,
+    dispatch::{StartedResponse, TargetResponse},
+    exchange::ResponseBody,
+    ProxyContext,
+};
+
+/// Time beyond the deadline for the rest of a response that began before it. It stays below the
+/// time after which the operator's rules count a request as held.
+const RELAY_GRACE: Duration = Duration::from_millis(100);
 
 /// Properties of the request that determine the form of the response.
 pub(super) struct ResponseParams<'a> {
@@ -26,6 +36,8 @@
     /// Whether the target is known to have received the complete request, so that its connection
     /// can be reused.
     pub(super) target_reusable: bool,
+    /// Deadline of the request.
+    pub(super) deadline: Deadline,
 }
 
 /// Result of relaying a response.
@@ -37,8 +49,6 @@
     Close,
     /// The response was truncated; the caller's connection must be reset.
     Truncated,
-    /// The response cannot be framed; nothing was sent to the caller.
-    Malformed,
 }
 
 /// Relays a target's response to the caller.
@@ -49,13 +59,15 @@
     writer: &mut HttpWriter,
 ) -> RelayResult {
     let TargetResponse {
-        mut head,
-        mut conn,
+        started:
+            StartedResponse {
+                mut head,
+                kind,
+                body,
+            },
+        conn,
         picked,
     } = response;
-    let Ok(kind) = response_body_kind(params.method, &head) else {
-        return RelayResult::Malformed;
-    };
     let leaving = cx.heads.target_report(head.status, &head.headers).leaving;
     let is_whole = params.target_reusable && kind != BodyKind::UntilClose;
     let reusable = is_whole && !leaving && allows_reuse(&head);
@@ -68,7 +80,15 @@
     }
     let mut buf = BytesMut::new();
     encode_response_head(&head, framing, &mut buf);
-    let res = relay_body(&cx.limits, &mut conn, kind, framing, buf, writer).await;
+    let mut relay = Relay {
+        cx,
+        conn,
+        writer,
+        framing,
+        deadline: params.deadline,
+    };
+    let res = relay.run(buf, body).await;
+    let conn = relay.conn;
     drop(picked);
     if res.is_err() {
         cx.metrics.count(Counter::AnswersCutOff);
@@ -85,44 +105,65 @@
     }
 }
 
-async fn relay_body(
-    limits: &LimitSettings,
-    conn: &mut TargetConnection,
-    kind: BodyKind,
+/// The relay of one body.
+struct Relay<'a> {
+    cx: &'a ProxyContext,
+    conn: TargetConnection,
+    writer: &'a mut HttpWriter,
     framing: Framing,
-    mut pending: BytesMut,
-    writer: &mut HttpWriter,
-) -> Result<(), ()> {
-    let mut decoder = BodyDecoder::new(kind);
-    let limit = limits.body_part_timeout;
-    let mut first = true;
-    loop {
-        let part = timeout(limit, conn.reader.next_part(&mut decoder)).await;
-        let part = part.map_err(|_| ())?.map_err(|_| ());
-        if first {
-            first = false;
-            if let (Ok(Some(part)), Framing::Length(_)) = (&part, framing) {
-                pending.extend_from_slice(part);
-                write_with_timeout(limits, writer.write(pending.split().freeze())).await?;
+    deadline: Deadline,
+}
+
+impl Relay<'_> {
+    /// Relays the head in `buf` and the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the target or the caller fails, stalls, or goes on past the deadline.
+    async fn run(&mut self, mut buf: BytesMut, body: ResponseBody) -> Result<(), HttpError> {
+        let (mut decoder, mut part) = (body.decoder, body.first);
+        if let (Some(first), Framing::Length(_)) = (&part, self.framing) {
+            buf.extend_from_slice(first);
+            part = None;
+        }
+        let framing = self.framing;
+        let limit = self.time_left()?;
+        within(limit, self.writer.write(buf.freeze())).await?;
+        loop {
+            let limit = self.time_left()?;
+            if let Some(part) = part.take() {
+                within(limit, self.writer.write_part(framing, part)).await?;
                 continue;
             }
-            write_with_timeout(limits, writer.write(pending.split().freeze())).await?;
+            part = within(limit, self.conn.reader.next_part(&mut decoder)).await?;
+            if part.is_none() {
+                return within(self.time_left()?, self.writer.finish_body(framing)).await;
+            }
         }
-        match part? {
-            Some(part) => write_with_timeout(limits, writer.write_part(framing, part)).await?,
-            None => return write_with_timeout(limits, writer.finish_body(framing)).await,
+    }
+
+    /// Returns the longest time of the next step.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HttpError::Timeout`] if the deadline and [`RELAY_GRACE`] have passed.
+    fn time_left(&self) -> Result<Duration, HttpError> {
+        let end = self.deadline.at() + RELAY_GRACE;
+        let left = end.since(self.cx.clock.now());
+        if left.is_zero() {
+            return Err(HttpError::Timeout);
         }
+        Ok(left.min(self.cx.limits.body_part_timeout))
     }
 }
 
-async fn write_with_timeout(
-    limits: &LimitSettings,
-    write: impl std::future::Future<Output = Result<(), crate::http::HttpError>>,
-) -> Result<(), ()> {
-    match timeout(limits.body_part_timeout, write).await {
-        Ok(Ok(())) => Ok(()),
-        _ => Err(()),
-    }
+async fn within<T>(
+    limit: Duration,
+    work: impl std::future::Future<Output = Result<T, HttpError>>,
+) -> Result<T, HttpError> {
+    timeout(limit, work)
+        .await
+        .unwrap_or(Err(HttpError::Timeout))
 }
 
 fn allows_reuse(head: &response::Parts) -> bool {
--- a/src/proxy/request_handler.rs
+++ b/src/proxy/request_handler.rs
@@ -177,13 +177,14 @@
                 return self.conn.respond_error(kind.into(), &error_params).await;
             }
         };
-        let status = response.head.status;
+        let status = response.started.head.status;
         let params = ResponseParams {
             method: &head.method,
             version: head.version,
             keep_alive,
             request_id: req.id,
             target_reusable: body.is_replayable(),
+            deadline: dispatch.deadline,
         };
         let relayed = relay_response(&cx, response, &params, &mut self.conn.writer).await;
         let took = cx.clock.now().since(started);
@@ -201,10 +202,6 @@
             RelayResult::KeepAlive => ConnectionFate::KeepAlive,
             RelayResult::Close => ConnectionFate::Close,
             RelayResult::Truncated => ConnectionFate::Reset,
-            RelayResult::Malformed => {
-                let kind = ErrorKind::TargetMalformed;
-                self.conn.respond_error(kind.into(), &error_params).await
-            }
         }
     }
 
--- a/standins/src/entry_target.rs
+++ b/standins/src/entry_target.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     http::{respond, ConnectionAction, Handler, Request, Server},
-    RowStore,
+    RowStore, Script,
 };
 
 /// How a target handles requests.
@@ -49,6 +49,8 @@
     EndlessBody,
     /// Does not respond.
     Hangs,
+    /// Answers after this time.
+    AnswersAfter(Duration),
 }
 
 /// A request that was executed by a target.
@@ -73,6 +75,8 @@
 struct Shared {
     id: String,
     behaviour: Mutex<TargetBehaviour>,
+    /// What is sent instead of responses.
+    script: Mutex<Option<Script>>,
     /// Headers that are added to each response to a request.
     extra_headers: Mutex<Vec<(String, String)>>,
     runs: Mutex<Vec<EntryRun>>,
@@ -101,6 +105,7 @@
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             behaviour: Mutex::default(),
+            script: Mutex::default(),
             extra_headers: Mutex::default(),
             runs: Mutex::default(),
             refusals: Mutex::default(),
@@ -140,6 +145,11 @@
         *lock(&self.shared.behaviour) = behaviour;
     }
 
+    /// Makes the target run requests and send the bytes of `script` instead of its responses.
+    pub fn set_script(&self, script: Option<Script>) {
+        *lock(&self.shared.script) = script;
+    }
+
     /// Replaces the headers that are added to each response to a request.
     pub fn set_extra_headers(&self, headers: &[(&str, &str)]) {
         let owned = |(name, value): &(&str, &str)| ((*name).to_owned(), (*value).to_owned());
@@ -240,6 +250,10 @@
             _ => self.record(req),
         }
         thread::sleep(self.work);
+        let script = lock(&self.script).clone();
+        if let Some(script) = script {
+            return script.play(stream, &id);
+        }
         match behaviour {
             TargetBehaviour::ClosesAfterRun => Ok(ConnectionAction::Close),
             TargetBehaviour::Fails => self.answer(stream, 500, &id),
@@ -281,6 +295,10 @@
                 );
                 send_endlessly(stream, &head, "4\r\nyyyy\r\n")
             }
+            TargetBehaviour::AnswersAfter(time) => {
+                thread::sleep(time);
+                self.answer(stream, 200, &id)
+            }
             TargetBehaviour::Hangs => {
                 thread::sleep(Duration::from_secs(20));
                 Ok(ConnectionAction::Close)
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod process_role;
 mod row_store;
+mod script;
 mod target;
 
 pub use client::{Client, Reply};
@@ -24,4 +25,5 @@
 pub use platform::{HostRow, Platform, PlatformFaults, PlatformStats};
 pub use process_role::run_role;
 pub use row_store::{RowStore, RowStoreFaults};
+pub use script::{Script, ScriptEnd};
 pub use target::{Target, TargetFaults, TargetOptions, WorkRecord};
--- a/tests/entry_targets.rs
+++ b/tests/entry_targets.rs
@@ -73,7 +73,7 @@
     Case {
         behaviour: TargetBehaviour::TruncatesBody,
         path: "/two/x",
-        status: 0,
+        status: 502,
         max_runs: 1,
     },
     Case {
--- a/tests/hostile_target.rs
+++ b/tests/hostile_target.rs
@@ -65,7 +65,7 @@
     case("garbage for a chunk", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\nok\r\n0\r\n\r\n", false, Expected::Truncated),
     case("chunk extension", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n2;x=y\r\nok\r\n0\r\n\r\n", false, Expected::Truncated),
     case("trailer", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx: y\r\n\r\n", false, Expected::Truncated),
-    case("short body", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort", true, Expected::Truncated),
+    case("short body", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort", true, Expected::Error(502, "target_lost")),
     case("chunks without their end", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n", true, Expected::Truncated),
     case("folded header", "HTTP/1.1 200 OK\r\nx: y\r\n z\r\ncontent-length: 0\r\n\r\n", false, MALFORMED),
     case("header behind a bare line feed", "HTTP/1.1 200 OK\r\nx: y\nset-cookie: a=b\r\ncontent-length: 0\r\n\r\n", false, MALFORMED),
