--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -128,11 +128,8 @@
 /// Drains requests in flight within the shutdown time from the settings.
 async fn shut_down(proxy: &ProxyContext, settings: &FrontSettings) {
     log::info!("shutting down");
-    proxy.draining.trigger();
-    monoio::time::sleep(settings.limits.drain_notice).await;
-    proxy.shutdown.trigger();
-    let left = settings.shutdown_timeout.mul_f64(DRAIN_SHARE);
-    drain(proxy, left.saturating_sub(settings.limits.drain_notice)).await;
+    let grace = settings.shutdown_timeout.mul_f64(DRAIN_SHARE);
+    drain(proxy, settings.limits.drain_notice.min(grace), grace).await;
     log::info!("stopped");
 }
 
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -186,10 +186,8 @@
 
     Signals::termination()?.next().await?;
     log::info!("shutting down");
-    proxy.draining.trigger();
-    monoio::time::sleep(settings.limits.drain_notice).await;
-    shutdown.trigger();
-    drain(&proxy, settings.limits.shutdown_timeout).await;
+    let notice = settings.limits.drain_notice;
+    drain(&proxy, notice, notice + settings.limits.shutdown_timeout).await;
     steps.run(SHUTDOWN_STEP_TIMEOUT).await;
     Ok(())
 }
--- a/src/daemon/runtime.rs
+++ b/src/daemon/runtime.rs
@@ -1,18 +1,13 @@
 //! Runtime, listeners and request draining of all daemons.
 
-use std::{
-    future::Future,
-    mem::ManuallyDrop,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{future::Future, mem::ManuallyDrop, net::SocketAddr, time::Duration};
 
 use monoio::{
     net::{ListenerOpts, TcpListener},
     LegacyDriver, RuntimeBuilder,
 };
 
-use crate::proxy::ProxyContext;
+use crate::{clock::BootTime, proxy::ProxyContext};
 
 use super::DaemonError;
 
@@ -36,16 +31,38 @@
     runtime.block_on(tasks)
 }
 
-/// Waits until no requests or connections are left, at most for `limit`.
-pub(super) async fn drain(proxy: &ProxyContext, limit: Duration) {
-    let end = Instant::now() + limit;
-    while proxy.in_flight.count() + proxy.connections.count() > 0 && Instant::now() < end {
-        monoio::time::sleep(DRAIN_POLL_INTERVAL).await;
+/// Time for the error responses to requests that are under way at the end of the grace.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(200);
+
+/// Stops accepting requests after `notice` and waits until none is left, at most for `grace` in
+/// total. Requests that are under way then get an error response.
+pub(super) async fn drain(proxy: &ProxyContext, notice: Duration, grace: Duration) {
+    let end = proxy.clock.now() + grace;
+    proxy.grace.start(end);
+    proxy.draining.trigger();
+    monoio::time::sleep(notice).await;
+    proxy.shutdown.trigger();
+    if wait_until_idle(proxy, end).await {
+        return;
+    }
+    log::warn!(requests = proxy.in_flight.count(); "ending requests at the end of the shutdown");
+    proxy.grace.finish();
+    wait_until_idle(proxy, end + LAST_RESPONSES_TIME).await;
+    let cut_off = proxy.in_flight.count();
+    if cut_off > 0 {
+        log::error!(requests = cut_off; "requests cut off at the end of the shutdown");
     }
-    let left = proxy.in_flight.count();
-    if left > 0 {
-        log::error!("drain timed out with {left} requests in flight");
+}
+
+/// Waits until no requests or connections are left; returns false if some are left at `end`.
+async fn wait_until_idle(proxy: &ProxyContext, end: BootTime) -> bool {
+    while proxy.in_flight.count() + proxy.connections.count() > 0 {
+        if proxy.clock.now() >= end {
+            return false;
+        }
+        monoio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    true
 }
 
 /// Binds a listening socket.
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -8,7 +8,7 @@
     config::LimitSettings,
     health::{FailureNotifier, TokenBorrower},
     http::HeadLimits,
-    lifecycle::{BoundedCounter, PauseDetector, ShutdownSignal},
+    lifecycle::{BoundedCounter, PauseDetector, ShutdownGrace, ShutdownSignal},
     limit::Limiter,
     metrics::Metrics,
     poison::PoisonTracker,
@@ -59,6 +59,8 @@
     pub draining: ShutdownSignal,
     /// Signal that no further connections and requests are accepted.
     pub shutdown: ShutdownSignal,
+    /// Time that a shutdown leaves for requests.
+    pub grace: ShutdownGrace,
     /// Detects pauses of the process.
     pub pauses: PauseDetector,
     /// Open caller connections.
@@ -132,6 +134,7 @@
             clock: parts.clock,
             draining: parts.draining,
             shutdown: parts.shutdown,
+            grace: ShutdownGrace::default(),
             retry_states: ServiceRetryStates::new(parts.retry_budget),
             request_ids: RefCell::new(RequestIds::default()),
         }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -151,14 +151,18 @@
 
 impl RequestRun<'_> {
     async fn execute(&mut self) -> Result<TargetResponse, DispatchError> {
+        let cx = self.cx;
         let mut action = Action::Pick;
         loop {
             action = match action {
-                Action::Pick => self.pick_target().await,
-                Action::Connect(source) => self.connect(source).await,
-                Action::Send => self.send_request().await,
-                Action::AwaitHead => self.await_response_head().await,
-                Action::CheckBudget(reason) => self.check_budget(reason),
+                Action::Pick
+                | Action::Connect(_)
+                | Action::Send
+                | Action::AwaitHead
+                | Action::CheckBudget(_) => monoio::select! {
+                    next = self.perform(action) => next,
+                    () = cx.grace.wait() => self.step(Event::DeadlinePassed),
+                },
                 Action::Relay => return self.take_response(),
                 Action::RespondError(ErrorKind::TargetsLimited) => {
                     return Err(DispatchError::Throttled(self.throttled_for))
@@ -171,6 +175,18 @@
         }
     }
 
+    /// Performs an action that does not end the request, and returns the next one.
+    async fn perform(&mut self, action: Action) -> Action {
+        match action {
+            Action::Pick => self.pick_target().await,
+            Action::Connect(source) => self.connect(source).await,
+            Action::Send => self.send_request().await,
+            Action::AwaitHead => self.await_response_head().await,
+            Action::CheckBudget(reason) => self.check_budget(reason),
+            other => other,
+        }
+    }
+
     /// Reports `event` to the state machine; an event that is not valid in the current phase
     /// cancels the request.
     pub(super) fn step(&mut self, event: Event) -> Action {
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -87,7 +87,10 @@
         framing,
         deadline: params.deadline,
     };
-    let res = relay.run(buf, body).await;
+    let res = monoio::select! {
+        res = relay.run(buf, body) => res,
+        () = cx.grace.wait() => Err(HttpError::Timeout),
+    };
     let conn = relay.conn;
     drop(picked);
     if res.is_err() {
--- a/src/proxy/request_handler.rs
+++ b/src/proxy/request_handler.rs
@@ -66,7 +66,11 @@
             limits: &cx.limits,
             buffered: &cx.buffered_bytes,
         };
-        let body = match receiver.receive(&mut self.conn.reader).await {
+        let received = monoio::select! {
+            received = receiver.receive(&mut self.conn.reader) => received,
+            () = cx.grace.wait() => Err(ErrorKind::ShuttingDown),
+        };
+        let body = match received {
             Ok(body) => body,
             Err(kind) => return self.refuse(kind.into(), &head, req).await,
         };
@@ -87,10 +91,21 @@
         if matches!(req.kind, BodyKind::Fixed(n) if n > max) {
             return Err(ErrorKind::BodyTooLarge.into());
         }
+        if !cx.grace.has_time_for(self.deadline(head, &authorized).at()) {
+            return Err(ErrorKind::ShuttingDown.into());
+        }
         let grant = admit(cx, &authorized, req.id).await?;
         Ok((authorized, grant))
     }
 
+    /// Returns the deadline of a request that is sent to targets now.
+    fn deadline(&self, head: &request::Parts, authorized: &AuthorizedRequest) -> Deadline {
+        let cx = &self.conn.cx;
+        let caller_timeout = cx.heads.caller_timeout(&head.headers);
+        let timeouts = [caller_timeout, authorized.timeout, Some(cx.limits.deadline)];
+        Deadline::earliest(&timeouts, cx.clock.now())
+    }
+
     /// Requests admission again if the grant expired while the body was received.
     async fn renew_grant(
         &self,
@@ -129,15 +144,19 @@
         let started = cx.clock.now();
         let mut body = received.body;
         let admitted = AdmittedRequest::new(&cx, authorized, req.id);
-        let caller_timeout = cx.heads.caller_timeout(&head.headers);
-        let timeouts = [caller_timeout, authorized.timeout, Some(cx.limits.deadline)];
+        let deadline = self.deadline(&head, authorized);
+        if !cx.grace.has_time_for(deadline.at()) {
+            return self
+                .refuse(ErrorKind::ShuttingDown.into(), &head, req)
+                .await;
+        }
         let workspace = authorized.workspace();
         let dispatch = Dispatch {
             cx: &cx,
             admitted: &admitted,
             request_id: req.id,
             repeatable: authorized.repeatable,
-            deadline: Deadline::earliest(&timeouts, started),
+            deadline,
         };
         let origin = RequestOrigin {
             workspace: authorized.identity.as_ref().map(|i| &*i.workspace),
