--- a/src/config/front_settings.rs
+++ b/src/config/front_settings.rs
@@ -44,6 +44,9 @@
     pub floor: f64,
     /// Requests above rate and burst that the whole fleet may admit for a workspace.
     pub quota_slack: f64,
+    /// Whether the whole fleet starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// Trade-off in the health checks of targets: `few_false_ejections` or `fast_detection`.
     #[serde(default)]
     pub profile: Profile,
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -14,7 +14,7 @@
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
     config::{self, FrontSettings, KEY_PROOF_MARGIN},
-    follow::{join_fleet, JoinParts, MemberRow, StoreConnectivity},
+    follow::{join_fleet, JoinParts, JoinedFleet, MemberRow, StoreConnectivity},
     health::{BalancerHandle, FailureHandler, FailureNotifier, LendHandler, TokenBorrower},
     lifecycle::{readiness_server_task, ReadinessServer, ShutdownSignal, Signals},
     membership::Incarnation,
@@ -94,7 +94,7 @@
     let base = FrontBase::new(settings);
     base.start_readiness_server(ready_listener, &draining);
 
-    let secrets = FleetSecrets::new(&[base.join().await]);
+    let secrets = FleetSecrets::default();
     let directory = PeerDirectory::new(&base.settings.host, &Default::default());
     let peers = PeerClient::new(secrets.clone(), directory, base.metrics.clone());
     let front = FrontDaemon { base, peers };
@@ -102,12 +102,12 @@
     let balancer = front.start_balancer(&mut router);
     let holders = SliceHolders::default();
     let tables = front.make_tables(&balancer, &holders);
-    front.follow_tables(&tables, &mut router);
-    let limiter = front.start_quota(&holders, &mut router, incarnation);
+    let following = front.prepare_following(&tables, &mut router);
+    let (limiter, lease) = front.prepare_quota(&holders, &mut router, incarnation);
     let poison = front.start_poison(&mut router);
     monoio::spawn(peer_server_task(
         Rc::new(PeerServer {
-            secrets,
+            secrets: secrets.clone(),
             router,
             metrics: front.base.metrics.clone(),
         }),
@@ -120,7 +120,17 @@
     let settings = &front.base.settings;
     log::info!("serving callers on {}", settings.caller_address);
 
-    Signals::termination()?.next().await?;
+    let mut termination = Signals::termination()?;
+    monoio::select! {
+        joined = front.base.join() => {
+            secrets.set(&[joined.secret]);
+            tables.members.sink().replace(joined.members, front.base.clock.now());
+            following.start();
+            monoio::spawn(lease.run());
+            termination.next().await?;
+        }
+        stopped = termination.next() => stopped?,
+    }
     shut_down(&proxy, settings).await;
     Ok(())
 }
@@ -174,8 +184,8 @@
         monoio::spawn(readiness_server_task(Rc::new(server), listener));
     }
 
-    /// Registers this daemon and returns the fleet secret.
-    async fn join(&self) -> String {
+    /// Registers this daemon in the fleet.
+    async fn join(&self) -> JoinedFleet {
         let row = MemberRow {
             data_centre: self.settings.data_centre.clone(),
             address: self.settings.peer_address,
@@ -185,6 +195,7 @@
             store: &*self.store,
             host: &self.settings.host,
             row: &row,
+            first_start: self.settings.first_start,
         };
         join_fleet(&parts).await
     }
@@ -237,12 +248,13 @@
         }
     }
 
-    fn start_quota(
+    /// Creates the limiter, and the task of the slice lease, which runs once the fleet is known.
+    fn prepare_quota(
         &self,
         holders: &SliceHolders,
         router: &mut PeerRouter,
         incarnation: Incarnation,
-    ) -> QuotaLimiter {
+    ) -> (QuotaLimiter, LeaseTask) {
         let (base, settings) = (&self.base, &self.base.settings);
         let slice = LocalSlice::new(SliceShare {
             slices: settings.data_centres.len() as u32,
@@ -258,7 +270,6 @@
             incarnation,
             clock: base.clock.clone(),
         });
-        monoio::spawn(lease.run());
         let handler = TokenHandler {
             slice: slice.clone(),
             view: base.view.clone(),
@@ -266,14 +277,15 @@
             metrics: base.metrics.clone(),
         };
         router.register(MessageKind::Ask, Rc::new(handler));
-        QuotaLimiter::new(QuotaParts {
+        let limiter = QuotaLimiter::new(QuotaParts {
             slice,
             holders: holders.clone(),
             peers: self.peers.clone(),
             data_centre: settings.data_centre.clone(),
             clock: base.clock.clone(),
             metrics: base.metrics.clone(),
-        })
+        });
+        (limiter, lease)
     }
 
     fn token_borrower(&self, balancer: BalancerHandle) -> TokenBorrower {
--- a/src/daemon/front_tables.rs
+++ b/src/daemon/front_tables.rs
@@ -15,35 +15,47 @@
 
 use super::front::{BalancerParts, FrontDaemon};
 
-/// Options for following the configuration. One response proves to a whole data centre that the
-/// keys are fresh, so the long poll must be shorter than the maximum age that others accept as
-/// proof.
-const FOLLOW_CONFIGURATION: FollowOptions = FollowOptions {
-    long_poll: Duration::from_millis(800),
-    batch_delay: Duration::ZERO,
-    tracks_connectivity: true,
-    bootstraps: false,
-};
-/// Options for following targets. A dead connection is detected after the long poll, within the
-/// time that the operator's rules allow after a store failure. The batch delay is well below the
-/// time within which a leaving target must stop receiving work.
-const FOLLOW_TARGETS: FollowOptions = FollowOptions {
-    long_poll: Duration::from_secs(3),
-    batch_delay: Duration::from_millis(300),
-    tracks_connectivity: false,
-    bootstraps: false,
-};
-/// Options for following the fleet's daemons; nothing needs membership changes within seconds.
-const FOLLOW_MEMBERS: FollowOptions = FollowOptions {
-    long_poll: Duration::from_secs(10),
-    batch_delay: Duration::from_secs(2),
-    tracks_connectivity: false,
-    bootstraps: true,
-};
+/// Longest time that the store holds a call for the configuration open. One response proves to a
+/// whole data centre that the keys are fresh, so that it must be shorter than the maximum age that
+/// others accept as proof.
+const CONFIGURATION_POLL: Duration = Duration::from_millis(800);
+/// The same for the targets. A dead connection is detected after it, within the time that the
+/// operator's rules allow after a store failure.
+const TARGETS_POLL: Duration = Duration::from_secs(3);
+/// Pause after a change of the targets, well below the time within which a leaving target must stop
+/// receiving work.
+const TARGETS_BATCH: Duration = Duration::from_millis(300);
+/// The same for the fleet's daemons; nothing needs membership changes within seconds.
+const MEMBERS_POLL: Duration = Duration::from_secs(10);
+/// Pause after a change of the members.
+const MEMBERS_BATCH: Duration = Duration::from_secs(2);
+/// Part of a table that is not divided.
+const WHOLE_TABLE: &str = "";
+
+/// The tasks that follow the tables of the store, directly or through other daemons.
+pub(super) struct Following {
+    parts: FollowParts,
+    followed: Vec<(Rc<FollowedTable>, FollowOptions)>,
+    reader: ReaderTask,
+}
+
+impl Following {
+    /// Starts the tasks; the members of the data centre must be known.
+    pub(super) fn start(self) {
+        for (table, opts) in self.followed {
+            monoio::spawn(follow_table(self.parts.clone(), table, opts));
+        }
+        monoio::spawn(self.reader.run());
+    }
+}
 
 impl FrontDaemon {
-    /// Starts following the tables of the store, directly or through other daemons.
-    pub(super) fn follow_tables(&self, tables: &SharedTables, router: &mut PeerRouter) {
+    /// Registers the handlers for other daemons, and returns the tasks that follow the tables.
+    pub(super) fn prepare_following(
+        &self,
+        tables: &SharedTables,
+        router: &mut PeerRouter,
+    ) -> Following {
         let base = &self.base;
         let handler = ProofHandler {
             view: base.view.clone(),
@@ -60,12 +72,30 @@
             connectivity: base.connectivity.clone(),
             role: role.clone(),
         };
-        let follow = |table: &Rc<FollowedTable>, opts| {
-            monoio::spawn(follow_table(parts.clone(), table.clone(), opts));
+        let whole = vec![WHOLE_TABLE.to_owned()];
+        let configuration = FollowOptions {
+            parts: whole.clone(),
+            long_poll: CONFIGURATION_POLL,
+            batch_delay: Duration::ZERO,
+            tracks_connectivity: true,
         };
-        follow(&tables.configuration, FOLLOW_CONFIGURATION);
-        follow(&tables.targets, FOLLOW_TARGETS);
-        follow(&tables.members, FOLLOW_MEMBERS);
+        let targets = FollowOptions {
+            parts: whole.clone(),
+            long_poll: TARGETS_POLL,
+            batch_delay: TARGETS_BATCH,
+            tracks_connectivity: false,
+        };
+        let members = FollowOptions {
+            parts: [whole, base.settings.data_centres.clone()].concat(),
+            long_poll: MEMBERS_POLL,
+            batch_delay: MEMBERS_BATCH,
+            tracks_connectivity: false,
+        };
+        let followed = vec![
+            (tables.configuration.clone(), configuration),
+            (tables.targets.clone(), targets),
+            (tables.members.clone(), members),
+        ];
         let reader = ReaderTask::new(ReaderParts {
             peers: self.peers.clone(),
             data_centre: base.settings.data_centre.clone(),
@@ -76,7 +106,11 @@
             metrics: base.metrics.clone(),
             clock: base.clock.clone(),
         });
-        monoio::spawn(reader.run());
+        Following {
+            parts,
+            followed,
+            reader,
+        }
     }
 
     /// Creates the local copies of the tables, which pass changes on to their sinks.
--- a/src/follow/join.rs
+++ b/src/follow/join.rs
@@ -5,17 +5,16 @@
 use bytes::Bytes;
 use monoio::time::sleep;
 
-use crate::store::{RowPut, RowStore, StoreError, WriteOutcome};
+use crate::store::{read_part, RowPut, RowStore, StoreError, StoredRow, WriteOutcome};
 
-use super::MemberRow;
+use super::{JoinEvent, JoinPlan, JoinStep, MemberRow, MEMBERS_TABLE};
 
 /// Table of values shared by the whole fleet.
 const FLEET_TABLE: &str = "fleet";
+/// Part of [`FLEET_TABLE`].
+const FLEET_PART: &str = "";
 /// Key of the secret with which daemons authenticate to each other.
 const SECRET_KEY: &str = "secret";
-/// Longest backoff after a failed call; it is jittered so that the daemons of a fleet do not retry
-/// at the same time.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
 /// Dependencies of [`join_fleet`].
 pub struct JoinParts<'a> {
@@ -25,46 +24,128 @@
     pub host: &'a str,
     /// The row from which other daemons discover this one.
     pub row: &'a MemberRow,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
 }
 
-/// Registers this daemon and returns the secret of the fleet, which the first daemon generates.
-/// Retries until the store responds.
-pub async fn join_fleet(parts: &JoinParts<'_>) -> String {
+/// What a daemon knows after it joined.
+pub struct JoinedFleet {
+    /// The secret with which daemons authenticate to each other.
+    pub secret: String,
+    /// The members of the data centre.
+    pub members: Vec<StoredRow>,
+}
+
+/// Registers this daemon and returns the secret of the fleet, which the first daemon generates, and
+/// the members of its data centre. Retries until the store responds.
+pub async fn join_fleet(parts: &JoinParts<'_>) -> JoinedFleet {
+    let mut plan = JoinPlan::new(parts.first_start, fastrand::u64(..));
+    let mut join = Join {
+        parts,
+        secret: None,
+        members: Vec::new(),
+    };
     loop {
-        match try_join(parts).await {
-            Ok(Some(secret)) => return secret,
-            Ok(None) => {}
-            Err(e) => {
-                let reason = e.to_string();
-                log::warn!(reason = reason.as_str(); "joining the fleet failed, retrying");
+        let step = plan.step();
+        if step == JoinStep::Joined {
+            if let Some(secret) = join.secret.take() {
+                return JoinedFleet {
+                    secret,
+                    members: join.members,
+                };
             }
         }
-        sleep(MAX_BACKOFF.mul_f64(0.25 + 0.75 * fastrand::f64())).await;
+        let event = join.perform(step).await.unwrap_or_else(|e| {
+            let reason = e.to_string();
+            log::warn!(step:? = step, reason = reason.as_str(); "joining the fleet failed, retrying");
+            JoinEvent::Failed
+        });
+        plan.apply(event);
     }
 }
 
-/// Makes one attempt, which writes a new secret unless one is stored; returns `None` if the stored
-/// secret is unreadable.
-async fn try_join(parts: &JoinParts<'_>) -> Result<Option<String>, StoreError> {
-    let member = RowPut::json(super::MEMBERS_TABLE, parts.host, None, parts.row)?;
-    let secret = new_secret()?;
-    let put = RowPut {
-        table: FLEET_TABLE,
-        key: SECRET_KEY.to_owned(),
-        expected: Some(0),
-        value: Bytes::from(secret.clone()),
-    };
-    let rows = match parts.store.write(&[put, member.clone()]).await? {
-        WriteOutcome::Committed { .. } => return Ok(Some(secret)),
-        WriteOutcome::Conflict(rows) => rows,
-    };
-    let stored = rows.into_iter().find_map(|row| row.value);
-    let Some(stored) = stored.and_then(|v| String::from_utf8(v.to_vec()).ok()) else {
-        log::warn!("the fleet secret in the store is unreadable");
-        return Ok(None);
-    };
-    parts.store.write(&[member]).await?;
-    Ok(Some(stored))
+struct Join<'a> {
+    parts: &'a JoinParts<'a>,
+    secret: Option<String>,
+    members: Vec<StoredRow>,
+}
+
+impl Join<'_> {
+    async fn perform(&mut self, step: JoinStep) -> Result<JoinEvent, StoreError> {
+        match step {
+            JoinStep::Wait(time) => self.wait(time).await,
+            JoinStep::ReadSecret | JoinStep::Joined => self.read_secret().await,
+            JoinStep::CreateSecret => self.create_secret().await,
+            JoinStep::ReadMembers => self.read_members().await,
+            JoinStep::Register => self.register().await,
+        }
+    }
+
+    async fn wait(&self, time: Duration) -> Result<JoinEvent, StoreError> {
+        sleep(time).await;
+        Ok(JoinEvent::Waited)
+    }
+
+    async fn read_secret(&mut self) -> Result<JoinEvent, StoreError> {
+        let page = self.parts.store.read(FLEET_TABLE, FLEET_PART, "").await?;
+        let row = page.rows.into_iter().find(|row| row.key == SECRET_KEY);
+        match row {
+            Some(row) => self.adopt_secret(row),
+            None => Ok(JoinEvent::Secret(false)),
+        }
+    }
+
+    async fn create_secret(&mut self) -> Result<JoinEvent, StoreError> {
+        let secret = new_secret()?;
+        let put = RowPut {
+            table: FLEET_TABLE,
+            part: FLEET_PART.to_owned(),
+            key: SECRET_KEY.to_owned(),
+            expected: Some(0),
+            value: Bytes::from(secret.clone()),
+        };
+        match self.parts.store.write(&[put]).await? {
+            WriteOutcome::Committed { .. } => {
+                self.secret = Some(secret);
+                Ok(JoinEvent::Secret(true))
+            }
+            WriteOutcome::Conflict(rows) => match rows.into_iter().next() {
+                Some(row) => self.adopt_secret(row),
+                None => Err(StoreError::BadAnswer),
+            },
+        }
+    }
+
+    fn adopt_secret(&mut self, row: StoredRow) -> Result<JoinEvent, StoreError> {
+        let text = row.value.and_then(|v| String::from_utf8(v.to_vec()).ok());
+        let Some(secret) = text.filter(|s| !s.is_empty()) else {
+            log::warn!("the fleet secret in the store is unreadable");
+            return Err(StoreError::BadAnswer);
+        };
+        self.secret = Some(secret);
+        Ok(JoinEvent::Secret(true))
+    }
+
+    async fn read_members(&mut self) -> Result<JoinEvent, StoreError> {
+        let JoinParts {
+            store, host, row, ..
+        } = *self.parts;
+        let read = read_part(store, MEMBERS_TABLE, &row.data_centre).await?;
+        let own = read.rows.iter().find(|r| r.key == *host);
+        let value = own.and_then(|r| r.value.as_ref());
+        let listed = value.and_then(|v| serde_json::from_slice::<MemberRow>(v).ok());
+        self.members = read.rows;
+        Ok(JoinEvent::Members(listed.as_ref() == Some(row)))
+    }
+
+    async fn register(&mut self) -> Result<JoinEvent, StoreError> {
+        let JoinParts { host, row, .. } = *self.parts;
+        let put = RowPut::json(MEMBERS_TABLE, &row.data_centre, host, None, row)?;
+        match self.parts.store.write(&[put]).await? {
+            WriteOutcome::Committed { .. } => Ok(JoinEvent::Registered),
+            WriteOutcome::Conflict(_) => Err(StoreError::BadAnswer),
+        }
+    }
 }
 
 fn new_secret() -> Result<String, StoreError> {
--- a/src/follow/member_table.rs
+++ b/src/follow/member_table.rs
@@ -7,7 +7,8 @@
 /// Table of the daemons of the fleet.
 pub const MEMBERS_TABLE: &str = "members";
 
-/// The row of one daemon, whose key is the name of its host.
+/// The row of one daemon, whose key is the name of its host. It is in the part that is named like the
+/// data centre of the host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRow {
     /// Data centre of the host.
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -36,10 +36,10 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// The same before the first proof, while this daemon cannot serve yet.
 const STARTUP_RETRY_INTERVAL: Duration = Duration::from_millis(80);
+/// Time within which all daemons of a starting fleet have joined it.
+const STARTUP_TIME: Duration = Duration::from_secs(2);
 /// Timeout of one poll; four timeouts in a row stay below the operator's limits.
 const POLL_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time between two checks of whether the fleet's members are known.
-const MEMBERS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Dependencies of a [`ReaderTask`].
 pub struct ReaderParts {
@@ -104,9 +104,8 @@
 
     /// Runs until the daemon exits.
     pub async fn run(mut self) {
-        while self.parts.tables.members.version().is_none() {
-            sleep(MEMBERS_POLL_INTERVAL).await;
-        }
+        self.started = self.parts.clock.now();
+        self.last_direct = self.started;
         loop {
             let pause = self.step().await;
             sleep(pause).await;
@@ -222,13 +221,22 @@
                 log::info!(reader = &**reader, reason:? = e, waited_ms = waited_ms,
                     configuration:? = req.configuration, targets:? = req.targets;
                     "reader did not respond");
-                self.selector
-                    .mark_unresponsive(reader, self.parts.clock.now());
+                let now = self.parts.clock.now();
+                if !self.is_starting(now) {
+                    self.selector.mark_unresponsive(reader, now);
+                }
                 PollResult::Failed
             }
         }
     }
 
+    /// Returns whether the fleet may be starting together with this daemon, so that a reader that
+    /// does not respond may only have to join first.
+    fn is_starting(&self, now: BootTime) -> bool {
+        let has_proof = self.parts.view.freshness().age(now).is_some();
+        !has_proof && now.since(self.started) < STARTUP_TIME
+    }
+
     fn elapsed_ms(&self, since: BootTime) -> u64 {
         self.parts.clock.now().since(since).as_millis() as u64
     }
--- a/src/follow/table_follower.rs
+++ b/src/follow/table_follower.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::{BootTime, Clock},
-    store::{FeedResponse, RowPage, RowStore, StoreError, StoredRow},
+    store::{read_part, FeedResponse, RowStore, StoreError, StoredRow},
 };
 
 use super::{FollowedTable, ReaderRole, SharedReaderRole, StoreConnectivity};
@@ -20,8 +20,10 @@
 const ALONE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Options for following a table.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct FollowOptions {
+    /// The parts of the table that hold rows.
+    pub parts: Vec<String>,
     /// Longest time that the store holds a call open until a change; a call without one takes this
     /// long.
     pub long_poll: Duration,
@@ -29,8 +31,6 @@
     pub batch_delay: Duration,
     /// Whether this table's task reports the store's responses and reconnects to the other tasks.
     pub tracks_connectivity: bool,
-    /// Whether the first read goes to the store itself, as no other daemon is known yet.
-    pub bootstraps: bool,
 }
 
 /// The times of one call to the store.
@@ -103,32 +103,28 @@
 impl Follower {
     /// Waits until this daemon must read the store; returns whether it had to wait.
     async fn wait_until_needed(&self) -> bool {
-        let bootstraps = self.opts.bootstraps && self.table.version().is_none();
-        !bootstraps && self.parts.role.wait_until_needed().await
+        self.parts.role.wait_until_needed().await
     }
 
     async fn read_all(&mut self) -> Result<(), StoreError> {
         let mut all: Vec<StoredRow> = Vec::new();
         let mut first: Option<(u64, ResponseTiming)> = None;
-        loop {
-            // The smallest key after the last one read.
-            let from = all
-                .last()
-                .map_or(String::new(), |r| format!("{}%00", r.key));
+        for part in &self.opts.parts {
             let sent = self.parts.clock.now();
-            let page = self.parts.store.read(self.table.name(), &from).await?;
-            let timing = self.timing(sent, &page);
+            let read = read_part(&*self.parts.store, self.table.name(), part).await?;
+            let timing = self.timing(sent, read.store_time);
             // Following starts at the version of the first page, so that changes made between two
             // pages are not missed.
-            let (version, timing) = *first.get_or_insert((page.version, timing));
-            all.extend(page.rows);
-            if !page.truncated {
-                self.on_success();
-                self.table.replace(all, version, timing.received);
-                self.table.sink().on_response(&timing);
-                return Ok(());
-            }
+            first.get_or_insert((read.version, timing));
+            all.extend(read.rows);
         }
+        let Some((version, timing)) = first else {
+            return Ok(());
+        };
+        self.on_success();
+        self.table.replace(all, version, timing.received);
+        self.table.sink().on_response(&timing);
+        Ok(())
     }
 
     /// Polls once for changes; if the store has compacted them, the next read fetches all rows.
@@ -150,7 +146,7 @@
             }
         };
         self.on_success();
-        let timing = self.timing(sent, &page);
+        let timing = self.timing(sent, page.store_time);
         let changed = !page.rows.is_empty();
         self.table.apply(page.rows, page.version, timing.received);
         self.table.sink().on_response(&timing);
@@ -185,11 +181,11 @@
         self.parts.connectivity.wait_for_reconnect(seen).await;
     }
 
-    fn timing(&self, sent: BootTime, page: &RowPage) -> ResponseTiming {
+    fn timing(&self, sent: BootTime, store_time: Duration) -> ResponseTiming {
         ResponseTiming {
             sent,
             received: self.parts.clock.now(),
-            store_time: page.store_time,
+            store_time,
         }
     }
 
--- a/src/peer/auth.rs
+++ b/src/peer/auth.rs
@@ -1,6 +1,6 @@
 //! Message authentication with the shared fleet secret.
 
-use std::fmt::Write;
+use std::{cell::RefCell, fmt::Write, rc::Rc};
 
 use hmac::{Hmac, Mac};
 use serde::{Deserialize, Serialize};
@@ -39,31 +39,39 @@
     pub(super) body: &'a [u8],
 }
 
-/// The fleet secrets; the first one signs, any of them verifies, so that they can be rotated.
-#[derive(Clone)]
+/// The fleet secrets; the first one signs, any of them verifies, so that they can be rotated. Clones
+/// share one state.
+#[derive(Clone, Default)]
 pub struct FleetSecrets {
-    macs: Vec<Hmac<Sha256>>,
+    macs: Rc<RefCell<Vec<Hmac<Sha256>>>>,
 }
 
 impl FleetSecrets {
     /// Creates the signing and verification keys from `secrets`.
+    pub fn new(secrets: &[String]) -> Self {
+        let new = Self::default();
+        new.set(secrets);
+        new
+    }
+
+    /// Replaces the secrets. Without any, no message is signed or accepted.
     ///
     /// # Panics
     ///
-    /// Panics if `secrets` is empty, which the settings check rules out.
-    pub fn new(secrets: &[String]) -> Self {
-        assert!(!secrets.is_empty(), "at least one fleet secret is required");
+    /// Never panics, as HMAC accepts keys of any length.
+    pub fn set(&self, secrets: &[String]) {
         let mac = |s: &String| {
             Hmac::new_from_slice(s.as_bytes()).expect("HMAC accepts keys of any length")
         };
-        Self {
-            macs: secrets.iter().map(mac).collect(),
-        }
+        *self.macs.borrow_mut() = secrets.iter().map(mac).collect();
     }
 
-    /// Returns the authentication code of `msg` as hexadecimal digits.
+    /// Returns the authentication code of `msg` as hexadecimal digits; empty without a secret.
     pub(super) fn sign(&self, msg: &SignedMessage<'_>) -> String {
-        let mac = update_mac(self.macs[0].clone(), msg);
+        let Some(mac) = self.macs.borrow().first().cloned() else {
+            return String::new();
+        };
+        let mac = update_mac(mac, msg);
         let mut text = String::with_capacity(64);
         for b in mac.finalize().into_bytes() {
             let _ = write!(text, "{b:02x}");
@@ -78,7 +86,7 @@
         };
         let is_valid =
             |mac: &Hmac<Sha256>| update_mac(mac.clone(), msg).verify_slice(&code).is_ok();
-        self.macs.iter().any(is_valid)
+        self.macs.borrow().iter().any(is_valid)
     }
 }
 
--- a/src/platform/row_client.rs
+++ b/src/platform/row_client.rs
@@ -29,8 +29,6 @@
 };
 /// Largest response: a configuration of 25,000 routes in base64 takes a quarter of it.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
-/// Part of each table that holds the rows.
-const PART: &str = "";
 
 /// The client of the platform's store.
 pub struct RowClient {
@@ -171,10 +169,11 @@
     fn read<'a>(
         &'a self,
         table: &'a str,
+        part: &'a str,
         from: &'a str,
     ) -> BoxFuture<'a, Result<RowPage, StoreError>> {
         Box::pin(async move {
-            let path = format!("/rows-get?table={table}&part={PART}&from={from}");
+            let path = format!("/rows-get?table={table}&part={part}&from={from}");
             match self.read_rows(&path, CALL_TIMEOUT).await? {
                 FeedResponse::Changed(rows) => Ok(rows),
                 FeedResponse::HistoryCompacted => Err(StoreError::BadAnswer),
@@ -239,7 +238,7 @@
 fn row_version<'a>(put: &'a RowPut, ver: u64) -> RowVersion<'a> {
     RowVersion {
         table: put.table,
-        part: PART,
+        part: &put.part,
         key: &put.key,
         ver,
     }
@@ -248,7 +247,7 @@
 fn row_value(put: &RowPut) -> RowValue<'_> {
     RowValue {
         table: put.table,
-        part: PART,
+        part: &put.part,
         key: &put.key,
         value: &put.value,
     }
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -34,6 +34,11 @@
 /// Maximum number of received bytes that are discarded after the last response.
 const MAX_LINGER_BYTES: usize = 16 << 20;
 
+/// Shortest and longest wait of a caller that is refused because this daemon does not serve yet; the
+/// range keeps callers that were refused together from returning together.
+const NOT_READY_RETRY: (Duration, Duration) =
+    (Duration::from_millis(200), Duration::from_millis(600));
+
 /// What happens to the connection after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ConnectionFate {
@@ -217,8 +222,8 @@
         params: &ErrorParams<'_>,
     ) -> ConnectionFate {
         let heads = &self.cx.heads;
-        let (head, body) =
-            heads.error_response(refusal.kind, params.request_id, refusal.retry_after);
+        let retry_after = refusal.retry_after.or_else(|| retry_after(refusal.kind));
+        let (head, body) = heads.error_response(refusal.kind, params.request_id, retry_after);
         self.send_error_response(refusal.kind, head, &body, params)
             .await
     }
@@ -268,6 +273,13 @@
     }
 }
 
+/// Returns the wait of a caller that is refused, if it differs from that of the error kind.
+fn retry_after(kind: ErrorKind) -> Option<Duration> {
+    let (shortest, longest) = NOT_READY_RETRY;
+    let spread = (longest - shortest).mul_f64(fastrand::f64());
+    (kind == ErrorKind::NotReady).then(|| shortest + spread)
+}
+
 fn wants_keep_alive(head: &request::Parts) -> bool {
     let has_option = |option: &str| {
         head.headers
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -27,6 +27,8 @@
 const SUSPECT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Part of the tables that holds the leases and their announcements.
+const PART: &str = "";
 /// Number of standby daemons per data centre that may take over its slice.
 const STANDBYS: usize = 2;
 
@@ -148,7 +150,7 @@
     /// Reads the row of the lease, which may be absent; `None` if the store cannot be read.
     async fn read_row(&self) -> Option<Option<StoredRow>> {
         let centre = self.parts.data_centre.as_str();
-        match self.parts.store.read(SLICES_TABLE, centre).await {
+        match self.parts.store.read(SLICES_TABLE, PART, centre).await {
             Ok(read) => Some(read.rows.into_iter().find(|r| r.key == centre)),
             Err(e) => {
                 let reason = e.to_string();
@@ -234,14 +236,20 @@
             host: host.to_owned(),
             incarnation: parts.incarnation,
         };
-        let lease = RowPut::json(SLICES_TABLE, centre, Some(expected), &holder)?;
+        let lease = RowPut::json(SLICES_TABLE, PART, centre, Some(expected), &holder)?;
         if self.is_recorded_holder() {
             return Ok(vec![lease]);
         }
         let announcement = HolderRow {
             host: host.to_owned(),
         };
-        let announce = RowPut::json(MEMBERS_TABLE, &HolderRow::key(centre), None, &announcement)?;
+        let announce = RowPut::json(
+            MEMBERS_TABLE,
+            PART,
+            &HolderRow::key(centre),
+            None,
+            &announcement,
+        )?;
         Ok(vec![lease, announce])
     }
 }
--- /dev/null
+++ b/src/store/read_part.rs
@@ -0,0 +1,42 @@
+//! Reads of whole parts of a table.
+
+use std::time::Duration;
+
+use super::{RowStore, StoreError, StoredRow};
+
+/// The rows of one part, read page by page.
+pub struct PartRows {
+    /// The rows in key order.
+    pub rows: Vec<StoredRow>,
+    /// Version of the store at the first page, from which changes must be followed.
+    pub version: u64,
+    /// The store's steady clock at the first page.
+    pub store_time: Duration,
+}
+
+/// Reads all rows of a part of a table.
+///
+/// # Errors
+///
+/// Returns the error of the first call that fails.
+pub async fn read_part(
+    store: &dyn RowStore,
+    table: &str,
+    part: &str,
+) -> Result<PartRows, StoreError> {
+    let first = store.read(table, part, "").await?;
+    let mut truncated = first.truncated;
+    let mut all = PartRows {
+        rows: first.rows,
+        version: first.version,
+        store_time: first.store_time,
+    };
+    while let (true, Some(last)) = (truncated, all.rows.last()) {
+        // The smallest key after the last one read.
+        let from = format!("{}%00", last.key);
+        let page = store.read(table, part, &from).await?;
+        truncated = page.truncated;
+        all.rows.extend(page.rows);
+    }
+    Ok(all)
+}
--- a/src/store/row_store.rs
+++ b/src/store/row_store.rs
@@ -45,6 +45,8 @@
 pub struct RowPut {
     /// The table.
     pub table: &'static str,
+    /// Part of the table; the store performs the writes to one part one after another.
+    pub part: String,
     /// The key.
     pub key: String,
     /// Version that the row must have, 0 if it must be absent; `None` writes unconditionally.
@@ -61,6 +63,7 @@
     /// Returns [`StoreError::Refused`] if the value cannot be encoded as JSON; nothing is written.
     pub fn json(
         table: &'static str,
+        part: &str,
         key: &str,
         expected: Option<u64>,
         value: &impl Serialize,
@@ -68,6 +71,7 @@
         let value = serde_json::to_vec(value).map_err(|_| StoreError::Refused)?;
         Ok(Self {
             table,
+            part: part.to_owned(),
             key: key.to_owned(),
             expected,
             value: Bytes::from(value),
@@ -90,14 +94,15 @@
 
 /// A store of versioned rows.
 pub trait RowStore {
-    /// Reads the rows of a table from the key `from` on, in key order.
+    /// Reads the rows of a part of a table from the key `from` on, in key order.
     fn read<'a>(
         &'a self,
         table: &'a str,
+        part: &'a str,
         from: &'a str,
     ) -> BoxFuture<'a, Result<RowPage, StoreError>>;
 
-    /// Returns the rows of a table that changed after the version `after`, waiting up to `wait`
+    /// Returns the rows in all parts of a table that changed after the version `after`, waiting up to `wait`
     /// for the first one.
     fn poll_changes<'a>(
         &'a self,
@@ -106,6 +111,6 @@
         wait: Duration,
     ) -> BoxFuture<'a, Result<FeedResponse, StoreError>>;
 
-    /// Writes all rows or none of them.
+    /// Writes all rows, which are of one part, or none of them.
     fn write<'a>(&'a self, puts: &'a [RowPut]) -> BoxFuture<'a, Result<WriteOutcome, StoreError>>;
 }
--- a/standins/src/entry_fleet.rs
+++ b/standins/src/entry_fleet.rs
@@ -54,6 +54,7 @@
             "caller_address": caller.to_string(), "ready_address": ready.to_string(),
             "peer_address": peer.to_string(), "store_address": store.to_string(),
             "key_withdrawal_s": 5, "shutdown_s": 6, "floor": 0.7, "quota_slack": 20,
+            "first_start": true,
         });
         let settings_path = directory.join(format!("{host}.json"));
         fs::write(&settings_path, settings.to_string())?;
@@ -77,6 +78,9 @@
     /// Returns an error if the process does not start.
     pub fn restart(&mut self) -> io::Result<()> {
         self.kill();
+        let settings = fs::read_to_string(&self.settings_path)?;
+        let restarted = settings.replace("\"first_start\":true", "\"first_start\":false");
+        fs::write(&self.settings_path, restarted)?;
         self.process = spawn(&self.program, &self.settings_path, &self.log_path)?;
         Ok(())
     }
--- a/standins/src/row_store.rs
+++ b/standins/src/row_store.rs
@@ -33,6 +33,24 @@
     pub lose_write_answers: u32,
 }
 
+/// Name of a row, ordered like the rows of a response.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct RowName {
+    table: String,
+    part: String,
+    key: String,
+}
+
+impl RowName {
+    fn new(table: &str, part: &str, key: &str) -> Self {
+        Self {
+            table: table.to_owned(),
+            part: part.to_owned(),
+            key: key.to_owned(),
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 struct StoredRow {
     value: Option<Vec<u8>>,
@@ -41,7 +59,7 @@
 
 #[derive(Default)]
 struct State {
-    rows: BTreeMap<(String, String), StoredRow>,
+    rows: BTreeMap<RowName, StoredRow>,
     version: u64,
     /// The change history up to this version is no longer available.
     truncated_up_to: u64,
@@ -58,6 +76,8 @@
 #[derive(Deserialize)]
 struct Name {
     table: String,
+    #[serde(default)]
+    part: String,
     key: String,
     #[serde(default)]
     ver: u64,
@@ -66,6 +86,8 @@
 #[derive(Deserialize)]
 struct Put {
     table: String,
+    #[serde(default)]
+    part: String,
     key: String,
     value: String,
 }
@@ -80,6 +102,21 @@
     deletes: Vec<Name>,
 }
 
+impl Name {
+    fn row(&self) -> RowName {
+        RowName::new(&self.table, &self.part, &self.key)
+    }
+}
+
+impl Transaction {
+    fn is_of_one_part(&self) -> bool {
+        let names = self.expect.iter().chain(&self.deletes).map(|n| &n.part);
+        let mut parts = names.chain(self.puts.iter().map(|p| &p.part));
+        let first = parts.next();
+        parts.all(|part| Some(part) == first)
+    }
+}
+
 /// A running simulated store; stops when dropped.
 pub struct RowStore {
     shared: Arc<Shared>,
@@ -111,7 +148,7 @@
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
         let mut state = self.shared.state();
         state.version += 1;
-        state.set(table, key, Some(value.to_vec()));
+        state.set(RowName::new(table, "", key), Some(value.to_vec()));
         self.shared.changed.notify_all();
     }
 
@@ -119,14 +156,14 @@
     pub fn remove(&self, table: &str, key: &str) {
         let mut state = self.shared.state();
         state.version += 1;
-        state.set(table, key, None);
+        state.set(RowName::new(table, "", key), None);
         self.shared.changed.notify_all();
     }
 
     /// Returns the value of a row.
     pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
         let state = self.shared.state();
-        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        let row = state.rows.get(&RowName::new(table, "", key))?;
         row.value.clone()
     }
 
@@ -150,27 +187,27 @@
 }
 
 impl State {
-    fn set(&mut self, table: &str, key: &str, value: Option<Vec<u8>>) {
+    fn set(&mut self, name: RowName, value: Option<Vec<u8>>) {
         let version = self.version;
-        let name = (table.to_owned(), key.to_owned());
         self.rows.insert(name, StoredRow { value, version });
     }
 
     fn version_of(&self, name: &Name) -> u64 {
-        let row = self.rows.get(&(name.table.clone(), name.key.clone()));
+        let row = self.rows.get(&name.row());
         row.filter(|r| r.value.is_some()).map_or(0, |r| r.version)
     }
 
     fn row_json(&self, name: &Name) -> Option<Value> {
-        let row = self.rows.get(&(name.table.clone(), name.key.clone()))?;
-        Some(row_json(&name.table, &name.key, row))
+        let name = name.row();
+        let row = self.rows.get(&name)?;
+        Some(row_json(&name, row))
     }
 
     /// Returns the rows of a table that satisfy `filter`, ordered by key.
-    fn rows(&self, table: &str, filter: impl Fn(&str, &StoredRow) -> bool) -> Vec<Value> {
-        let table_rows = self.rows.iter().filter(|((t, _), _)| t == table);
-        let matching = table_rows.filter(|((_, key), row)| filter(key, row));
-        let rows = matching.map(|((table, key), row)| row_json(table, key, row));
+    fn rows(&self, table: &str, filter: impl Fn(&RowName, &StoredRow) -> bool) -> Vec<Value> {
+        let table_rows = self.rows.iter().filter(|(name, _)| name.table == table);
+        let matching = table_rows.filter(|(name, row)| filter(name, row));
+        let rows = matching.map(|(name, row)| row_json(name, row));
         rows.collect()
     }
 }
@@ -187,9 +224,10 @@
     fn read(&self, req: &Request) -> (u16, Value) {
         let table = req.query("table").unwrap_or_default();
         let from = req.query("from").unwrap_or_default().replace("%00", "\0");
+        let part = req.query("part").unwrap_or_default();
         let state = self.state();
-        let mut rows = state.rows(table, |key, row| {
-            row.value.is_some() && key >= from.as_str()
+        let mut rows = state.rows(table, |name, row| {
+            name.part == part && row.value.is_some() && name.key >= from
         });
         let truncated = rows.len() > PAGE_ROWS;
         rows.truncate(PAGE_ROWS);
@@ -224,6 +262,9 @@
         let Ok(tx) = serde_json::from_slice::<Transaction>(body) else {
             return (400, json!({}));
         };
+        if !tx.is_of_one_part() {
+            return (400, json!({}));
+        }
         let protected = |table: &str| table == "op" || table == "servers";
         if tx.puts.iter().any(|p| protected(&p.table)) {
             return (403, json!({}));
@@ -239,10 +280,10 @@
         state.version += 1;
         for put in &tx.puts {
             let value = BASE64_STANDARD.decode(&put.value).unwrap_or_default();
-            state.set(&put.table, &put.key, Some(value));
+            state.set(RowName::new(&put.table, &put.part, &put.key), Some(value));
         }
         for name in &tx.deletes {
-            state.set(&name.table, &name.key, None);
+            state.set(name.row(), None);
         }
         self.changed.notify_all();
         (200, json!({"ver": state.version, "nowS": self.now_s()}))
@@ -292,13 +333,14 @@
     }
 }
 
-fn row_json(table: &str, key: &str, row: &StoredRow) -> Value {
+fn row_json(name: &RowName, row: &StoredRow) -> Value {
+    let RowName { table, part, key } = name;
     let version = row.version;
     match &row.value {
         Some(value) => {
             let value = BASE64_STANDARD.encode(value);
-            json!({"table": table, "part": "", "key": key, "value": value, "ver": version})
+            json!({"table": table, "part": part, "key": key, "value": value, "ver": version})
         }
-        None => json!({"table": table, "part": "", "key": key, "ver": version, "removed": true}),
+        None => json!({"table": table, "part": part, "key": key, "ver": version, "removed": true}),
     }
 }
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -39,6 +39,7 @@
     let client = RowClient::new(store.address(), Rc::default());
     let put = RowPut {
         table: "t",
+        part: "p".to_owned(),
         key: "k".to_owned(),
         expected: None,
         value: Bytes::from_static(b"v"),
@@ -54,7 +55,7 @@
             store.set_faults(refuse_with(Some(case.status)));
             let written = client.write(std::slice::from_ref(&put)).await;
             assert_eq!(written, Err(case.error), "write, status {}", case.status);
-            let read = client.read("t", "").await;
+            let read = client.read("t", "p", "").await;
             assert_eq!(
                 read.map(|_| ()),
                 Err(case.error),
