--- a/src/follow/join_plan.rs
+++ b/src/follow/join_plan.rs
@@ -13,7 +13,7 @@
 const RESTART_SPREAD: Duration = Duration::from_millis(100);
 /// Time from the registration to the read of the other members when the fleet starts for the first
 /// time; it covers [`FIRST_START_SPREAD`] and the store's queue of registrations.
-const SETTLE_TIME: Duration = Duration::from_millis(700);
+const SETTLE_TIME: Duration = Duration::from_millis(900);
 /// Longest wait after the first failed call; doubled with each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
 /// Longest wait after a failed call.
