--- a/src/follow/join.rs
+++ b/src/follow/join.rs
@@ -36,9 +36,8 @@
     pub holders: Vec<StoredRow>,
 }
 
-/// Registers this daemon and returns the secret of the fleet, which the first daemon generates, and
-/// the
-/// members of its data centre. Retries until the store responds.
+/// Registers this daemon, and returns the secret of the fleet, which the first daemon generates, the
+/// members of its data centre and the holders of the slices. Retries until the store responds.
 pub async fn join_fleet(parts: &JoinParts<'_>) -> JoinedFleet {
     let mut plan = JoinPlan::new(parts.first_start, fastrand::u64(..));
     let mut join = Join {
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -34,10 +34,10 @@
 /// Maximum number of received bytes that are discarded after the last response.
 const MAX_LINGER_BYTES: usize = 16 << 20;
 
-/// Shortest and longest wait of a caller that is refused because this daemon does not serve yet; the
-/// range keeps callers that were refused together from returning together.
-const NOT_READY_RETRY: (Duration, Duration) =
-    (Duration::from_millis(200), Duration::from_millis(600));
+/// Shortest wait of a caller that is refused because this daemon does not serve yet.
+const MIN_NOT_READY_WAIT: Duration = Duration::from_millis(200);
+/// Longest such wait; the range keeps callers that were refused together from returning together.
+const MAX_NOT_READY_WAIT: Duration = Duration::from_millis(600);
 
 /// What happens to the connection after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -275,9 +275,9 @@
 
 /// Returns the wait of a caller that is refused, if it differs from that of the error kind.
 fn retry_after(kind: ErrorKind) -> Option<Duration> {
-    let (shortest, longest) = NOT_READY_RETRY;
-    let spread = (longest - shortest).mul_f64(fastrand::f64());
-    (kind == ErrorKind::NotReady).then(|| shortest + spread)
+    let spread = MAX_NOT_READY_WAIT - MIN_NOT_READY_WAIT;
+    let wait = MIN_NOT_READY_WAIT + spread.mul_f64(fastrand::f64());
+    (kind == ErrorKind::NotReady).then_some(wait)
 }
 
 fn wants_keep_alive(head: &request::Parts) -> bool {
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -129,7 +129,9 @@
         members: Some(u64::MAX),
     };
     let body = rmp_serde::to_vec(&req).expect("encoded");
-    fuzz("proof request", &body, |b| drop(decode::<ProofRequest>(b)));
+    fuzz("proof request", &body, |b| {
+        let _ = decode::<ProofRequest>(b);
+    });
     let res = ProofResponse {
         age: Some(Duration::from_millis(3)),
         direct: true,
