Let any daemon of a data centre take over its rate slice

Cause: only the two hosts that rank lowest by hash among all rows of the members table, the recorded holder left out, might acquire the lease. Rows of hosts that are gone stay there, so that holder and both standbys could be gone for good while all others were refused by `is_standby`. Second, only a request that the holder didn't answer raised the suspicion that makes daemons read the lease: a fleet without requests began its wait for the lease's term with the first one.

Change: `Succession` gives every daemon its turn: two standbys at once, the others within 2.5 s, spread by rank, while the holder goes on not to answer; an answer ends the suspicion. A daemon asks the holder for its status when it had no answer for 2 s. The lease is read again when it would have expired instead of each 5 s. It works since each daemon that is left watches the lease in the end, however many ranked ahead are gone; that no two hold it rests on the lease alone, whose rules (slice_lease_model) are unchanged.

Ruled out: removing rows alone. A host that loses power can't remove its own, and another can't tell it from one cut off.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -29,7 +29,7 @@
     proxy::{listen_task, AccessPolicy, HeadFormat, ProxyContext, ProxyParts},
     quota::{
         LeaseParts, LeaseTask, LocalSlice, QuotaLimiter, QuotaParts, SliceHolders, SliceShare,
-        TokenHandler,
+        SliceStatusHandler, TokenHandler,
     },
     retry::RetryBudgetConfig,
     routing::{ConfigurationView, RoutingPolicy},
@@ -261,12 +261,11 @@
             slices: settings.data_centres.len() as u32,
             slack: settings.quota_slack,
         });
-        let directory = self.peers.directory().clone();
         let lease = LeaseTask::new(LeaseParts {
             store: base.store.clone(),
             slice: slice.clone(),
             holders: holders.clone(),
-            directory,
+            peers: self.peers.clone(),
             data_centre: settings.data_centre.clone(),
             incarnation,
             clock: base.clock.clone(),
@@ -278,6 +277,11 @@
             metrics: base.metrics.clone(),
         };
         router.register(MessageKind::Ask, Rc::new(handler));
+        let handler = SliceStatusHandler {
+            slice: slice.clone(),
+            clock: base.clock.clone(),
+        };
+        router.register(MessageKind::SliceStatus, Rc::new(handler));
         let limiter = QuotaLimiter::new(QuotaParts {
             slice,
             holders: holders.clone(),
--- a/src/peer/envelope.rs
+++ b/src/peer/envelope.rs
@@ -17,6 +17,8 @@
     Revision,
     /// Requests for tokens of a workspace's rate limit.
     Ask,
+    /// Whether a daemon holds the slice of its data centre.
+    SliceStatus,
     /// Token bucket levels at a change of owner.
     Handover,
     /// Targets suspected of being unhealthy.
--- a/src/peer/lane.rs
+++ b/src/peer/lane.rs
@@ -21,6 +21,7 @@
         match kind {
             MessageKind::Ask | MessageKind::Handover | MessageKind::Lend => Self::Ask,
             MessageKind::Heartbeat
+            | MessageKind::SliceStatus
             | MessageKind::Suspicion
             | MessageKind::Poison
             | MessageKind::Failure
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -3,34 +3,34 @@
 use std::{rc::Rc, time::Duration};
 
 use monoio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    clock::Clock,
+    clock::{BootTime, Clock},
     follow::{FLEET_TABLE, MEMBERS_TABLE},
     membership::Incarnation,
-    peer::PeerDirectory,
+    peer::{MessageKind, PeerClient},
     store::{RowPut, RowStore, StoreError, StoredRow, WriteOutcome},
 };
 
 use super::{
-    slice_row::SLICES_TABLE, HolderRow, LeaseHolder, LocalSlice, SliceHolders, RENEW_INTERVAL,
+    slice_row::SLICES_TABLE, HolderRow, LeaseHolder, LocalSlice, SliceHolders, SliceStatus,
+    SliceStatusRequest, Succession, SuccessionRank, RENEW_INTERVAL,
 };
 
 /// Time after the start of a daemon that gives the other daemons of a new fleet time to register.
 const STARTUP_WAIT: Duration = Duration::from_millis(1500);
 /// Interval of checks whether the holder is known.
 const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time between two reads of the lease by standbys while the holder may have failed.
-const WATCH_INTERVAL: Duration = Duration::from_secs(5);
+/// Pause after another daemon has acquired the lease.
+const CONFLICT_PAUSE: Duration = Duration::from_secs(5);
 /// Interval of checks whether the holder is suspected to have failed.
 const SUSPECT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Timeout of a check whether the holder is alive.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Pause after a failed call to the store.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Part of the tables that holds the leases and their announcements.
 const PART: &str = "";
-/// Number of standby daemons per data centre that may take over its slice.
-const STANDBYS: usize = 2;
 
 /// Dependencies of the task.
 pub struct LeaseParts {
@@ -40,8 +40,8 @@
     pub slice: LocalSlice,
     /// The holders of all slices.
     pub holders: SliceHolders,
-    /// The daemons of the fleet.
-    pub directory: PeerDirectory,
+    /// Client for calls to other daemons.
+    pub peers: PeerClient,
     /// Data centre of this host.
     pub data_centre: String,
     /// Incarnation of this daemon.
@@ -53,16 +53,20 @@
 /// Acquires and renews the lease of the local data centre's slice.
 pub struct LeaseTask {
     parts: LeaseParts,
+    succession: Succession,
 }
 
 impl LeaseTask {
     /// Creates the task with the given dependencies.
     pub fn new(parts: LeaseParts) -> Self {
-        Self { parts }
+        Self {
+            parts,
+            succession: Succession::default(),
+        }
     }
 
     /// Runs until the daemon ends.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         self.wait_for_fleet().await;
         loop {
             let pause = self.step().await;
@@ -81,56 +85,82 @@
     }
 
     /// Acquires, renews or reads the lease once, and returns the time until the next step.
-    async fn step(&self) -> Duration {
+    async fn step(&mut self) -> Duration {
         let now = self.parts.clock.now();
         let is_holder = self.parts.slice.with_lease(now, |l| l.is_holder());
-        let centre = &self.parts.data_centre;
-        if !is_holder
-            && !self.is_recorded_holder()
-            && !self.parts.holders.may_lack_holder(centre, now)
-        {
-            return SUSPECT_CHECK_INTERVAL;
+        if !is_holder && !self.is_recorded_holder() {
+            self.check_holder(now).await;
         }
-        if !is_holder && !self.is_standby() {
-            return WATCH_INTERVAL;
+        let now = self.parts.clock.now();
+        if !is_holder && !self.is_recorded_holder() && !self.is_due_to_watch(now) {
+            return SUSPECT_CHECK_INTERVAL;
         }
         if !is_holder && !self.observe_lease().await {
             return RETRY_PAUSE;
         }
         let now = self.parts.clock.now();
-        match self
-            .parts
-            .slice
-            .with_lease(now, |l| l.acquirable_version(now))
-        {
+        let slice = &self.parts.slice;
+        match slice.with_lease(now, |l| l.acquirable_version(now)) {
             Some(expected) => self.write(expected).await,
-            None => WATCH_INTERVAL,
+            None => slice.with_lease(now, |l| l.time_until_expiry(now)),
         }
     }
 
     /// Returns whether this host is recorded as the holder, possibly from before a restart.
     fn is_recorded_holder(&self) -> bool {
         let holder = self.parts.holders.holder(&self.parts.data_centre);
-        holder.as_deref() == Some(self.parts.directory.own_host())
+        holder.as_deref() == Some(self.parts.peers.directory().own_host())
     }
 
-    /// Returns whether this daemon is one of the standbys that may take over the slice.
-    fn is_standby(&self) -> bool {
+    /// Asks the holder whether it holds the slice, unless it has answered recently, so that a lost
+    /// holder is noticed before requests with a key arrive.
+    async fn check_holder(&self, now: BootTime) {
         let parts = &self.parts;
-        if self.is_recorded_holder() {
-            return true;
+        let centre = parts.data_centre.as_str();
+        let Some(host) = parts.holders.unchecked_holder(centre, now) else {
+            return;
+        };
+        let (req, kind) = (SliceStatusRequest {}, MessageKind::SliceStatus);
+        let res = parts.peers.call(&host, kind, &req, CHECK_TIMEOUT).await;
+        let now = parts.clock.now();
+        match res {
+            Ok(SliceStatus { held: true }) => parts.holders.record_available(centre, now),
+            Ok(SliceStatus { held: false }) => parts.holders.record_unavailable(centre, now),
+            Err(e) => {
+                log::info!(holder = &*host, data_centre = centre, reason:? = e;
+                    "slice holder did not respond to a check");
+                parts.holders.record_unavailable(centre, now);
+            }
+        }
+    }
+
+    /// Returns whether the slice may lack a holder and it is this daemon's turn to watch the lease.
+    fn is_due_to_watch(&mut self, now: BootTime) -> bool {
+        let parts = &self.parts;
+        let centre = parts.data_centre.as_str();
+        let may_lack_holder = parts.holders.may_lack_holder(centre, now);
+        let was_due = self.succession.is_due();
+        let rank = self.rank();
+        let is_due = self.succession.update(may_lack_holder, rank, now);
+        if is_due && !was_due {
+            let holder = parts.holders.holder(centre);
+            log::info!(data_centre = centre, holder:? = holder, rank = rank.ahead,
+                daemons = rank.daemons; "slice may lack a holder, watching its lease");
         }
-        let own = parts.directory.own_host();
+        is_due
+    }
+
+    /// Returns the rank of this daemon among those of its data centre that may take over the slice.
+    fn rank(&self) -> SuccessionRank {
+        let parts = &self.parts;
         let holder = parts.holders.holder(&parts.data_centre);
-        let score = |host: &str| xxh3_64_with_seed(host.as_bytes(), 0);
-        let peers = parts.directory.peers();
+        let peers = parts.peers.directory().peers();
         let others = peers.iter().filter(|p| {
             *p.data_centre == *parts.data_centre
                 && Some(&*p.host) != holder.as_deref()
                 && !p.leaving
         });
-        let ahead = others.filter(|p| score(&p.host) < score(own)).count();
-        ahead < STANDBYS
+        SuccessionRank::new(parts.peers.directory().own_host(), others.map(|p| &*p.host))
     }
 
     /// Reads the lease and returns whether the read succeeded.
@@ -164,7 +194,7 @@
     /// Returns whether an incarnation of this host's daemon wrote the row; an earlier one has
     /// ended, because this one serves at its address.
     fn is_own_host(&self, row: &StoredRow) -> bool {
-        let own = self.parts.directory.own_host();
+        let own = self.parts.peers.directory().own_host();
         holder_of(row).is_some_and(|h| h.host == own)
     }
 
@@ -186,14 +216,16 @@
                 if !was_held {
                     log::info!(data_centre = centre, row = version; "slice taken");
                 }
-                parts.holders.set(centre, parts.directory.own_host());
+                parts
+                    .holders
+                    .set(centre, parts.peers.directory().own_host());
                 RENEW_INTERVAL
             }
             Ok(WriteOutcome::Conflict(_)) => {
                 log::info!(data_centre = centre, expected = expected;
                     "slice lease not acquired: the row has changed");
                 parts.slice.with_lease(now, |l| l.mark_lost());
-                WATCH_INTERVAL
+                CONFLICT_PAUSE
             }
             Err(e) => {
                 let reason = e.to_string();
@@ -231,7 +263,7 @@
     fn puts(&self, expected: u64) -> Result<Vec<RowPut>, StoreError> {
         let parts = &self.parts;
         let centre = parts.data_centre.as_str();
-        let host = parts.directory.own_host();
+        let host = parts.peers.directory().own_host();
         let holder = LeaseHolder {
             host: host.to_owned(),
             incarnation: parts.incarnation,
--- a/src/quota/limiter.rs
+++ b/src/quota/limiter.rs
@@ -110,8 +110,14 @@
         let latency = parts.clock.now().since(sent_at);
         parts.metrics.record_latency(Latency::AskLatencyS, latency);
         match response {
-            Ok(TokenResponse::Granted) => TakeOutcome::Granted,
-            Ok(TokenResponse::Exceeded(wait)) => TakeOutcome::Exceeded(wait),
+            Ok(TokenResponse::Granted) => {
+                parts.holders.record_available(centre, parts.clock.now());
+                TakeOutcome::Granted
+            }
+            Ok(TokenResponse::Exceeded(wait)) => {
+                parts.holders.record_available(centre, parts.clock.now());
+                TakeOutcome::Exceeded(wait)
+            }
             Ok(TokenResponse::NotHolder) => {
                 parts.holders.record_unavailable(centre, parts.clock.now());
                 TakeOutcome::NotHolder
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -12,6 +12,8 @@
 mod slice_holders;
 mod slice_lease;
 mod slice_row;
+mod slice_status;
+mod succession;
 
 pub use lease_task::{LeaseParts, LeaseTask};
 pub use limiter::{QuotaLimiter, QuotaParts};
@@ -22,3 +24,5 @@
 pub use slice_holders::{HolderRow, SliceHolders};
 pub use slice_lease::{SliceLease, LEASE_TERM, RENEW_INTERVAL};
 pub use slice_row::{LeaseHolder, SLICES_TABLE};
+pub use slice_status::{SliceStatus, SliceStatusHandler, SliceStatusRequest};
+pub use succession::{Succession, SuccessionRank};
--- a/src/quota/slice_holders.rs
+++ b/src/quota/slice_holders.rs
@@ -9,8 +9,12 @@
 /// Time for which no request is sent to a holder that did not respond or does not hold the slice.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(700);
 /// Time for which a holder that did not respond or does not hold the slice is suspected to have
-/// failed; longer than the term of its lease.
-const SUSPECT_TIME: Duration = Duration::from_secs(10);
+/// failed; longer than the term of its lease after the last daemon of the data centre has begun to
+/// watch it.
+const SUSPECT_TIME: Duration = Duration::from_secs(15);
+
+/// Time without an answer after which a holder is checked.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Prefix of the keys under which the holders of slices are stored in the members table.
 const HOLDER_KEY_PREFIX: &str = "slice:";
@@ -39,6 +43,8 @@
     host: Rc<str>,
     paused_until: BootTime,
     suspect_until: BootTime,
+    /// When the holder last answered as such.
+    answered_at: Option<BootTime>,
 }
 
 /// The holders of the slices of all data centres.
@@ -54,6 +60,7 @@
             host: Rc::from(host),
             paused_until: BootTime::default(),
             suspect_until: BootTime::default(),
+            answered_at: None,
         };
         self.by_centre
             .borrow_mut()
@@ -88,6 +95,23 @@
         }
     }
 
+    /// Records that the holder of a data centre's slice answered as its holder, which clears the
+    /// suspicion that it has failed.
+    pub fn record_available(&self, data_centre: &str, now: BootTime) {
+        if let Some(holder) = self.by_centre.borrow_mut().get_mut(data_centre) {
+            holder.suspect_until = BootTime::default();
+            holder.answered_at = Some(now);
+        }
+    }
+
+    /// Returns the holder of a data centre's slice if it has not answered for [`CHECK_INTERVAL`].
+    pub fn unchecked_holder(&self, data_centre: &str, now: BootTime) -> Option<Rc<str>> {
+        let holders = self.by_centre.borrow();
+        let holder = holders.get(data_centre)?;
+        let is_recent = |t: BootTime| now.since(t) < CHECK_INTERVAL;
+        (!holder.answered_at.is_some_and(is_recent)).then(|| holder.host.clone())
+    }
+
     /// Returns whether the slice of a data centre may have no holder, because none is known or the
     /// known one was recently recorded as unavailable.
     pub fn may_lack_holder(&self, data_centre: &str, now: BootTime) -> bool {
--- a/src/quota/slice_lease.rs
+++ b/src/quota/slice_lease.rs
@@ -56,6 +56,14 @@
         (is_free || self.held_until.is_some()).then_some(observed.version)
     }
 
+    /// Returns the time until a lease that is not renewed meanwhile has expired; zero if the row has
+    /// not been read.
+    pub fn time_until_expiry(&self, now: BootTime) -> Duration {
+        let term = LEASE_TERM + MARGIN;
+        let elapsed = self.observed.map_or(term, |o| now.since(o.since));
+        term.saturating_sub(elapsed)
+    }
+
     /// Returns whether no daemon has ever held the lease.
     pub fn was_never_held(&self) -> bool {
         self.observed.is_some_and(|s| s.version == 0)
