Take no rows of a response that is older than the copy of the table

Cause: `FollowedTable::apply` put all rows of a response of the store into the copy. If newer changes of another daemon had been merged while it was under way, an old row stood under the newer version; daemons that start take the copy with a proof of freshness. `replace` did the same with a whole copy.

Evidence: late_response_of_the_store_puts_no_old_row_under_a_newer_version failed before, for changes and full reads, and the property test, now with responses under way, within some hundred histories.

Change: rows are applied if they are newer than the copy, a full read that is older than the copy is ignored, and so is a whole copy of another daemon that is older than what this one had before. It works since the version of a copy again states what its rows are: the property test compares each copy, and one fetched from it, with the store's contents at that version.

Ruled out: a check of the configuration's own version at the daemon that starts. It knows no version to compare with, and the targets' rows have none.

--- a/src/follow/followed_table.rs
+++ b/src/follow/followed_table.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Returns whether a row changed after the version that the copy reflects. A row of a full read
+    /// that took several calls may be newer than that version itself.
+    fn is_newer(&self, row: &StoredRow) -> bool {
+        let held = self.rows.get(&row.key).map(|held| held.version);
+        Some(row.version) > self.version.max(held)
+    }
+
     /// Replaces all rows by those of a full read as of `version`.
     fn replace(&mut self, rows: &[StoredRow], version: u64) {
         let kept: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
@@ -161,21 +168,38 @@
         self.state.borrow_mut().version = None;
     }
 
-    /// Replaces all rows by those of a full read as of `version`.
+    /// Replaces all rows by those of a full read as of `version`. Ignores the rows if the copy is
+    /// newer, as another daemon's changes may have been merged while the read was under way.
     pub fn replace(&self, rows: Vec<StoredRow>, version: u64, now: BootTime) {
+        let held = self.version();
+        if held > Some(version) {
+            log::info!(table = self.name, held:? = held, row = version;
+                "full read is older than the copy, ignored");
+            self.sink.apply(Vec::new(), now);
+            return;
+        }
         self.state.borrow_mut().replace(&rows, version);
         self.sink.replace(rows, now);
     }
 
-    /// Applies the rows that changed up to `version`; there may be none.
+    /// Applies the rows that changed up to `version`; there may be none. Ignores those that the copy
+    /// already reflects, as another daemon's changes may have been merged while the response that
+    /// holds the rows was under way.
     pub fn apply(&self, rows: Vec<StoredRow>, version: u64, now: BootTime) {
-        {
+        let received = rows.len();
+        let newer = {
             let mut state = self.state.borrow_mut();
-            rows.iter().for_each(|row| state.put(row));
+            let newer: Vec<StoredRow> = rows.into_iter().filter(|r| state.is_newer(r)).collect();
+            newer.iter().for_each(|row| state.put(row));
             state.version = state.version.max(Some(version));
             state.last_version = state.last_version.max(version);
+            newer
+        };
+        if newer.len() < received {
+            log::info!(table = self.name, held:? = self.version(), row = version,
+                rows = received - newer.len(); "rows older than the copy ignored");
         }
-        self.sink.apply(rows, now);
+        self.sink.apply(newer, now);
     }
 
     /// Returns the largest row, if it is large enough to compress changes against it.
@@ -225,12 +249,14 @@
         })
     }
 
-    /// Applies another daemon's delta, without the rows that this copy already reflects.
+    /// Applies another daemon's delta, without the rows that this copy already reflects. A copy that
+    /// needs a full read takes no rows that are older than those it had before.
     pub fn merge(&self, delta: TableDelta, now: BootTime) {
         let held = self.version();
+        let last_version = self.state.borrow().last_version;
         let rows = delta.rows.into_iter().map(StoredRow::from);
         if delta.whole {
-            if held.is_none_or(|held| held < delta.version) {
+            if held < Some(delta.version) && last_version <= delta.version {
                 self.replace(rows.collect(), delta.version, now);
             }
             return;
@@ -241,7 +267,6 @@
         if delta.has_gap && held < Some(delta.version) {
             self.state.borrow_mut().record_gap(delta.version);
         }
-        let newer = rows.filter(|row| Some(row.version) > held);
-        self.apply(newer.collect(), delta.version, now);
+        self.apply(rows.collect(), delta.version, now);
     }
 }
--- a/tests/followed_table.rs
+++ b/tests/followed_table.rs
@@ -35,15 +35,21 @@
     fn on_failure(&self, _: BootTime) {}
 }
 
+/// The values of the rows by their keys.
+type Contents = BTreeMap<String, Bytes>;
+
 /// A model of the store: the last change of each row, including removed ones.
 #[derive(Default)]
 struct Store {
     rows: BTreeMap<String, StoredRow>,
     version: u64,
+    /// The contents at earlier versions.
+    former: BTreeMap<u64, Contents>,
 }
 
 impl Store {
     fn put(&mut self, key: u8, present: bool) {
+        self.former.insert(self.version, self.contents());
         self.version += 1;
         let key = format!("k{}", key % 6);
         let value = present.then(|| Bytes::from(self.version.to_string()));
@@ -60,6 +66,16 @@
         live.cloned().collect()
     }
 
+    fn contents(&self) -> Contents {
+        let live = self.live().into_iter();
+        live.filter_map(|r| Some((r.key, r.value?))).collect()
+    }
+
+    fn contents_at(&self, version: u64) -> Contents {
+        let former = self.former.get(&version).cloned();
+        former.unwrap_or_else(|| self.contents())
+    }
+
     fn changed_since(&self, version: u64) -> Vec<StoredRow> {
         let changed = self.rows.values().filter(|row| row.version > version);
         let mut rows: Vec<StoredRow> = changed.cloned().collect();
@@ -68,9 +84,17 @@
     }
 }
 
+/// A response of the store that has not arrived yet.
+struct Response {
+    whole: bool,
+    rows: Vec<StoredRow>,
+    version: u64,
+}
+
 struct Daemon {
     table: FollowedTable,
     sink: Rc<RecordingSink>,
+    response: RefCell<Option<Response>>,
 }
 
 impl Daemon {
@@ -79,24 +103,42 @@
         Self {
             table: FollowedTable::new("t", sink.clone()),
             sink,
+            response: RefCell::default(),
         }
     }
 
-    /// Reads the changes from the store, or all rows if the copy is empty or the store has no
-    /// history.
-    fn read(&self, store: &Store, has_history: bool) {
+    /// Calls the store for the changes, or for all rows if the copy is empty or the store has no
+    /// history. The response is under way until [`Daemon::receive`].
+    fn send_read(&self, store: &Store, has_history: bool) {
+        let held = self.table.version().filter(|_| has_history);
+        if held.is_none() {
+            self.table.invalidate();
+        }
+        *self.response.borrow_mut() = Some(Response {
+            whole: held.is_none(),
+            rows: held.map_or_else(|| store.live(), |held| store.changed_since(held)),
+            version: store.version,
+        });
+    }
+
+    /// Receives the response that is under way.
+    fn receive(&self) {
+        let Some(res) = self.response.take() else {
+            return;
+        };
         let now = BootTime::default();
-        match self.table.version().filter(|_| has_history) {
-            Some(held) => self
-                .table
-                .apply(store.changed_since(held), store.version, now),
-            None => {
-                self.table.invalidate();
-                self.table.replace(store.live(), store.version, now);
-            }
+        if res.whole {
+            self.table.replace(res.rows, res.version, now);
+        } else {
+            self.table.apply(res.rows, res.version, now);
         }
     }
 
+    fn read(&self, store: &Store, has_history: bool) {
+        self.send_read(store, has_history);
+        self.receive();
+    }
+
     /// Fetches deltas from another daemon until it has no more.
     fn fetch_from(&self, other: &Daemon) {
         loop {
@@ -112,10 +154,19 @@
     }
 
     fn matches(&self, store: &Store) -> bool {
-        let live = store.live().into_iter();
-        let expected: BTreeMap<String, Bytes> =
-            live.filter_map(|r| Some((r.key, r.value?))).collect();
-        *self.sink.rows.borrow() == expected
+        *self.sink.rows.borrow() == store.contents()
+    }
+
+    /// Returns whether the copy, and one that a starting daemon fetches from it, hold the contents
+    /// of the store at the version that the copy states.
+    fn is_consistent(&self, store: &Store) -> bool {
+        let Some(version) = self.table.version() else {
+            return true;
+        };
+        let expected = store.contents_at(version);
+        let starting = Daemon::new();
+        starting.fetch_from(self);
+        *self.sink.rows.borrow() == expected && *starting.sink.rows.borrow() == expected
     }
 }
 
@@ -123,13 +174,15 @@
 enum Step {
     Put { key: u8, present: bool },
     Read { daemon: u8, has_history: bool },
+    Send { daemon: u8, has_history: bool },
+    Receive { daemon: u8 },
     Fetch { daemon: u8, other: u8 },
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let daemon = u8::arbitrary(g) % 3;
-        match u8::arbitrary(g) % 5 {
+        match u8::arbitrary(g) % 8 {
             0 | 1 => Step::Put {
                 key: u8::arbitrary(g),
                 present: bool::arbitrary(g),
@@ -138,6 +191,11 @@
                 daemon,
                 has_history: u8::arbitrary(g) % 3 > 0,
             },
+            3 => Step::Send {
+                daemon,
+                has_history: u8::arbitrary(g) % 3 > 0,
+            },
+            4 => Step::Receive { daemon },
             _ => Step::Fetch {
                 daemon,
                 other: u8::arbitrary(g) % 3,
@@ -173,6 +231,18 @@
             daemon.fetch_from(other);
             !is_current || daemon.matches(&store)
         }
+        Step::Send {
+            daemon,
+            has_history,
+        } => {
+            daemons[usize::from(daemon)].send_read(&store, has_history);
+            true
+        }
+        Step::Receive { daemon } => {
+            let daemon = &daemons[usize::from(daemon)];
+            daemon.receive();
+            daemon.is_consistent(&store)
+        }
         Step::Fetch { .. } => true,
     })
 }
@@ -185,6 +255,29 @@
         .quickcheck(copies_match_store as fn(Vec<Step>) -> bool);
 }
 
+/// Guards against a withdrawn key that works again at daemons which start: a response of the store
+/// that was under way while newer changes came from another daemon put old rows back.
+#[test]
+fn late_response_of_the_store_puts_no_old_row_under_a_newer_version() {
+    for has_history in [true, false] {
+        let mut store = Store::default();
+        let (reader, follower) = (Daemon::new(), Daemon::new());
+        store.put(0, true);
+        reader.read(&store, true);
+        follower.read(&store, true);
+        store.put(0, true);
+        store.put(1, true);
+        follower.send_read(&store, has_history);
+        store.put(0, true);
+        store.put(1, false);
+        reader.read(&store, true);
+        follower.fetch_from(&reader);
+        follower.receive();
+        assert_eq!(follower.table.version(), Some(store.version));
+        assert!(follower.is_consistent(&store), "history: {has_history}");
+    }
+}
+
 #[test]
 fn many_changes_are_split_into_several_deltas() {
     let mut store = Store::default();
