Refuse a request for crashes only if targets crashed one after the other

Cause: `PoisonDetector` refused a fingerprint after crashes of two targets in whatever order. A page that many callers read is at work on several targets at any moment, so that two crashes at once always fit. And no answer ended a refusal, although requests sent before went on being answered.

Change: a crash counts after another only if its request was sent when that was known to the daemon that sent it; notices carry the count. Answers, but not errors, end suspicion and refusal, in the whole fleet. For 3 s a refusal is 503 `crash_suspected` with Retry-After, as earlier requests may still be answered. Requests are checked again right before they are sent. It works since crashes that share a cause other than the request come while it is at work, not in its wake, and since a page that is answered anywhere is not what crashes targets.

Ruled out: more than two crashed targets (a site that loses 15% at once would still fit, and each request that does crash targets would kill more); remembering pages that were answered before (a hash of every request, and a new version of a target may crash on what the old one served).

--- a/examples/measure/outcomes.rs
+++ b/examples/measure/outcomes.rs
@@ -271,7 +271,8 @@
     for _ in 0..200 {
         let i = random.usize(0..cluster.daemons.len());
         let reply = cluster.request(i, &key, "GET", "/catalogue/crash")?;
-        refused += u32::from(reply.json()["reason"] == "crashes_targets");
+        let reason = reply.json()["reason"].clone();
+        refused += u32::from(reason == "crash_suspected" || reason == "crashes_targets");
     }
     let dead = cluster.targets.iter().filter(|t| t.is_dead()).count();
     let field = json!({"arrivals": 200, "refused": refused, "targets": 12, "data_centres": 3});
--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -65,6 +65,8 @@
     ClaimFinished,
     /// The idempotency key was used with a different request.
     ClaimMismatch,
+    /// Targets crashed while processing the request, which may yet turn out not to be the cause.
+    CrashSuspected,
     /// Targets crashed while processing the request.
     CrashesTargets,
     /// The target closed the connection or failed while processing the request.
@@ -150,6 +152,12 @@
                 None,
                 "the idempotency key was used with another request",
             ),
+            Self::CrashSuspected => (
+                503,
+                NotRun,
+                Some(3),
+                "targets died while they had this request",
+            ),
             Self::CrashesTargets => (
                 422,
                 NotRun,
--- a/src/poison/detector.rs
+++ b/src/poison/detector.rs
@@ -8,18 +8,30 @@
 
 use super::{suspect::SuspectRecord, Fingerprint, PoisonNotice, Verdict};
 
-/// Number of distinct crashed targets after which a request is refused.
-const MIN_CRASHED_TARGETS: usize = 2;
+/// Number of distinct targets that crashed one after another after which a request is refused.
+const MIN_CONSECUTIVE: u32 = 2;
 /// Time for which a request is refused and a crash is remembered.
 const RETENTION: Duration = Duration::from_secs(300);
+/// Time within which an answer to a request that was sent before the refusal may end the refusal;
+/// the longest time that most requests take.
+const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of requests that are remembered.
 const MAX_RECORDS: usize = 1024;
 
+/// How a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// Answers to earlier requests may still clear the request.
+    Provisional,
+    /// No answer has cleared the request.
+    Confirmed,
+}
+
 /// Detects requests that crash targets.
 ///
-/// Only a daemon that observed a crash itself promotes a suspect to refused. A request that
-/// happened to be in flight during two restarts of targets, but succeeds elsewhere, is therefore
-/// not refused: its responses clear the suspicion at the daemons that forward it.
+/// A request that is at work on many targets is at work on some of those that crash for another
+/// reason, too. It is therefore refused only if it was sent to the second target after the crash of
+/// the first one was known, and an answer to it, even to one sent before, clears it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PoisonDetector {
     records: FxHashMap<Fingerprint, SuspectRecord>,
@@ -31,45 +43,66 @@
         self.records.is_empty()
     }
 
-    /// Returns whether a request is refused.
-    pub fn is_refused(&self, fingerprint: Fingerprint, now: BootTime) -> bool {
-        let record = self.records.get(&fingerprint);
-        record.is_some_and(|r| r.verdict == Verdict::Refused && !is_expired(r, now))
+    /// Returns how a request is refused; `None` if it is not.
+    pub fn refusal(&self, fingerprint: Fingerprint, now: BootTime) -> Option<Refusal> {
+        let record = self.records.get(&fingerprint)?;
+        let refused_at = record.refused_at.filter(|_| !is_expired(record, now))?;
+        Some(if now.since(refused_at) < CONFIRMATION_TIME {
+            Refusal::Provisional
+        } else {
+            Refusal::Confirmed
+        })
     }
 
-    /// Records that `target` crashed while processing a request of this daemon.
+    /// Records that `target` crashed while processing a request that this daemon had sent at `sent`.
+    /// Returns the notice for the other daemons.
     pub fn record_crash(
         &mut self,
         fingerprint: Fingerprint,
         target: &str,
+        sent: BootTime,
         now: BootTime,
-    ) -> Verdict {
+    ) -> PoisonNotice {
         let record = self.record_mut(fingerprint, now);
-        record.add_target(target, now);
+        record.add_crash(target, sent, now);
         record.seen_locally = true;
-        update_verdict(record)
+        if record.consecutive() >= MIN_CONSECUTIVE {
+            record.refuse(now);
+        }
+        PoisonNotice {
+            fingerprint,
+            target: target.to_owned(),
+            verdict: record.verdict,
+            relay: false,
+            consecutive: record.consecutive(),
+        }
     }
 
-    /// Applies a notice from another daemon; returns the verdict if the notice changed it to one
-    /// that the sender does not know yet.
-    pub fn apply_notice(&mut self, notice: &PoisonNotice, now: BootTime) -> Option<Verdict> {
+    /// Applies a notice from another daemon.
+    pub fn apply_notice(&mut self, notice: &PoisonNotice, now: BootTime) {
+        if notice.verdict == Verdict::Cleared {
+            self.records.remove(&notice.fingerprint);
+            return;
+        }
         let record = self.record_mut(notice.fingerprint, now);
-        record.add_target(&notice.target, now);
+        record.add_notice(&notice.target, notice.consecutive, now);
         if notice.verdict == Verdict::Refused {
-            record.verdict = Verdict::Refused;
-            return None;
+            record.refuse(now);
         }
-        let before = record.verdict;
-        let verdict = update_verdict(record);
-        (verdict != before).then_some(verdict)
     }
 
-    /// Records that a target answered a request, which clears a suspicion.
-    pub fn record_answer(&mut self, fingerprint: Fingerprint) {
-        let record = self.records.get(&fingerprint);
-        if record.is_some_and(|r| r.verdict == Verdict::Suspect) {
-            self.records.remove(&fingerprint);
-        }
+    /// Records that a target answered a request, which clears it. Returns the notice for the other
+    /// daemons, if they refuse the request or have a suspicion that this daemon told them of.
+    pub fn record_answer(&mut self, fingerprint: Fingerprint) -> Option<PoisonNotice> {
+        let record = self.records.remove(&fingerprint)?;
+        let is_shared = record.seen_locally || record.verdict == Verdict::Refused;
+        is_shared.then(|| PoisonNotice {
+            fingerprint,
+            target: String::new(),
+            verdict: Verdict::Cleared,
+            relay: false,
+            consecutive: 0,
+        })
     }
 
     fn record_mut(&mut self, fingerprint: Fingerprint, now: BootTime) -> &mut SuspectRecord {
@@ -94,13 +127,6 @@
     }
 }
 
-fn update_verdict(record: &mut SuspectRecord) -> Verdict {
-    if record.seen_locally && record.crashed_targets() >= MIN_CRASHED_TARGETS {
-        record.verdict = Verdict::Refused;
-    }
-    record.verdict
-}
-
 fn is_expired(record: &SuspectRecord, now: BootTime) -> bool {
     now.since(record.last_crash) > RETENTION
 }
--- a/src/poison/mod.rs
+++ b/src/poison/mod.rs
@@ -1,7 +1,8 @@
 //! Detection of poison requests, which crash the targets that run them.
 //!
 //! A request whose target crashed while processing it becomes a suspect. After crashes of two
-//! targets without a response in between, the whole fleet refuses the request for a while.
+//! targets, the second by a request sent when the first was known, the whole fleet refuses the
+//! request for a while. An answer of a target ends the suspicion and the refusal.
 //! [`PoisonDetector`] makes the decision, and [`PoisonTracker`] shares it with the other daemons.
 
 mod detector;
@@ -11,7 +12,7 @@
 mod suspect;
 mod tracker;
 
-pub use detector::PoisonDetector;
+pub use detector::{PoisonDetector, Refusal};
 pub use fingerprint::Fingerprint;
 pub use handler::PoisonHandler;
 pub use notice::{PoisonNotice, Verdict};
--- a/src/poison/notice.rs
+++ b/src/poison/notice.rs
@@ -11,6 +11,8 @@
     Suspect,
     /// The request is refused.
     Refused,
+    /// A target answered the request, which ends an earlier suspicion or refusal.
+    Cleared,
 }
 
 /// Notifies other daemons of a request that crashed a target.
@@ -18,10 +20,13 @@
 pub struct PoisonNotice {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// Name of the target that crashed last.
+    /// Name of the target that crashed last; empty if the request was cleared.
     pub target: String,
     /// Verdict on the request.
     pub verdict: Verdict,
     /// Whether the receiver relays the notice to the daemons of its data centre.
     pub relay: bool,
+    /// Number of targets that crashed one after another, as known to the sender.
+    #[serde(default)]
+    pub consecutive: u32,
 }
--- a/src/poison/tracker.rs
+++ b/src/poison/tracker.rs
@@ -3,11 +3,11 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use crate::{
-    clock::Clock,
+    clock::{BootTime, Clock},
     peer::{FleetBroadcast, MessageKind, PeerClient},
 };
 
-use super::{Fingerprint, PoisonDetector, PoisonNotice, Verdict};
+use super::{Fingerprint, PoisonDetector, PoisonNotice, Refusal, Verdict};
 
 /// Timeout of a broadcast to the other daemons.
 const BROADCAST_TIMEOUT: Duration = Duration::from_millis(250);
@@ -39,34 +39,43 @@
         self.detector.borrow().is_empty()
     }
 
-    /// Returns whether a request is refused.
-    pub fn is_refused(&self, fingerprint: Fingerprint) -> bool {
+    /// Returns how a request is refused; `None` if it is not.
+    pub fn refusal(&self, fingerprint: Fingerprint) -> Option<Refusal> {
         let now = self.clock.now();
-        self.detector.borrow().is_refused(fingerprint, now)
+        self.detector.borrow().refusal(fingerprint, now)
     }
 
-    /// Records that a target answered a request.
+    /// Records that a target answered a request, and notifies the other daemons if they refuse or
+    /// suspect it on this daemon's account.
     pub fn record_answer(&self, fingerprint: Fingerprint) {
-        self.detector.borrow_mut().record_answer(fingerprint);
+        let Some(notice) = self.detector.borrow_mut().record_answer(fingerprint) else {
+            return;
+        };
+        log::info!("a target answered a request that was at work when targets crashed: cleared");
+        let tracker = self.clone();
+        monoio::spawn(async move { tracker.broadcast_notice(&notice).await });
     }
 
-    /// Records that `target` crashed while processing a request of this daemon.
+    /// Records that `target` crashed while processing a request that this daemon had sent at `sent`.
     ///
     /// Returns after the reachable daemons have been notified, so that a caller that retries the
     /// request through one of them is subject to the same verdict.
-    pub async fn record_crash(&self, fingerprint: Fingerprint, target: &str) -> Verdict {
+    pub async fn record_crash(
+        &self,
+        fingerprint: Fingerprint,
+        target: &str,
+        sent: BootTime,
+    ) -> Verdict {
         let now = self.clock.now();
-        let verdict = {
+        let notice = {
             let mut detector = self.detector.borrow_mut();
-            detector.record_crash(fingerprint, target, now)
-        };
-        log::warn!("target {target} crashed while processing a request: {verdict:?}");
-        let notice = PoisonNotice {
-            fingerprint,
-            target: target.to_owned(),
-            verdict,
-            relay: false,
+            detector.record_crash(fingerprint, target, sent, now)
         };
+        let (verdict, consecutive) = (notice.verdict, notice.consecutive);
+        log::warn!(
+            "target {target} crashed while processing a request: {verdict:?}, \
+             {consecutive} in a row"
+        );
         self.broadcast_notice(&notice).await;
         verdict
     }
@@ -74,16 +83,7 @@
     /// Applies a notice from another daemon and relays it if requested.
     pub(super) async fn apply_notice(&self, notice: &PoisonNotice) {
         let now = self.clock.now();
-        let changed = self.detector.borrow_mut().apply_notice(notice, now);
-        if let Some(verdict) = changed {
-            let notice = PoisonNotice {
-                verdict,
-                relay: false,
-                ..notice.clone()
-            };
-            let tracker = self.clone();
-            monoio::spawn(async move { tracker.broadcast_notice(&notice).await });
-        }
+        self.detector.borrow_mut().apply_notice(notice, now);
         if notice.relay {
             let notice = PoisonNotice {
                 relay: false,
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -128,10 +128,13 @@
             return self.step(Event::Failed(AttemptFailure::Lost));
         }
         let fingerprint = self.dispatch.fingerprint(self.head, self.body);
-        let verdict = self.cx.poison.record_crash(fingerprint, &picked.name).await;
+        let poison = &self.cx.poison;
+        let verdict = poison
+            .record_crash(fingerprint, &picked.name, attempt.started)
+            .await;
         self.close_unused_connections();
         self.step(Event::Failed(match verdict {
-            Verdict::Suspect => AttemptFailure::Lost,
+            Verdict::Suspect | Verdict::Cleared => AttemptFailure::Lost,
             Verdict::Refused => AttemptFailure::Crashed,
         }))
     }
--- a/src/proxy/claimed_dispatch.rs
+++ b/src/proxy/claimed_dispatch.rs
@@ -42,8 +42,8 @@
             _ => None,
         };
         let run = self.send_to_targets(head, body, caller).await;
-        if run.result.is_ok() {
-            self.clear_suspicion(head, body);
+        if let Ok(response) = &run.result {
+            self.clear_suspicion(head, body, response.started.head.status);
         }
         if let (Some(store), Some(claim)) = (&self.cx.claims, claim) {
             self.settle_claim(store, claim, &run.result, run.may_have_run)
--- a/src/proxy/crash_detection.rs
+++ b/src/proxy/crash_detection.rs
@@ -2,10 +2,13 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use http::request;
+use http::{request, StatusCode};
 
 use crate::{
-    http::HttpError, metrics::Counter, outcome::ErrorKind, poison::Fingerprint,
+    http::HttpError,
+    metrics::Counter,
+    outcome::ErrorKind,
+    poison::{Fingerprint, Refusal},
     pool::TargetConnection,
 };
 
@@ -59,15 +62,25 @@
         body: &RequestBody,
     ) -> Result<(), DispatchError> {
         let poison = &self.cx.poison;
-        if poison.is_empty() || !poison.is_refused(self.fingerprint(head, body)) {
+        if poison.is_empty() {
             return Ok(());
         }
-        Err(DispatchError::Failed(ErrorKind::CrashesTargets))
+        match poison.refusal(self.fingerprint(head, body)) {
+            None => Ok(()),
+            Some(Refusal::Provisional) => Err(DispatchError::Failed(ErrorKind::CrashSuspected)),
+            Some(Refusal::Confirmed) => Err(DispatchError::Failed(ErrorKind::CrashesTargets)),
+        }
     }
 
-    /// Records that a target answered the request, which clears a suspicion.
-    pub(super) fn clear_suspicion(&self, head: &request::Parts, body: &RequestBody) {
-        if !self.cx.poison.is_empty() {
+    /// Records that a target answered the request with `status`, which clears a suspicion. An error
+    /// of the target does not, as it may not have run the request.
+    pub(super) fn clear_suspicion(
+        &self,
+        head: &request::Parts,
+        body: &RequestBody,
+        status: StatusCode,
+    ) {
+        if !status.is_server_error() && !self.cx.poison.is_empty() {
             self.cx.poison.record_answer(self.fingerprint(head, body));
         }
     }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -276,6 +276,10 @@
         if let Err(kind) = self.dispatch.admitted.recheck(self.cx).await {
             return self.step(Event::SendRefused(kind));
         }
+        // The request may have been found to crash targets while it waited for one.
+        if let Err(DispatchError::Failed(kind)) = self.dispatch.check_poison(self.head, self.body) {
+            return self.step(Event::SendRefused(kind));
+        }
         let next = self.step(Event::SendStarted);
         let left = self.dispatch.deadline.left(self.cx.clock.now());
         if let Some(attempt) = &self.attempt {
