Let a task pause when its peer sends without pause

Operators of other systems reported upstreams that sent bytes without end. Here memory stays bounded, but callers of a daemon got no answers at all while one target sent interim heads, or four callers pipelined requests that are refused.

Cause: one thread runs all tasks, a read of a socket that has bytes never waits, and the runtime polls sockets and timers only when no task is ready, so that no deadline fires either.

Change: `http::Turn` counts the work of each reader since it last waited, and sleeps for 1 ms after 64 KiB of input or as much work; at most 16 interim heads come before a response. It works since all input of a daemon goes through `HttpReader`, and since a sleeping task lets the runtime reach its sockets and timers. A reader that has to wait begins a new turn, so that ordinary traffic meets no pause.

Ruled out: giving way without a sleep. The task would be ready again at once, and timers would go on waiting.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -10,6 +10,7 @@
 mod head_limits;
 mod keepalive;
 mod reader;
+mod turn;
 mod writer;
 
 pub use body_decoder::BodyDecoder;
@@ -21,4 +22,5 @@
 pub use framing::{request_body_kind, response_body_kind};
 pub use head_limits::HeadLimits;
 pub use reader::HttpReader;
+pub use turn::Turn;
 pub use writer::HttpWriter;
--- a/src/http/reader.rs
+++ b/src/http/reader.rs
@@ -13,18 +13,25 @@
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder};
 
-use super::{framing, BodyDecoder, HeadLimits, HttpError};
+use super::{framing, BodyDecoder, HeadLimits, HttpError, Turn};
 
 /// Buffer size of one socket read, in bytes.
 const READ_BYTES: usize = 16 * 1024;
 /// Buffer size of a read on an idle connection, in bytes; enough for most heads.
 const IDLE_READ_BYTES: usize = 1024;
+/// Work of decoding and handling one head, in bytes of input.
+const HEAD_WORK_BYTES: usize = 2 * 1024;
+/// The same for one part of a body.
+const PART_WORK_BYTES: usize = 256;
 
 /// Read half of an HTTP/1.1 connection.
 pub struct HttpReader {
     io: OwnedReadHalf<TcpStream>,
     buf: BytesMut,
     bytes_received: u64,
+    turn: Turn,
+    /// Bytes of the last read, which are charged before the next one.
+    uncharged: usize,
 }
 
 impl HttpReader {
@@ -34,6 +41,8 @@
             io,
             buf: BytesMut::new(),
             bytes_received: 0,
+            turn: Turn::default(),
+            uncharged: 0,
         }
     }
 
@@ -54,7 +63,8 @@
 
     /// Reads once from the socket into the buffer and returns the number of bytes, 0 at its end.
     ///
-    /// Cancel safe: the epoll driver reads only when the future is polled with the socket ready.
+    /// Cancel safe: the epoll driver reads only when the future is polled with the socket ready. Lets
+    /// other tasks run first if the socket has had bytes to read for a while.
     ///
     /// # Errors
     ///
@@ -64,10 +74,14 @@
     }
 
     async fn fill_at_most(&mut self, max: usize) -> Result<usize, HttpError> {
+        let received = std::mem::take(&mut self.uncharged);
+        self.turn.charge(received).await;
         let scratch = BytesMut::with_capacity(max);
-        let (res, slice) = self.io.read(scratch.slice_mut(0..max)).await;
+        let read = self.io.read(scratch.slice_mut(0..max));
+        let (res, slice) = self.turn.run(read).await;
         let n = res?;
         self.bytes_received += n as u64;
+        self.uncharged = n;
         let mut part = slice.into_inner();
         part.truncate(n);
         if self.buf.is_empty() {
@@ -143,6 +157,7 @@
     }
 
     async fn complete_head(&mut self, limits: &HeadLimits) -> Result<(), HttpError> {
+        self.turn.charge(HEAD_WORK_BYTES).await;
         match timeout(limits.timeout, self.fill_head(limits.max_bytes)).await {
             Ok(res) => res,
             Err(_) => Err(HttpError::Timeout),
@@ -178,6 +193,7 @@
     ///
     /// Returns an error if the body is malformed or truncated.
     pub async fn next_part(&mut self, body: &mut BodyDecoder) -> Result<Option<Bytes>, HttpError> {
+        self.turn.charge(PART_WORK_BYTES).await;
         loop {
             if let Decoded::Some(part) = body.decode(&mut self.buf)? {
                 return Ok(part);
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -21,6 +21,9 @@
 /// Largest body of a response that is received whole before its head is relayed, in bytes.
 const MAX_WHOLE_BODY_BYTES: u64 = 16 * 1024;
 
+/// Maximum number of informational responses before a response.
+const MAX_INTERIM_HEADS: usize = 16;
+
 /// The body of a response, whose beginning has been received.
 pub(super) struct ResponseBody {
     /// Decodes the rest of the body.
@@ -185,12 +188,13 @@
     })
 }
 
-/// Reads response heads up to the first one that is not informational.
+/// Reads response heads up to the first one that is not informational, at most
+/// [`MAX_INTERIM_HEADS`] before it.
 async fn read_final_head(
     reader: &mut HttpReader,
     limits: &HeadLimits,
 ) -> Result<response::Parts, Event> {
-    loop {
+    for _ in 0..=MAX_INTERIM_HEADS {
         let head = reader.read_response_head(limits).await;
         match head {
             Ok(head) if head.status == StatusCode::SWITCHING_PROTOCOLS => {
@@ -210,4 +214,6 @@
             }
         }
     }
+    log::warn!(heads = MAX_INTERIM_HEADS + 1; "target sends informational responses without end");
+    Err(Event::Failed(AttemptFailure::Malformed))
 }
--- a/standins/src/entry_fleet.rs
+++ b/standins/src/entry_fleet.rs
@@ -28,6 +28,8 @@
     pub caller_address: SocketAddr,
     /// Address of the readiness check and the metrics.
     pub ready_address: SocketAddr,
+    /// Address for other daemons.
+    pub peer_address: SocketAddr,
     /// Path of the log file.
     pub log_path: PathBuf,
     program: PathBuf,
@@ -64,6 +66,7 @@
             host: host.to_owned(),
             caller_address: caller,
             ready_address: ready,
+            peer_address: peer,
             log_path,
             program: program.to_owned(),
             settings_path,
@@ -118,6 +121,19 @@
         self.process.wait_exit(limit)
     }
 
+    /// Returns the resident memory of the process in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process does not run.
+    pub fn memory_bytes(&self) -> io::Result<u64> {
+        let statm = fs::read_to_string(format!("/proc/{}/statm", self.process.id()))?;
+        let pages = statm.split(' ').nth(1).and_then(|n| n.parse::<u64>().ok());
+        // SAFETY: `sysconf` has no preconditions.
+        let page_bytes = unsafe { libc::sysconf(libc::_SC_PAGESIZE) } as u64;
+        Ok(pages.unwrap_or_default() * page_bytes)
+    }
+
     /// Returns whether the readiness check of the daemon succeeds.
     pub fn is_ready(&self) -> bool {
         let reply = Client::send_once(self.ready_address, "GET", "/ready", &[], b"");
--- a/standins/src/script.rs
+++ b/standins/src/script.rs
@@ -12,6 +12,8 @@
 
 /// Time for which a held connection stays open.
 const HOLD_TIME: Duration = Duration::from_secs(20);
+/// Bytes of one write of a flood.
+const FLOOD_BYTES: usize = 64 * 1024;
 /// Placeholder for the id of the request.
 const ID: &str = "{id}";
 
@@ -28,6 +30,8 @@
     Hold,
     /// Repeats the last byte of the script at this interval.
     Repeat(Duration),
+    /// Repeats these bytes as fast as the connection takes them.
+    Flood(&'static str),
 }
 
 /// Bytes that a target sends instead of a response; `{id}` stands for the id of the request.
@@ -66,11 +70,18 @@
                     thread::sleep(interval);
                 }
             }
+            ScriptEnd::Flood(part) => flood(stream, part),
         }
         Ok(ConnectionAction::Close)
     }
 }
 
+/// Sends `part` again and again until the connection fails.
+fn flood(stream: &mut TcpStream, part: &str) {
+    let parts = part.repeat(FLOOD_BYTES.div_ceil(part.len()));
+    while stream.write_all(parts.as_bytes()).is_ok() {}
+}
+
 /// Resets a connection; both sides lose what was not read.
 fn reset(stream: &TcpStream) -> io::Result<()> {
     // Gives the other side time to read what was sent before.
