Close connections whose pipelined requests are all refused

Change: 64 refusals in a row to requests that arrived before the response to the one before was read end the connection, with `Connection: close` and a log line.

--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -34,6 +34,10 @@
 /// Maximum number of received bytes that are discarded after the last response.
 const MAX_LINGER_BYTES: usize = 16 << 20;
 
+/// Refusals in a row to requests that a caller sends without waiting for the responses, after which
+/// its connection is closed.
+const MAX_PIPELINED_REFUSALS: u32 = 64;
+
 /// Shortest wait of a caller that is refused because this daemon does not serve yet.
 const MIN_NOT_READY_WAIT: Duration = Duration::from_millis(200);
 /// Longest such wait; the range keeps callers that were refused together from returning together.
@@ -79,6 +83,8 @@
     pub(super) reader: HttpReader,
     /// Writes responses.
     pub(super) writer: HttpWriter,
+    /// Refusals in a row behind which the next request had already arrived.
+    pipelined_refusals: u32,
 }
 
 impl CallerConnection {
@@ -90,14 +96,20 @@
             cx,
             reader: HttpReader::new(r),
             writer: HttpWriter::new(w),
+            pipelined_refusals: 0,
         }
     }
 
     /// Serves requests until one side closes the connection.
     pub(super) async fn serve(mut self) {
         while self.wait_for_request().await {
+            let refusals = self.pipelined_refusals;
             // Boxed, so that idle connections do not hold memory for the state of a request.
-            match Box::pin(self.serve_request()).await {
+            let fate = Box::pin(self.serve_request()).await;
+            if self.pipelined_refusals == refusals {
+                self.pipelined_refusals = 0;
+            }
+            match fate {
                 ConnectionFate::KeepAlive => {}
                 ConnectionFate::Close => break,
                 ConnectionFate::Reset => return self.writer.abort(),
@@ -249,7 +261,8 @@
     ) -> ConnectionFate {
         self.cx.metrics.count_refusal(kind);
         log_error_response(params.request_id, kind);
-        if !params.keep_alive {
+        let keep_alive = params.keep_alive && !self.is_flooding(params.request_id);
+        if !keep_alive {
             let close = HeaderValue::from_static("close");
             head.headers.insert(header::CONNECTION, close);
         }
@@ -259,11 +272,23 @@
             buf.extend_from_slice(body);
         }
         match self.write(buf.freeze()).await {
-            Ok(()) => ConnectionFate::after_complete_response(params.keep_alive),
+            Ok(()) => ConnectionFate::after_complete_response(keep_alive),
             Err(_) => ConnectionFate::Reset,
         }
     }
 
+    /// Records a refusal; returns whether the caller sends requests without waiting for the
+    /// responses although [`MAX_PIPELINED_REFUSALS`] in a row were refused.
+    fn is_flooding(&mut self, request_id: &str) -> bool {
+        self.pipelined_refusals += u32::from(self.reader.has_buffered());
+        let is_flooding = self.pipelined_refusals >= MAX_PIPELINED_REFUSALS;
+        if is_flooding {
+            log::warn!(request_id = request_id, refusals = self.pipelined_refusals;
+                "closing a connection whose pipelined requests are all refused");
+        }
+        is_flooding
+    }
+
     /// Writes `buf` within the timeout for body parts.
     pub(super) async fn write(&mut self, buf: Bytes) -> Result<(), HttpError> {
         match timeout(self.cx.limits.body_part_timeout, self.writer.write(buf)).await {
--- a/tests/entry_pipelining.rs
+++ b/tests/entry_pipelining.rs
@@ -29,6 +29,60 @@
     )
 }
 
+/// Guards against a caller that keeps a daemon busy with requests that are refused, sent without a
+/// look at the responses.
+#[test]
+fn connection_whose_pipelined_requests_are_all_refused_is_closed() {
+    struct Case {
+        requests: usize,
+        /// A request with a key follows each of these many refused ones.
+        served_every: usize,
+        closed: bool,
+    }
+    let cases = [
+        Case {
+            requests: 60,
+            served_every: usize::MAX,
+            closed: false,
+        },
+        Case {
+            requests: 200,
+            served_every: usize::MAX,
+            closed: true,
+        },
+        Case {
+            requests: 200,
+            served_every: 20,
+            closed: false,
+        },
+    ];
+    let fleet = start();
+    for case in &cases {
+        let request = |i: usize| {
+            let is_served = (i + 1) % case.served_every == 0;
+            let path = if is_served { "/one/x" } else { "/none" };
+            head("GET", path, &format!("r-{i}"))
+        };
+        let heads: String = (0..case.requests).map(request).collect();
+        let last =
+            head("GET", "/none", "last").replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n");
+        let address = fleet.daemons[0].caller_address;
+        let mut stream = TcpStream::connect(address).expect("opens");
+        stream
+            .set_read_timeout(Some(REPLY_TIMEOUT))
+            .expect("is set");
+        let all = format!("{heads}{last}");
+        stream.write_all(all.as_bytes()).expect("is sent");
+        let mut received = String::new();
+        stream
+            .read_to_string(&mut received)
+            .expect("ends in an orderly way");
+        let responses = received.matches("HTTP/1.1 ").count();
+        let expected = if case.closed { 64 } else { case.requests + 1 };
+        assert_eq!(responses, expected, "{} requests", case.requests);
+    }
+}
+
 #[test]
 fn responses_come_in_the_order_of_the_requests() {
     let fleet = start();
