Serve uploads without a key, and answer those that are refused midway

Cause: a request without a key had the empty byte string as its key, which is in every body, and any end of an upload, our own refusal too, was taken for a caller that has left.

Change: `AuthorizedRequest::key` is an Option, and without a key bodies are not searched; a search for nothing finds nothing. An upload that is refused midway is a 400 `upload_refused` with the outcome `unknown`. It works since the absence of a key can no longer be taken for a key, and since a refusal of ours has an event of its own.

That no target sees the key or runs the request is checked as before.

--- a/src/http/forbidden.rs
+++ b/src/http/forbidden.rs
@@ -16,7 +16,7 @@
 }
 
 impl ForbiddenBytes {
-    /// Creates a search for `needle`.
+    /// Creates a search for `needle`. An empty one, which every part contains, is never found.
     pub fn new(needle: &[u8]) -> Self {
         Self {
             finder: Box::new(Finder::new(needle).into_owned()),
@@ -31,7 +31,7 @@
     /// Returns [`HttpError::Forbidden`] if the body contains the forbidden bytes.
     pub fn scan(&mut self, part: Bytes) -> Result<Bytes, HttpError> {
         let mut joined = self.join(part);
-        if self.finder.find(&joined).is_some() {
+        if !self.finder.needle().is_empty() && self.finder.find(&joined).is_some() {
             return Err(HttpError::Forbidden);
         }
         self.held_back = joined.split_off(joined.len() - self.partial_match_len(&joined));
--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -69,6 +69,8 @@
     CrashSuspected,
     /// Targets crashed while processing the request.
     CrashesTargets,
+    /// The body was found to be unacceptable after parts of it had been forwarded to a target.
+    UploadRefused,
     /// The target closed the connection or failed while processing the request.
     TargetLost,
     /// The target did not respond before the deadline.
@@ -164,6 +166,12 @@
                 Some(300),
                 "targets died while they had this request",
             ),
+            Self::UploadRefused => (
+                400,
+                Unknown,
+                None,
+                "the body was refused while it was sent on",
+            ),
             Self::TargetLost => (502, Unknown, None, "the target failed during the request"),
             Self::TargetTimeout => (504, Unknown, None, "the target did not answer in time"),
             Self::TargetMalformed => (502, Unknown, None, "the target's answer is malformed"),
--- a/src/proxy/access_policy.rs
+++ b/src/proxy/access_policy.rs
@@ -62,9 +62,9 @@
         }
     }
 
-    /// Returns the key, empty if the request carries none.
-    pub fn key(&self) -> &[u8] {
-        self.identity.as_ref().map_or(&[], |i| &i.key)
+    /// Returns the key; `None` on public routes, where there is none that targets must not see.
+    pub fn key(&self) -> Option<&[u8]> {
+        self.identity.as_ref().map(|i| &*i.key)
     }
 }
 
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -105,6 +105,10 @@
                 self.observe(WorkResult::Lost);
             }
             Event::DeadlinePassed => self.on_silence(),
+            Event::UploadRefused(reason) => {
+                log::info!(request_id = self.dispatch.request_id, reason:? = reason;
+                    "upload refused midway");
+            }
             _ => {}
         }
         self.step(event)
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -10,7 +10,7 @@
     config::LimitSettings,
     http::{encode_request_head, BodyDecoder, BodyKind, HeadLimits, HttpError, HttpReader},
     pool::TargetConnection,
-    retry::{AttemptFailure, Event},
+    retry::{AttemptFailure, Event, UploadError},
 };
 
 use super::request_body::RequestBody;
@@ -127,10 +127,9 @@
         let part_timeout = self.limits.body_part_timeout;
         let upload = async {
             loop {
-                let part = match timeout(part_timeout, caller.next_part(decoder)).await {
-                    Ok(Ok(part)) => part,
-                    _ => return Err(Event::CallerDisconnected),
-                };
+                let next = timeout(part_timeout, caller.next_part(decoder)).await;
+                let part = next.unwrap_or(Err(HttpError::Timeout));
+                let part = part.map_err(|e| upload_event(&e))?;
                 let lost = |_| Event::Failed(AttemptFailure::Lost);
                 match part {
                     Some(part) => writer.write_part(*framing, part).await.map_err(lost)?,
@@ -181,6 +180,18 @@
     Ok(ResponseBody { decoder, first })
 }
 
+/// Returns the event of an upload that ended with `e`.
+fn upload_event(e: &HttpError) -> Event {
+    let reason = match e {
+        HttpError::Io(_) | HttpError::UnexpectedEof => return Event::CallerDisconnected,
+        HttpError::Malformed(_) | HttpError::HeadTooLarge => UploadError::Malformed,
+        HttpError::BodyTooLarge => UploadError::TooLarge,
+        HttpError::Forbidden => UploadError::KeyExposed,
+        HttpError::Timeout => UploadError::Stalled,
+    };
+    Event::UploadRefused(reason)
+}
+
 fn body_event(e: HttpError) -> Event {
     Event::Failed(match e {
         HttpError::Io(_) | HttpError::UnexpectedEof | HttpError::Timeout => AttemptFailure::Lost,
--- a/src/proxy/request_body.rs
+++ b/src/proxy/request_body.rs
@@ -30,8 +30,8 @@
 pub(super) struct BodyReceiver<'a> {
     /// Framing of the body.
     pub(super) kind: BodyKind,
-    /// Key of the caller, which must not appear in the body.
-    pub(super) key: &'a [u8],
+    /// Key of the caller, which must not appear in the body; `None` if the request needs no key.
+    pub(super) key: Option<&'a [u8]>,
     /// Maximum size of the body in bytes.
     pub(super) max_bytes: u64,
     /// Limits of this daemon.
@@ -90,7 +90,10 @@
 
     fn decoder(&self) -> BodyDecoder {
         let decoder = BodyDecoder::new(self.kind).with_max_chunked_bytes(self.max_bytes);
-        decoder.with_forbidden(ForbiddenBytes::new(self.key))
+        match self.key {
+            Some(key) => decoder.with_forbidden(ForbiddenBytes::new(key)),
+            None => decoder,
+        }
     }
 }
 
--- a/src/retry/event.rs
+++ b/src/retry/event.rs
@@ -2,7 +2,7 @@
 
 use crate::outcome::ErrorKind;
 
-use super::AttemptFailure;
+use super::{AttemptFailure, UploadError};
 
 /// An event in the life of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -22,6 +22,8 @@
     },
     /// The request may no longer be sent, for this reason; no byte has been written.
     SendRefused(ErrorKind),
+    /// The body of the request must not be passed on any further, for this reason.
+    UploadRefused(UploadError),
     /// The first byte of the request is about to be written.
     SendStarted,
     /// An informational response arrived.
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -14,6 +14,7 @@
 mod repeatable;
 mod service_retry_state;
 mod state_machine;
+mod upload_error;
 
 pub use action::{Action, ConnectionSource};
 pub use attempt_failure::AttemptFailure;
@@ -25,3 +26,4 @@
 pub use repeatable::is_repeatable;
 pub use service_retry_state::ServiceRetryState;
 pub use state_machine::RequestStateMachine;
+pub use upload_error::UploadError;
--- a/src/retry/state_machine.rs
+++ b/src/retry/state_machine.rs
@@ -95,6 +95,11 @@
             (Phase::Exchanging { written: false, .. }, Event::SendRefused(kind)) => {
                 self.respond_error(self.send_error(kind))
             }
+            (Phase::Exchanging { .. }, Event::UploadRefused(_)) => {
+                // The target may act on the part of the body that it has received.
+                self.may_have_run = true;
+                self.respond_error(ErrorKind::UploadRefused)
+            }
             (Phase::Exchanging { reused, .. }, Event::SendStarted) => self.on_send_started(reused),
             (Phase::Exchanging { written: true, .. }, Event::Informational) => {
                 Some(Action::AwaitHead)
