Evict idle connections on time under steady traffic

Cause: `pool_task` raced a sleep of 1 s, made anew each turn, against the next message, so that a message a second kept the eviction from ever running.

It works since the check runs with each message.

Looked for elsewhere: balancer_task, table_follower, reader_task, heartbeat_task, suspicion_task and lease_task have timers in tasks of their own; ownership_task counts the time left; the lanes of peer/client.rs close when idle by intent.

--- a/src/pool/idle.rs
+++ b/src/pool/idle.rs
@@ -29,12 +29,31 @@
 }
 
 /// Idle connections by target address.
-#[derive(Default)]
 pub struct IdleConnections {
     by_address: FxHashMap<SocketAddr, VecDeque<IdleConnection>>,
+    /// Maximum number of connections to all targets.
+    max_total: usize,
 }
 
 impl IdleConnections {
+    /// Creates an empty pool of at most `max_total` connections.
+    pub fn new(max_total: usize) -> Self {
+        Self {
+            by_address: FxHashMap::default(),
+            max_total,
+        }
+    }
+
+    /// Returns the number of connections.
+    pub fn len(&self) -> usize {
+        self.by_address.values().map(VecDeque::len).sum()
+    }
+
+    /// Returns whether there are no connections.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Takes the most recently used connection to `address` that is still usable and was idle for
     /// at most `max_idle`.
     pub fn take(
@@ -55,7 +74,8 @@
     }
 
     /// Adds a connection to the pool for later requests, or closes it if it is not open and idle or
-    /// if its target has the maximum number of idle connections.
+    /// if its target has the maximum number of idle connections. Closes the connection that has been
+    /// idle for longest if there are too many in total.
     pub fn put(&mut self, conn: TargetConnection, now: BootTime) {
         if !conn.is_open_and_idle() {
             return;
@@ -69,6 +89,18 @@
                 conn,
                 idle_since: now,
             });
+            if self.len() > self.max_total {
+                self.close_oldest();
+            }
+        }
+    }
+
+    /// Closes the connection that has been idle for longest.
+    fn close_oldest(&mut self) {
+        let idle_since = |queue: &VecDeque<IdleConnection>| queue.front().map(|i| i.idle_since);
+        let queues = self.by_address.values_mut().filter(|q| !q.is_empty());
+        if let Some(queue) = queues.min_by_key(|q| idle_since(q)) {
+            queue.pop_front();
         }
     }
 
@@ -93,10 +125,16 @@
         recent.peek().is_some() && recent.all(|idle| !idle.conn.is_open_and_idle())
     }
 
-    /// Closes connections that have been idle for too long or are too old.
+    /// Closes connections that have been idle for too long or are too old, and those that the target
+    /// has closed. The latter are kept for [`MAX_RECENT_IDLE`], as they tell of a crash of the
+    /// target.
     pub fn evict_expired(&mut self, now: BootTime) {
+        let is_recent = |idle: &IdleConnection| now.since(idle.idle_since) <= MAX_RECENT_IDLE;
+        let is_kept = |idle: &IdleConnection| {
+            idle.is_usable(now) && (is_recent(idle) || idle.conn.is_open_and_idle())
+        };
         self.by_address.retain(|_, queue| {
-            queue.retain(|idle| idle.is_usable(now));
+            queue.retain(is_kept);
             !queue.is_empty()
         });
     }
--- a/src/pool/task.rs
+++ b/src/pool/task.rs
@@ -10,6 +10,8 @@
 
 /// Interval between evictions of expired connections.
 const EVICTION_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of idle connections to all targets; a quarter of the descriptors of a small host.
+const MAX_IDLE_CONNECTIONS: usize = 1000;
 
 /// A message to the task that owns the idle connections.
 pub enum PoolMessage {
@@ -69,10 +71,16 @@
 
 /// Owns the idle connections and answers messages until all senders are dropped.
 pub async fn pool_task(mut rx: mpsc::unbounded::Rx<PoolMessage>, clock: Rc<dyn Clock>) {
-    let mut idle = IdleConnections::default();
+    let mut idle = IdleConnections::new(MAX_IDLE_CONNECTIONS);
+    let mut next_eviction = clock.now() + EVICTION_INTERVAL;
     loop {
+        let now = clock.now();
+        if now >= next_eviction {
+            idle.evict_expired(now);
+            next_eviction = now + EVICTION_INTERVAL;
+        }
         monoio::select! {
-            () = monoio::time::sleep(EVICTION_INTERVAL) => idle.evict_expired(clock.now()),
+            () = monoio::time::sleep(next_eviction.since(now)) => {}
             msg = rx.recv() => match msg {
                 Some(PoolMessage::Take(address, max_idle, reply)) => {
                     let _ = reply.send(idle.take(address, max_idle, clock.now()));
