Escape keys in calls to the store

A daemon that read a table of over 500 rows whose 500th key holds `&` or `#` read the same page for ever and kept all its rows, and never became ready.

Cause: `read_part` put the key of the last row into the query as it was.

Evidence: rows_with_odd_keys_are_read_page_by_page failed before ("odd: no end").

Change: the client escapes query values; a page that makes no progress is an error. The store of the tests decodes queries.

--- a/src/platform/row_client.rs
+++ b/src/platform/row_client.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
+use percent_encoding::{utf8_percent_encode, AsciiSet, PercentEncode, NON_ALPHANUMERIC};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use serde_with::{base64::Base64, serde_as, DurationSecondsWithFrac};
 
@@ -30,6 +31,18 @@
 /// Largest response: a configuration of 25,000 routes in base64 takes a quarter of it.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
+/// Bytes of a query value that are percent-encoded.
+const QUERY_ESCAPES: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'.')
+    .remove(b'_')
+    .remove(b'~')
+    .remove(b':');
+
+fn encode_query(value: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(value, QUERY_ESCAPES)
+}
+
 /// The client of the platform's store.
 pub struct RowClient {
     address: SocketAddr,
@@ -173,6 +186,7 @@
         from: &'a str,
     ) -> BoxFuture<'a, Result<RowPage, StoreError>> {
         Box::pin(async move {
+            let [table, part, from] = [table, part, from].map(encode_query);
             let path = format!("/rows-get?table={table}&part={part}&from={from}");
             match self.read_rows(&path, CALL_TIMEOUT).await? {
                 FeedResponse::Changed(rows) => Ok(rows),
@@ -189,6 +203,7 @@
     ) -> BoxFuture<'a, Result<FeedResponse, StoreError>> {
         Box::pin(async move {
             let wait_ms = wait.as_millis();
+            let table = encode_query(table);
             let path = format!("/rows-feed?table={table}&after={after}&waitMs={wait_ms}");
             self.read_rows(&path, wait + POLL_SLACK).await
         })
--- a/src/store/read_part.rs
+++ b/src/store/read_part.rs
@@ -33,8 +33,14 @@
     };
     while let (true, Some(last)) = (truncated, all.rows.last()) {
         // The smallest key after the last one read.
-        let from = format!("{}%00", last.key);
+        let from = format!("{}\0", last.key);
         let page = store.read(table, part, &from).await?;
+        // Rows may have been removed meanwhile, so that none is left.
+        let is_behind = page.rows.first().is_some_and(|row| row.key < from);
+        if is_behind || (page.rows.is_empty() && page.truncated) {
+            log::warn!(table = table, from:? = from; "the store returned no further rows of a part");
+            return Err(StoreError::BadAnswer);
+        }
         truncated = page.truncated;
         all.rows.extend(page.rows);
     }
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -40,14 +40,32 @@
         self.path.split('?').next().unwrap_or("")
     }
 
-    /// Value of a query parameter.
-    pub(crate) fn query(&self, name: &str) -> Option<&str> {
+    /// Value of a query parameter, decoded.
+    pub(crate) fn query(&self, name: &str) -> Option<String> {
         let query = self.path.split_once('?')?.1;
         let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
-        pairs.find(|(n, _)| *n == name).map(|(_, v)| v)
+        pairs.find(|(n, _)| *n == name).map(|(_, v)| decode(v))
     }
 }
 
+/// Decodes the percent-encoded bytes of a query value; others stay as they are.
+fn decode(value: &str) -> String {
+    let mut decoded = Vec::new();
+    let mut rest = value.as_bytes();
+    while let Some((byte, after)) = rest.split_first() {
+        let digits = after.get(..2).and_then(|d| std::str::from_utf8(d).ok());
+        let escaped = digits.and_then(|d| u8::from_str_radix(d, 16).ok());
+        if let (b'%', Some(escaped)) = (*byte, escaped) {
+            decoded.push(escaped);
+            rest = &after[2..];
+        } else {
+            decoded.push(*byte);
+            rest = after;
+        }
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
+
 /// What the server does with a connection after a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ConnectionAction {
--- a/standins/src/row_store.rs
+++ b/standins/src/row_store.rs
@@ -223,10 +223,10 @@
 
     fn read(&self, req: &Request) -> (u16, Value) {
         let table = req.query("table").unwrap_or_default();
-        let from = req.query("from").unwrap_or_default().replace("%00", "\0");
+        let from = req.query("from").unwrap_or_default();
         let part = req.query("part").unwrap_or_default();
         let state = self.state();
-        let mut rows = state.rows(table, |name, row| {
+        let mut rows = state.rows(&table, |name, row| {
             name.part == part && row.value.is_some() && name.key >= from
         });
         let truncated = rows.len() > PAGE_ROWS;
@@ -246,7 +246,7 @@
             if after < state.truncated_up_to {
                 return (410, json!({}));
             }
-            let rows = state.rows(table, |_, row| row.version > after);
+            let rows = state.rows(&table, |_, row| row.version > after);
             let left = end.saturating_duration_since(Instant::now());
             let has_fault = state.faults.down || state.faults.refuse_with.is_some();
             if !rows.is_empty() || left.is_zero() || has_fault {
--- a/tests/store_client.rs
+++ b/tests/store_client.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use chervillug::{
     platform::RowClient,
-    store::{RowPut, RowStore as _, StoreError, WriteOutcome},
+    store::{read_part, RowPut, RowStore as _, StoreError, WriteOutcome},
 };
 use monoio::{LegacyDriver, RuntimeBuilder};
 use standins::{free_address, RowStore, RowStoreFaults};
@@ -68,3 +68,30 @@
         assert!(matches!(written, Ok(WriteOutcome::Committed { .. })));
     });
 }
+
+/// Guards against a read of a table that never ends, or misses rows, since the key of a page's last
+/// row has a meaning in a query.
+#[test]
+fn rows_with_odd_keys_are_read_page_by_page() {
+    let store = RowStore::start(free_address().unwrap()).expect("a store");
+    let mut runtime = ManuallyDrop::new(
+        RuntimeBuilder::<LegacyDriver>::new()
+            .enable_timer()
+            .build()
+            .expect("a runtime"),
+    );
+    let client = RowClient::new(store.address(), Rc::default());
+    for (table, odd) in [("plain", "k-"), ("odd", "k&from=#%41 +?="), ("wide", "ké")] {
+        let keys: Vec<String> = (0..1200).map(|i| format!("{odd}{i:04}")).collect();
+        keys.iter().for_each(|key| store.put(table, key, b"v"));
+        let read = runtime.block_on(async {
+            let read = read_part(&client, table, "");
+            monoio::time::timeout(std::time::Duration::from_secs(5), read).await
+        });
+        let read = read
+            .unwrap_or_else(|_| panic!("{table}: no end"))
+            .expect("no rows");
+        let read: Vec<&str> = read.rows.iter().map(|r| r.key.as_str()).collect();
+        assert!(read == keys, "{table}: {} rows", read.len());
+    }
+}
