--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -10,7 +10,7 @@
 mod head_limits;
 mod keepalive;
 mod reader;
-mod turn;
+mod work_budget;
 mod writer;
 
 pub use body_decoder::BodyDecoder;
@@ -22,5 +22,5 @@
 pub use framing::{request_body_kind, response_body_kind};
 pub use head_limits::HeadLimits;
 pub use reader::HttpReader;
-pub use turn::Turn;
+pub use work_budget::WorkBudget;
 pub use writer::HttpWriter;
--- a/src/http/reader.rs
+++ b/src/http/reader.rs
@@ -13,7 +13,7 @@
 use monoio_codec::{Decoded, Decoder};
 use monoio_http::h1::codec::decoder::{DecodeError, RequestHeadDecoder, ResponseHeadDecoder};
 
-use super::{framing, BodyDecoder, HeadLimits, HttpError, Turn};
+use super::{framing, BodyDecoder, HeadLimits, HttpError, WorkBudget};
 
 /// Buffer size of one socket read, in bytes.
 const READ_BYTES: usize = 16 * 1024;
@@ -29,7 +29,7 @@
     io: OwnedReadHalf<TcpStream>,
     buf: BytesMut,
     bytes_received: u64,
-    turn: Turn,
+    budget: WorkBudget,
     /// Bytes of the last read, which are charged before the next one.
     uncharged: usize,
 }
@@ -41,7 +41,7 @@
             io,
             buf: BytesMut::new(),
             bytes_received: 0,
-            turn: Turn::default(),
+            budget: WorkBudget::default(),
             uncharged: 0,
         }
     }
@@ -75,10 +75,10 @@
 
     async fn fill_at_most(&mut self, max: usize) -> Result<usize, HttpError> {
         let received = std::mem::take(&mut self.uncharged);
-        self.turn.charge(received).await;
+        self.budget.charge(received).await;
         let scratch = BytesMut::with_capacity(max);
         let read = self.io.read(scratch.slice_mut(0..max));
-        let (res, slice) = self.turn.run(read).await;
+        let (res, slice) = self.budget.run(read).await;
         let n = res?;
         self.bytes_received += n as u64;
         self.uncharged = n;
@@ -157,7 +157,7 @@
     }
 
     async fn complete_head(&mut self, limits: &HeadLimits) -> Result<(), HttpError> {
-        self.turn.charge(HEAD_WORK_BYTES).await;
+        self.budget.charge(HEAD_WORK_BYTES).await;
         match timeout(limits.timeout, self.fill_head(limits.max_bytes)).await {
             Ok(res) => res,
             Err(_) => Err(HttpError::Timeout),
@@ -193,7 +193,7 @@
     ///
     /// Returns an error if the body is malformed or truncated.
     pub async fn next_part(&mut self, body: &mut BodyDecoder) -> Result<Option<Bytes>, HttpError> {
-        self.turn.charge(PART_WORK_BYTES).await;
+        self.budget.charge(PART_WORK_BYTES).await;
         loop {
             if let Decoded::Some(part) = body.decode(&mut self.buf)? {
                 return Ok(part);
--- a/src/http/turn.rs
+++ b/src/http/work_budget.rs
@@ -8,9 +8,9 @@
 
 use monoio::time::sleep;
 
-/// Work of one turn, in bytes of input.
-const TURN_BYTES: usize = 64 * 1024;
-/// Pause after a turn. The runtime serves sockets and timers only once no task is ready, so that
+/// Work that a task may do without waiting, in bytes of input.
+const MAX_BYTES: usize = 64 * 1024;
+/// Pause after that work. The runtime serves sockets and timers only once no task is ready, so that
 /// giving way without a pause would not be enough.
 const PAUSE: Duration = Duration::from_millis(1);
 
@@ -19,21 +19,21 @@
 /// A socket that always has bytes to read never makes its task wait, so that one peer that sends
 /// without pause could hold the whole daemon.
 #[derive(Debug, Default)]
-pub struct Turn {
+pub struct WorkBudget {
     bytes: usize,
 }
 
-impl Turn {
-    /// Adds work that is worth `bytes` of input, and pauses if the turn is over.
+impl WorkBudget {
+    /// Adds work that is worth `bytes` of input, and pauses if the budget is used up.
     pub async fn charge(&mut self, bytes: usize) {
         self.bytes += bytes;
-        if self.bytes >= TURN_BYTES {
+        if self.bytes >= MAX_BYTES {
             self.bytes = 0;
             sleep(PAUSE).await;
         }
     }
 
-    /// Awaits `work`, and begins a new turn if it had to wait.
+    /// Awaits `work`, and renews the budget if it had to wait.
     pub async fn run<T>(&mut self, work: impl Future<Output = T>) -> T {
         let mut work = pin!(work);
         poll_fn(|cx| {
