succession: let a restarted holder renew before others read its lease

Change: they begin after 2.5 s and within 1 s. Every daemon's turn still comes early enough for the time of recovery (every_daemon_takes_its_turn_within_the_recovery_time, whose bound is unchanged).

--- a/src/quota/succession.rs
+++ b/src/quota/succession.rs
@@ -9,11 +9,11 @@
 
 /// Number of daemons, the standbys, that watch the lease at once.
 const STANDBYS: usize = 2;
-/// Time after which further daemons watch it, in case the standbys have failed as well; enough for
-/// them to learn that a standby has taken the slice over.
-const HEAD_START: Duration = Duration::from_secs(1);
+/// Time after which further daemons watch it, in case the standbys have failed as well; enough for a
+/// restarted holder to renew its lease, and for daemons to learn of the holder in a new fleet.
+const HEAD_START: Duration = Duration::from_millis(2500);
 /// Time over which the further daemons begin to watch it, which spreads their reads of the store.
-const SPREAD: Duration = Duration::from_millis(1500);
+const SPREAD: Duration = Duration::from_secs(1);
 /// Seed of the ranks.
 const SEED: u64 = 0;
 
