platform: serve routes of type upload, and of unknown types, at most once

Cause: a route of a type other than safe or unsafe made the whole configuration invalid, so that the daemon served no route at all.

Change: upload requests run at most once, and so do requests of a type that this build does not know, with a log line for each such route. A configuration that is invalid otherwise is still skipped as a whole, and the version in force stays.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -34,7 +34,7 @@
 struct RouteField {
     host: String,
     prefix: String,
-    /// `safe` or `unsafe`: whether requests may run more than once.
+    /// `safe`, `unsafe` or `upload`: whether requests may run more than once.
     r#type: String,
     /// Timeout of the whole request towards the caller, not of one attempt at a target.
     #[serde(default)]
@@ -101,7 +101,7 @@
         .map_err(|_| format!("version {}: expected hexadecimal digits", row.version))?;
     let routes = row.routes.into_iter().map(|(name, route)| {
         let known = |service: &str| row.services.contains_key(service);
-        decode_route(route, known).map_err(|e| format!("route {name}: {e}"))
+        decode_route(&name, route, known).map_err(|e| format!("route {name}: {e}"))
     });
     let routes = routes.collect::<Result<Vec<_>, _>>()?;
     let services = row.services.into_iter().map(|(name, s)| ServiceSettings {
@@ -130,7 +130,11 @@
     })
 }
 
-fn decode_route(route: RouteField, known: impl Fn(&str) -> bool) -> Result<HostRoute, String> {
+fn decode_route(
+    name: &str,
+    route: RouteField,
+    known: impl Fn(&str) -> bool,
+) -> Result<HostRoute, String> {
     let services = match (route.backend, route.backends) {
         (_, Some(parts)) => parts
             .into_iter()
@@ -152,11 +156,7 @@
     if services.is_empty() {
         return Err("expected at least one service".to_owned());
     }
-    let repeatable = match route.r#type.as_str() {
-        "safe" => true,
-        "unsafe" => false,
-        other => return Err(format!("type {other}: expected safe or unsafe")),
-    };
+    let repeatable = is_repeatable(name, &route.r#type);
     Ok(HostRoute {
         host: route.host.to_ascii_lowercase(),
         prefix: route.prefix,
@@ -169,6 +169,20 @@
     })
 }
 
+/// Returns whether requests of a route of type `kind` may run more than once. Those of a type that
+/// this build does not know run at most once, so that one new type takes no route out of service.
+fn is_repeatable(route: &str, kind: &str) -> bool {
+    match kind {
+        "safe" => true,
+        "unsafe" | "upload" => false,
+        other => {
+            log::warn!(route = route, kind = other;
+                "unknown route type, requests are sent at most once");
+            false
+        }
+    }
+}
+
 fn decode_workspace(name: String, tenant: TenantField) -> Result<WorkspaceConfig, String> {
     if !is_valid_header_value(&name) {
         return Err(format!(
