retry: take the limit on a service's retries from the settings

Cause: each daemon allowed itself 0.15 retries for an answered request, one at a time.

The sum over the fleet stays within the limit without messages. Without the settings nothing changes.

Result: tests/retry.rs plays a service that sheds 55% before 1, 48 and 123 daemons: the fleet stays within ratio and slack, and uses 0.8 of the ratio.

--- a/src/config/front_settings.rs
+++ b/src/config/front_settings.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde_with::{serde_as, DurationSecondsWithFrac};
 
-use crate::health::Profile;
+use crate::{health::Profile, retry::FleetRetryLimit};
 
 use super::{check::InvalidSetting, LimitSettings};
 
@@ -44,6 +44,11 @@
     pub floor: f64,
     /// Requests above rate and burst that the whole fleet may admit for a workspace.
     pub quota_slack: f64,
+    /// Retries that the whole fleet may send to a service, for each request to it. Without this
+    /// setting and `retry_slack` each daemon limits its retries by the answers that it gets.
+    pub retry_ratio: Option<f64>,
+    /// Retries in addition to `retry_ratio` that the whole fleet may send to a service.
+    pub retry_slack: Option<f64>,
     /// Whether the whole fleet starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -56,6 +61,14 @@
 }
 
 impl FrontSettings {
+    /// Returns the limit on the retries of the whole fleet, if there is one.
+    pub fn retry_limit(&self) -> Option<FleetRetryLimit> {
+        Some(FleetRetryLimit {
+            ratio: self.retry_ratio?,
+            slack: self.retry_slack?,
+        })
+    }
+
     /// Returns the first invalid setting.
     pub(super) fn check(&self) -> Option<InvalidSetting> {
         let invalid = |key, expected| Some(InvalidSetting { key, expected });
@@ -74,6 +87,16 @@
         if !self.quota_slack.is_finite() || self.quota_slack < 0.0 {
             return invalid("quota_slack", "expected a non-negative number");
         }
+        if self.retry_ratio.is_some_and(|r| !(0.0..=1.0).contains(&r)) {
+            return invalid("retry_ratio", "expected a share from 0 to 1");
+        }
+        let is_valid = |slack: f64| slack.is_finite() && slack >= 0.0;
+        if !self.retry_slack.is_none_or(is_valid) {
+            return invalid("retry_slack", "expected a non-negative number");
+        }
+        if self.retry_ratio.is_some() != self.retry_slack.is_some() {
+            return invalid("retry_ratio", "expected together with retry_slack");
+        }
         None
     }
 }
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -26,7 +26,7 @@
     platform::{PlatformHeadFormat, RowClient},
     poison::{PoisonHandler, PoisonTracker},
     pool::{pool_task, PoolHandle},
-    proxy::{listen_task, AccessPolicy, HeadFormat, ProxyContext, ProxyParts},
+    proxy::{listen_task, AccessPolicy, HeadFormat, ProxyContext, ProxyParts, RetryBudgetSource},
     quota::{
         LeaseParts, LeaseTask, LocalSlice, QuotaLimiter, QuotaParts, SliceHolders, SliceShare,
         SliceStatusHandler, TokenHandler,
@@ -47,7 +47,8 @@
 /// Retry budget of one daemon. The share stays below the operator's limit of 0.2, and the saved
 /// retries of all daemons together below the operator's slack of more than one per daemon.
 const RETRY_BUDGET: RetryBudgetConfig = RetryBudgetConfig {
-    token_ratio: 0.15,
+    answer_ratio: 0.15,
+    request_ratio: 0.0,
     max_tokens: 1.0,
     floor_per_s: 0.0,
 };
@@ -310,6 +311,15 @@
         poison
     }
 
+    /// Returns the limits on retries: this daemon's part of the fleet's limit, if there is one.
+    fn retry_budget(&self) -> RetryBudgetSource {
+        let Some(limit) = self.base.settings.retry_limit() else {
+            return Box::new(|| RETRY_BUDGET);
+        };
+        let directory = self.peers.directory().clone();
+        Box::new(move || limit.budget(directory.peers().len() + 1))
+    }
+
     fn make_proxy(
         &self,
         balancer: BalancerParts,
@@ -331,7 +341,7 @@
             retry_on_silence: false,
             claims: None,
             poison,
-            retry_budget: RETRY_BUDGET,
+            retry_budget: self.retry_budget(),
             failure_notifier: Some(balancer.failure_notifier),
             metrics: base.metrics.clone(),
             clock: base.clock.clone(),
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -163,7 +163,7 @@
         claims: Some(claims),
         poison,
         failure_notifier: None,
-        retry_budget: RetryBudgetConfig::default(),
+        retry_budget: Box::new(RetryBudgetConfig::default),
         metrics,
         clock,
         draining: ShutdownSignal::default(),
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -13,14 +13,13 @@
     metrics::Metrics,
     poison::PoisonTracker,
     pool::PoolHandle,
-    retry::RetryBudgetConfig,
 };
 
 use super::{
     access_policy::{AccessPolicy, CallerLimits},
     head_format::HeadFormat,
     request_id::RequestIds,
-    retry_states::ServiceRetryStates,
+    retry_states::{RetryBudgetSource, ServiceRetryStates},
 };
 
 /// Maximum number of connections that are kept open only to be refused with an error response.
@@ -86,7 +85,7 @@
     /// Enforces rate limits.
     pub limiter: Box<dyn Limiter>,
     /// Limits on the retries of each service.
-    pub retry_budget: RetryBudgetConfig,
+    pub retry_budget: RetryBudgetSource,
     /// Picks targets.
     pub balancer: TokenBorrower,
     /// Whether repeatable requests are retried at another target when a target goes silent.
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -100,6 +100,8 @@
         body: &mut RequestBody,
         caller: &mut HttpReader,
     ) -> RunResult {
+        let (service, now) = (self.service(), self.cx.clock.now());
+        self.cx.retry_states.record_request(service, now);
         let policy = RetryPolicy {
             repeatable: self.repeatable,
             replayable: body.is_replayable(),
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -34,3 +34,4 @@
 };
 pub use listener::listen_task;
 pub(crate) use request_validation::{validate_head, validate_path};
+pub use retry_states::RetryBudgetSource;
--- a/src/proxy/retry_states.rs
+++ b/src/proxy/retry_states.rs
@@ -9,21 +9,32 @@
     retry::{RetryBudgetConfig, ServiceRetryState},
 };
 
+/// Returns the limits on the retries of one service, which may change with the fleet.
+pub type RetryBudgetSource = Box<dyn Fn() -> RetryBudgetConfig>;
+
 /// Retry states of all services, by name.
 pub(super) struct ServiceRetryStates {
-    budget: RetryBudgetConfig,
+    budget: RetryBudgetSource,
     by_name: RefCell<FxHashMap<Rc<str>, ServiceRetryState>>,
 }
 
 impl ServiceRetryStates {
-    /// Creates an empty set whose services get retry budgets with the limits in `budget`.
-    pub(super) fn new(budget: RetryBudgetConfig) -> Self {
+    /// Creates an empty set whose services get retry budgets with the limits that `budget` returns.
+    pub(super) fn new(budget: RetryBudgetSource) -> Self {
         Self {
             budget,
             by_name: RefCell::default(),
         }
     }
 
+    /// Records a request that is about to be sent to a target for the first time.
+    pub(super) fn record_request(&self, service: &str, now: BootTime) {
+        self.with_state(service, now, |state| {
+            state.set_budget((self.budget)());
+            state.record_request();
+        });
+    }
+
     /// Records an answered request.
     pub(super) fn record_answer(&self, service: &str, latency: Duration, now: BootTime) {
         self.with_state(service, now, |state| state.record_answer(latency));
@@ -49,7 +60,7 @@
         if let Some(state) = by_name.get_mut(service) {
             return f(state);
         }
-        let mut state = ServiceRetryState::new(self.budget, now);
+        let mut state = ServiceRetryState::new((self.budget)(), now);
         let res = f(&mut state);
         by_name.insert(Rc::from(service), state);
         res
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -6,7 +6,9 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudgetConfig {
     /// Tokens added for each answered request; a retry costs one token.
-    pub token_ratio: f64,
+    pub answer_ratio: f64,
+    /// Tokens added for each request, answered or not.
+    pub request_ratio: f64,
     /// Capacity of the bucket.
     pub max_tokens: f64,
     /// Tokens added per second regardless of answered requests.
@@ -16,17 +18,19 @@
 impl Default for RetryBudgetConfig {
     fn default() -> Self {
         Self {
-            token_ratio: 0.1,
+            answer_ratio: 0.1,
+            request_ratio: 0.0,
             max_tokens: 10.0,
             floor_per_s: 0.1,
         }
     }
 }
 
-/// Limits the retries of one service to a fraction of its answered requests plus a small floor.
+/// Limits the retries of one service to a fraction of its requests, or of its answered requests,
+/// plus a small floor.
 ///
-/// Unanswered requests add no tokens, so a service that is completely down receives little more
-/// than one attempt per request.
+/// With a fraction of the answered requests only, a service that is completely down receives little
+/// more than one attempt per request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RetryBudget {
     cfg: RetryBudgetConfig,
@@ -44,9 +48,24 @@
         }
     }
 
+    /// Changes the limits; tokens above the new capacity are dropped.
+    pub fn set_config(&mut self, cfg: RetryBudgetConfig) {
+        self.cfg = cfg;
+        self.deposit(0.0);
+    }
+
+    /// Adds the tokens earned by a request.
+    pub fn record_request(&mut self) {
+        self.deposit(self.cfg.request_ratio);
+    }
+
     /// Adds the tokens earned by an answered request.
-    pub fn deposit(&mut self) {
-        self.tokens = (self.tokens + self.cfg.token_ratio).min(self.cfg.max_tokens);
+    pub fn record_answer(&mut self) {
+        self.deposit(self.cfg.answer_ratio);
+    }
+
+    fn deposit(&mut self, tokens: f64) {
+        self.tokens = (self.tokens + tokens).min(self.cfg.max_tokens);
     }
 
     /// Takes one token if available; returns whether the retry is allowed.
--- a/src/retry/service_retry_state.rs
+++ b/src/retry/service_retry_state.rs
@@ -22,9 +22,19 @@
         }
     }
 
+    /// Changes the limits on retries.
+    pub fn set_budget(&mut self, cfg: RetryBudgetConfig) {
+        self.budget.set_config(cfg);
+    }
+
+    /// Records a request that is about to be sent to a target for the first time.
+    pub fn record_request(&mut self) {
+        self.budget.record_request();
+    }
+
     /// Records an answered request.
     pub fn record_answer(&mut self, latency: Duration) {
-        self.budget.deposit();
+        self.budget.record_answer();
         self.latencies.record(latency);
     }
 
--- a/tests/front_settings.rs
+++ b/tests/front_settings.rs
@@ -31,7 +31,7 @@
     key: &'static str,
 }
 
-const CASES: [Case; 9] = [
+const CASES: [Case; 12] = [
     Case {
         name: "local data centre not listed",
         from: r#"["a", "b"]"#,
@@ -81,6 +81,27 @@
         line: 13,
         key: "quota_slack",
     },
+    Case {
+        name: "more than one retry for a request",
+        from: "MORE",
+        to: ",\n \"retry_ratio\": 1.5, \"retry_slack\": 3",
+        line: 14,
+        key: "retry_ratio",
+    },
+    Case {
+        name: "negative slack of retries",
+        from: "MORE",
+        to: ",\n \"retry_ratio\": 0.2,\n \"retry_slack\": -3",
+        line: 15,
+        key: "retry_slack",
+    },
+    Case {
+        name: "ratio of retries without slack",
+        from: "MORE",
+        to: ",\n \"retry_ratio\": 0.2",
+        line: 14,
+        key: "retry_ratio",
+    },
     Case {
         name: "unknown key",
         from: "MORE",
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -6,8 +6,8 @@
     clock::BootTime,
     outcome::{ErrorKind, Outcome},
     retry::{
-        Action, AttemptFailure, ConnectionSource, Event, RequestStateMachine, RetryBudget,
-        RetryBudgetConfig, RetryPolicy,
+        Action, AttemptFailure, ConnectionSource, Event, FleetRetryLimit, RequestStateMachine,
+        RetryBudget, RetryBudgetConfig, RetryPolicy,
     },
 };
 use quickcheck::{quickcheck, Arbitrary, Gen, TestResult};
@@ -227,7 +227,7 @@
             now = now + Duration::from_millis(u64::from(gap_ms));
             seconds += f64::from(gap_ms) / 1000.0;
             if ok {
-                budget.deposit();
+                budget.record_answer();
                 answers += 1.0;
             } else if budget.try_withdraw(now) {
                 retries += 1.0;
@@ -237,6 +237,69 @@
     }
 }
 
+/// One fleet before a service that sheds most of its requests at random.
+struct SheddingService {
+    daemons: usize,
+    limit: FleetRetryLimit,
+    /// Requests of each daemon.
+    requests: u32,
+}
+
+const SHEDDING_SERVICES: [SheddingService; 3] = [
+    SheddingService {
+        daemons: 1,
+        limit: FleetRetryLimit {
+            ratio: 0.2,
+            slack: 8.0,
+        },
+        requests: 5000,
+    },
+    SheddingService {
+        daemons: 48,
+        limit: FleetRetryLimit {
+            ratio: 0.2,
+            slack: 64.0,
+        },
+        requests: 60,
+    },
+    SheddingService {
+        daemons: 123,
+        limit: FleetRetryLimit {
+            ratio: 0.2,
+            slack: 204.0,
+        },
+        requests: 80,
+    },
+];
+
+/// Guards against a fleet that leaves most of its allowed retries unused while a service sheds
+/// requests at random, and against one that exceeds the limit.
+#[test]
+fn fleet_uses_its_retry_limit_while_a_service_sheds() {
+    for case in &SHEDDING_SERVICES {
+        let cfg = case.limit.budget(case.daemons);
+        let now = BootTime::from_duration(Duration::from_secs(5));
+        let mut retries = 0;
+        for daemon in 0..case.daemons {
+            let mut rng = fastrand::Rng::with_seed(daemon as u64);
+            let mut budget = RetryBudget::new(cfg, now);
+            for _ in 0..case.requests {
+                budget.record_request();
+                let is_shed = rng.f64() < 0.55;
+                retries += u32::from(is_shed && budget.try_withdraw(now));
+            }
+        }
+        let requests = f64::from(case.requests) * case.daemons as f64;
+        let earned = case.limit.ratio * requests;
+        let (retries, daemons) = (f64::from(retries), case.daemons);
+        assert!(
+            retries <= earned + case.limit.slack,
+            "{daemons} daemons: {retries}"
+        );
+        assert!(retries >= 0.8 * earned, "{daemons} daemons: {retries}");
+    }
+}
+
 #[test]
 fn service_that_is_down_gets_at_most_a_tenth_more_attempts() {
     const REQUESTS: u32 = 1000;
