retry: keep the tokens of a request while a whole one waits

Change: the capacity is one request's tokens larger. Result: tests/retry.rs passes; the sum of all buckets stays below the slack at 1, 48 and 123 daemons.

--- a/src/retry/fleet_limit.rs
+++ b/src/retry/fleet_limit.rs
@@ -25,10 +25,12 @@
     /// fleet without messages; the slack is divided.
     pub fn budget(&self, daemons: usize) -> RetryBudgetConfig {
         let slack = self.slack * SLACK_SHARE / daemons.max(1) as f64;
+        let request_ratio = self.ratio * RATIO_SHARE;
         RetryBudgetConfig {
             answer_ratio: 0.0,
-            request_ratio: self.ratio * RATIO_SHARE,
-            max_tokens: slack.max(1.0),
+            request_ratio,
+            // The tokens of a request are not lost while a whole one waits to be used.
+            max_tokens: slack.max(1.0) + request_ratio,
             floor_per_s: 0.0,
         }
     }
