--- a/src/health/balancer/pick.rs
+++ b/src/health/balancer/pick.rs
@@ -16,9 +16,6 @@
 
 /// Share of idempotent first attempts that half-open targets receive.
 const HALF_OPEN_SHARE: f64 = 0.5;
-/// The same of other first attempts, where a service receives no idempotent ones. It is small, as
-/// such a request is lost if its target still fails.
-const HALF_OPEN_UNSAFE_SHARE: f64 = 0.1;
 /// Number of candidates drawn from the local data centre for one choice.
 const LOCAL_DRAWS: usize = 2;
 /// Number of candidates drawn from all data centres for one choice.
@@ -129,27 +126,17 @@
     }
 
     /// Draws an idle target with a half-open breaker for a share of the idempotent first attempts,
-    /// which can be retried on another target. Where a service receives none, a smaller share of
-    /// the others is used: its targets would otherwise get no work for the whole half-open time.
+    /// which can be retried on another target.
     fn draw_half_open(
         &mut self,
         service: ServiceId,
         req: &PickRequest<'_>,
         now: BootTime,
     ) -> Option<TargetId> {
-        let service = self.services.get_mut(&service)?;
-        if req.repeatable {
-            service.record_repeatable(now);
-        }
-        let share = match (req.repeatable, service.receives_repeatable(now)) {
-            (true, _) => HALF_OPEN_SHARE,
-            (false, true) => 0.0,
-            (false, false) => HALF_OPEN_UNSAFE_SHARE,
-        };
-        if !req.avoid.is_empty() || self.rng.f64() >= share {
+        if !req.repeatable || !req.avoid.is_empty() || self.rng.f64() >= HALF_OPEN_SHARE {
             return None;
         }
-        let routing = &service.routing;
+        let routing = &self.services.get(&service)?.routing;
         let found = routing.iter().filter_map(|id| self.targets.get(id));
         let idle = found.filter(|t| t.in_flight.is_empty() && t.accepts(now));
         let due = idle.filter(|t| t.breaker.is_test_due(now));
--- a/src/health/service.rs
+++ b/src/health/service.rs
@@ -9,9 +9,6 @@
 /// Half-life of the request counts and of the latency sum.
 const WORK_HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// Time without idempotent requests after which other requests test the targets of a service.
-const REPEATABLE_WINDOW: Duration = Duration::from_secs(5);
-
 /// Identity of a service within one daemon, never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServiceId(pub u32);
@@ -30,8 +27,6 @@
     pub on_trial: Vec<TargetId>,
     /// Time at which the sets were built; `None` if they must be rebuilt.
     pub built_at: Option<BootTime>,
-    /// Time of the last idempotent first attempt.
-    repeatable_at: Option<BootTime>,
     dispatched: DecayingSum,
     answered: DecayingSum,
     latency_s: DecayingSum,
@@ -46,24 +41,12 @@
             routing: Vec::new(),
             on_trial: Vec::new(),
             built_at: None,
-            repeatable_at: None,
             dispatched: DecayingSum::default(),
             answered: DecayingSum::default(),
             latency_s: DecayingSum::default(),
         }
     }
 
-    /// Records an idempotent first attempt.
-    pub fn record_repeatable(&mut self, now: BootTime) {
-        self.repeatable_at = Some(now);
-    }
-
-    /// Returns whether the service receives idempotent requests, which may test its targets.
-    pub fn receives_repeatable(&self, now: BootTime) -> bool {
-        let at = self.repeatable_at;
-        at.is_some_and(|at| now.since(at) < REPEATABLE_WINDOW)
-    }
-
     /// Counts a request that was dispatched to a target.
     pub fn record_dispatch(&mut self, now: BootTime) {
         self.dispatched.add(1.0, now, WORK_HALF_LIFE);
--- a/tests/breaker.rs
+++ b/tests/breaker.rs
@@ -139,17 +139,6 @@
     assert!(count_picks_of_t0(&mut balancer, false, at(3000)) > 5);
 }
 
-/// Guards against targets that stay without work for the whole half-open time, because their service
-/// receives only requests that must run at most once.
-#[test]
-fn half_open_target_is_tested_by_few_requests_where_none_is_idempotent() {
-    let mut balancer = balancer(10, 0.7);
-    balancer.trip_breakers(&["t0".to_owned()], at(0));
-    assert_eq!(count_picks_of_t0(&mut balancer, false, at(1000)), 0);
-    let tests = count_picks_of_t0(&mut balancer, false, at(3500));
-    assert!((5..50).contains(&tests), "{tests} of 200");
-}
-
 #[test]
 fn half_open_targets_fill_up_to_the_floor() {
     let mut balancer = balancer(4, 0.7);
