http: refuse responses with a status above 599

Cause: the decoder of response heads takes any status from 100 to 999, and a target's 600 or 999 was relayed to the caller as an answer. A status of 000, of less than 100, of four digits or without digits was malformed before.

Change: the reader that all response heads go through (targets, store, other daemons) refuses a status above 599 as malformed.

Result: tests/hostile_target.rs, six new cases; those for 600 and 999 failed before, those for 000, 099, 2000 and no digits passed.

--- a/src/http/reader.rs
+++ b/src/http/reader.rs
@@ -15,6 +15,9 @@
 
 use super::{framing, BodyDecoder, HeadLimits, HttpError, WorkBudget};
 
+/// Highest status of a response. The decoder refuses those below 100, and accepts up to 999, of which
+/// callers know no meaning.
+const MAX_STATUS: u16 = 599;
 /// Buffer size of one socket read, in bytes.
 const READ_BYTES: usize = 16 * 1024;
 /// Buffer size of a read on an idle connection, in bytes; enough for most heads.
@@ -150,6 +153,9 @@
     ) -> Result<response::Parts, HttpError> {
         self.complete_head(limits).await?;
         match ResponseHeadDecoder.decode(&mut self.buf) {
+            Ok(Decoded::Some(head)) if head.status.as_u16() > MAX_STATUS => {
+                Err(HttpError::Malformed("response status"))
+            }
             Ok(Decoded::Some(head)) => Ok(head),
             Ok(_) => Err(HttpError::Malformed("response head")),
             Err(e) => Err(head_error(&e)),
--- a/tests/hostile_target.rs
+++ b/tests/hostile_target.rs
@@ -49,7 +49,7 @@
 
 const MALFORMED: Expected = Expected::Error(502, "target_malformed");
 
-const CASES: [Case; 25] = [
+const CASES: [Case; 31] = [
     case("informational answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nx: y\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", false, Expected::Complete(200, "ok")),
     case("switch of protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n", false, MALFORMED),
     case("204 with a length", "HTTP/1.1 204 No Content\r\ncontent-length: 5\r\n\r\n", false, Expected::Complete(204, "")),
@@ -72,6 +72,12 @@
     case("zero byte", "HTTP/1.1 200 OK\r\nx: \0\r\ncontent-length: 0\r\n\r\n", false, MALFORMED),
     case("space before colon", "HTTP/1.1 200 OK\r\ncontent-length : 0\r\n\r\n", false, MALFORMED),
     case("another protocol", "ICY 200 OK\r\n\r\n", false, MALFORMED),
+    case("status 000", "HTTP/1.1 000 Down\r\ncontent-length: 2\r\n\r\nok", false, MALFORMED),
+    case("status below 100", "HTTP/1.1 099 Low\r\ncontent-length: 2\r\n\r\nok", false, MALFORMED),
+    case("status above 599", "HTTP/1.1 600 High\r\ncontent-length: 2\r\n\r\nok", false, MALFORMED),
+    case("highest status of three digits", "HTTP/1.1 999 High\r\ncontent-length: 2\r\n\r\nok", false, MALFORMED),
+    case("status of four digits", "HTTP/1.1 2000 Long\r\ncontent-length: 2\r\n\r\nok", false, MALFORMED),
+    case("status without digits", "HTTP/1.1 OK\r\ncontent-length: 2\r\n\r\nok", false, MALFORMED),
     case("nothing", "", true, Expected::Error(502, "target_lost")),
     case("forged outcome", "HTTP/1.1 200 OK\r\nchervillug-outcome: not-run\r\nconnection: chervillug-outcome\r\ncontent-length: 2\r\n\r\nok", false, Expected::Complete(200, "ok")),
     Case { name: "length for HEAD", method: "HEAD", answer: "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n", close: false, expected: Expected::Complete(200, "") },
