queue: order waiting requests by rank

Cause: the rank of a request was logged only; a full queue shed and served requests by the rates of the plans alone, and searched linearly. A request whose caller had left stayed in the queue and could be sent to a target, and a workspace without a rate had a weight of 0.001/s.

Change: queue::RankedQueue holds a FairQueue for each rank. The most urgent rank is served first, except for what a less urgent rank is owed to keep a quarter of the overall served share. A full queue sheds its least urgent request, and a request whose turn is not expected before its deadline is rejected on arrival. Rejections carry the expected wait. A dropped pick leaves the queue. FairQueue uses ordered maps and gives a workspace without a rate the mean weight of the queued ones. A route rank is capped below one workspace rank, so that the workspace takes precedence.

--- a/examples/measure/gray_fleet/mod.rs
+++ b/examples/measure/gray_fleet/mod.rs
@@ -17,6 +17,7 @@
         Balancer, Choice, Decision, Member, Observation, ScheduleRequest, Scheduler,
         SuspicionExchange, TargetState, WorkResult,
     },
+    queue::QueueId,
     store::ListedHost,
 };
 
@@ -275,12 +276,19 @@
             service: Rc::from(SERVICE),
             workspace: Rc::from(format!("workspace-{workspace}")),
             rate_per_s: self.workspaces[workspace].plan_per_s,
+            rank: 0,
+            resent_early: false,
             repeatable: self.rng.f64() < REPEATABLE_SHARE,
             deadline: boot_time(self.now_s + DEADLINE_S),
             avoid: Vec::new(),
         };
         let scheduler = &mut self.daemons[daemon].scheduler;
-        let decisions = scheduler.submit(schedule_req, req, boot_time(self.now_s));
+        let decisions = scheduler.submit(
+            QueueId(req as u64),
+            schedule_req,
+            req,
+            boot_time(self.now_s),
+        );
         self.handle_decisions(decisions);
         self.schedule(DEADLINE_S, Event::Deadline(req));
     }
--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::clock::BootTime;
 
-use super::{AttemptId, Detector, Service, ServiceId, Suspicion, Target, TargetId};
+use super::{AttemptId, Detector, QueueRejection, Service, ServiceId, Suspicion, Target, TargetId};
 
 /// Maximum age of the routing set of a service before it is rebuilt.
 const REBUILD_INTERVAL: Duration = Duration::from_millis(100);
@@ -34,9 +34,8 @@
     Busy,
     /// All targets limited their requests, and none accepts one of this daemon for this time.
     Throttled(Duration),
-    /// The request was shed because the queue was full or too little time was left before its
-    /// deadline.
-    Overloaded,
+    /// The queue rejected the request.
+    Overloaded(QueueRejection),
 }
 
 /// A request for a target.
--- a/src/health/balancer_handle.rs
+++ b/src/health/balancer_handle.rs
@@ -1,11 +1,11 @@
 //! Messages to the task that owns the balancer, and the handle that sends them.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
 use local_sync::{mpsc, oneshot};
 use serde::Serialize;
 
-use crate::{proxy::TargetReport, store::ListedHost};
+use crate::{proxy::TargetReport, queue::QueueId, store::ListedHost};
 
 use super::{
     AttemptId, LeavingNotice, Lender, LimitNews, Observation, PickError, ScheduleRequest, TargetId,
@@ -21,11 +21,20 @@
     SetTargets(Rc<Vec<ListedHost>>),
     /// Requests a target.
     Pick {
+        /// Identity of the request in the queue.
+        id: QueueId,
         /// Request that needs the target.
         req: ScheduleRequest,
         /// Receives the picked target.
         reply: oneshot::Sender<Result<PickedTarget, PickError>>,
     },
+    /// Removes a request that nobody waits for any more from the queue.
+    CancelPick {
+        /// Identity of the request in the queue.
+        id: QueueId,
+        /// Name of the service.
+        service: Rc<str>,
+    },
     /// Requests the daemons that may have a token of a limited target left for this request.
     FindLenders(ScheduleRequest, oneshot::Sender<Vec<Lender>>),
     /// Starts a request on a target for which another daemon gave a token.
@@ -137,12 +146,36 @@
 #[derive(Clone)]
 pub struct BalancerHandle {
     tx: mpsc::unbounded::Tx<BalancerMessage>,
+    /// Identity of the next request, shared by all clones.
+    next_id: Rc<Cell<u64>>,
+}
+
+/// A request for a target without a reply; cancelled when this is dropped.
+struct PendingPick<'a> {
+    handle: &'a BalancerHandle,
+    id: QueueId,
+    service: Rc<str>,
+    replied: bool,
+}
+
+impl Drop for PendingPick<'_> {
+    fn drop(&mut self) {
+        if !self.replied {
+            self.handle.send(BalancerMessage::CancelPick {
+                id: self.id,
+                service: self.service.clone(),
+            });
+        }
+    }
 }
 
 impl BalancerHandle {
     /// Creates a handle that sends to the receiver of `tx`.
     pub fn new(tx: mpsc::unbounded::Tx<BalancerMessage>) -> Self {
-        Self { tx }
+        Self {
+            tx,
+            next_id: Rc::default(),
+        }
     }
 
     /// Sends a message, which is dropped if the task has ended.
@@ -152,13 +185,25 @@
 
     /// Picks a target, and waits in the queue of the service while all targets are busy.
     ///
+    /// Cancel safe: the request leaves the queue when the future is dropped.
+    ///
     /// # Errors
     ///
     /// Returns why no target was picked.
     pub async fn pick(&self, req: ScheduleRequest) -> Result<PickedTarget, PickError> {
         let (reply, rx) = oneshot::channel();
-        self.send(BalancerMessage::Pick { req, reply });
-        rx.await.unwrap_or(Err(PickError::NoTarget))
+        let id = QueueId(self.next_id.get());
+        self.next_id.set(id.0 + 1);
+        let mut pending = PendingPick {
+            handle: self,
+            id,
+            service: req.service.clone(),
+            replied: false,
+        };
+        self.send(BalancerMessage::Pick { id, req, reply });
+        let res = rx.await;
+        pending.replied = true;
+        res.unwrap_or(Err(PickError::NoTarget))
     }
 
     /// Returns the daemons that may have a token of a limited target left for `req`.
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -13,7 +13,7 @@
 use super::{
     balancer_handle::PickReply, Balancer, BalancerHandle, BalancerMessage, Decision,
     FailureNotifier, FleetShare, LeavingNotice, Lender, LimitNews, PickError, PickedTarget,
-    ScheduleRequest, Scheduler, SuspicionEvent, Target, TargetId, TargetStatus,
+    QueueCounts, ScheduleRequest, Scheduler, SuspicionEvent, Target, TargetId, TargetStatus,
 };
 
 /// Most daemons that are asked for a token for one request.
@@ -29,7 +29,7 @@
     failure_notifier: Option<FailureNotifier>,
     directory: PeerDirectory,
     ejections: u64,
-    queued: u64,
+    queue_counts: QueueCounts,
 }
 
 /// Dependencies of [`balancer_task`].
@@ -64,7 +64,7 @@
         failure_notifier: parts.failure_notifier,
         directory: parts.directory,
         ejections: 0,
-        queued: 0,
+        queue_counts: QueueCounts::default(),
     };
     while let Some(msg) = rx.recv().await {
         task.handle_message(msg, clock.now());
@@ -84,10 +84,13 @@
         let balancer = &mut self.scheduler.balancer;
         match msg {
             BalancerMessage::SetTargets(hosts) => balancer.set_targets(&hosts, now),
-            BalancerMessage::Pick { req, reply } => {
-                let decisions = self.scheduler.submit(req, reply, now);
+            BalancerMessage::Pick { id, req, reply } => {
+                let decisions = self.scheduler.submit(id, req, reply, now);
                 self.reply(decisions);
             }
+            BalancerMessage::CancelPick { id, service } => {
+                self.scheduler.cancel(&service, id, now);
+            }
             BalancerMessage::FindLenders(req, reply) => {
                 let _ = reply.send(self.find_lenders(&req, now));
             }
@@ -255,9 +258,22 @@
             self.ejections += 1;
             self.metrics.count(Counter::Ejections);
         }
-        while self.queued < self.scheduler.queued() {
-            self.queued += 1;
-            self.metrics.count(Counter::Queued);
+        let (old, new) = (self.queue_counts, self.scheduler.counts());
+        self.queue_counts = new;
+        let gains = [
+            (Counter::Queued, new.queued - old.queued),
+            (Counter::QueueShed, new.shed - old.shed),
+            (Counter::QueueHopeless, new.hopeless - old.hopeless),
+            (Counter::QueueExpired, new.expired - old.expired),
+            (Counter::QueueAbandoned, new.abandoned - old.abandoned),
+            (Counter::QueueOutOfTurn, new.out_of_turn - old.out_of_turn),
+            (
+                Counter::QueueResentEarly,
+                new.resent_early - old.resent_early,
+            ),
+        ];
+        for (counter, n) in gains {
+            self.metrics.add(counter, n);
         }
     }
 }
--- a/src/health/scheduler.rs
+++ b/src/health/scheduler.rs
@@ -1,21 +1,29 @@
 //! Assignment of targets to requests, with a queue per service for requests that must wait.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use rustc_hash::FxHashMap;
 
 use crate::{
     clock::BootTime,
-    queue::{FairQueue, QueueFull, QueuedRequest},
+    queue::{QueueId, QueuedRequest, RankedQueue},
 };
 
-use super::{AttemptId, Balancer, Choice, PickError, PickRequest, TargetId};
+use super::{
+    AttemptId, Balancer, Choice, PickError, PickRequest, QueueRejection, RejectionReason, TargetId,
+};
 
 /// Maximum number of requests that wait for a target of one service.
 const QUEUE_CAPACITY: usize = 256;
 /// Divisor of the mean latency that gives the minimum time left before the deadline for a queued
 /// request; one with less time left is shed.
 const MIN_TIME_LEFT_DIVISOR: u32 = 2;
+/// Wait of a rejected client if the rate at which its rank is served is unknown.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Shortest wait of a rejected client; the rate is an average over about a second.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Longest wait of a rejected client, which would otherwise return long after the load has changed.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 
 /// A request that needs a target.
 #[derive(Debug, Clone)]
@@ -24,8 +32,12 @@
     pub service: Rc<str>,
     /// Workspace of the request.
     pub workspace: Rc<str>,
-    /// Rate of the workspace's plan, in 1/s.
+    /// Rate of the workspace's plan, in 1/s; zero if it has none.
     pub rate_per_s: f64,
+    /// Rank of the request; 0 is the most urgent.
+    pub rank: u32,
+    /// Whether a client sent the request again without waiting for as long as it was told to.
+    pub resent_early: bool,
     /// Whether the request may run more than once.
     pub repeatable: bool,
     /// Time after which the request is not worth running.
@@ -43,17 +55,37 @@
 }
 
 struct PendingRequest<T> {
+    id: QueueId,
     req: ScheduleRequest,
     item: T,
 }
 
+/// Numbers of requests by what the queues did with them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QueueCounts {
+    /// Requests that had to wait.
+    pub queued: u64,
+    /// Requests shed by a full queue.
+    pub shed: u64,
+    /// Requests rejected on arrival, as their turn was not expected before their deadline.
+    pub hopeless: u64,
+    /// Requests that waited until too little time was left.
+    pub expired: u64,
+    /// Requests removed because their caller disconnected.
+    pub abandoned: u64,
+    /// Requests served before more urgent ones, as their rank was owed them.
+    pub out_of_turn: u64,
+    /// Requests that clients sent again without waiting.
+    pub resent_early: u64,
+}
+
 /// Assigns targets to requests, and queues the requests while all targets of their service are
 /// busy.
 pub struct Scheduler<T> {
     /// Balancer that chooses the targets.
     pub balancer: Balancer,
-    queues: FxHashMap<Rc<str>, FairQueue<PendingRequest<T>>>,
-    queued: u64,
+    queues: FxHashMap<Rc<str>, RankedQueue<PendingRequest<T>>>,
+    counts: QueueCounts,
 }
 
 impl<T> Scheduler<T> {
@@ -62,26 +94,54 @@
         Self {
             balancer,
             queues: FxHashMap::default(),
-            queued: 0,
+            counts: QueueCounts::default(),
         }
     }
 
-    /// Returns the number of requests that had to wait so far.
-    pub fn queued(&self) -> u64 {
-        self.queued
+    /// Returns what the queues did with the requests so far.
+    pub fn counts(&self) -> QueueCounts {
+        self.counts
     }
 
     /// Submits a request. It is decided immediately unless all targets are busy or other requests
-    /// are queued.
-    pub fn submit(&mut self, req: ScheduleRequest, item: T, now: BootTime) -> Option<Decision<T>> {
+    /// are queued. Identities increase with each request.
+    ///
+    /// The returned decision may be that on a less urgent request, which this one displaced.
+    pub fn submit(
+        &mut self,
+        id: QueueId,
+        req: ScheduleRequest,
+        item: T,
+        now: BootTime,
+    ) -> Option<Decision<T>> {
         let queue = self.queues.get(&req.service);
-        if queue.is_none_or(FairQueue::is_empty) {
+        if queue.is_none_or(RankedQueue::is_empty) {
             match self.pick(&req, now) {
                 Err(PickError::Busy) => {}
-                res => return Some(Decision { item, res }),
+                res => {
+                    if res.is_ok() {
+                        let queue = self.queue(&req.service);
+                        queue.record_offered(req.rank, now);
+                        queue.record_served_directly(req.rank, now);
+                    }
+                    return Some(Decision { item, res });
+                }
             }
         }
-        self.enqueue(PendingRequest { req, item })
+        self.enqueue(PendingRequest { id, req, item }, now)
+    }
+
+    /// Removes a queued request whose caller disconnected; nothing happens if it is not queued.
+    pub fn cancel(&mut self, service: &str, id: QueueId, now: BootTime) {
+        let queue = self.queues.get_mut(service);
+        if queue.and_then(|q| q.remove(id, now)).is_some() {
+            self.counts.abandoned += 1;
+        }
+    }
+
+    fn queue(&mut self, service: &Rc<str>) -> &mut RankedQueue<PendingRequest<T>> {
+        let queue = self.queues.entry(service.clone());
+        queue.or_insert_with(|| RankedQueue::new(QUEUE_CAPACITY))
     }
 
     fn pick(&mut self, req: &ScheduleRequest, now: BootTime) -> Result<Choice, PickError> {
@@ -93,23 +153,38 @@
         self.balancer.pick(&req, now)
     }
 
-    fn enqueue(&mut self, pending: PendingRequest<T>) -> Option<Decision<T>> {
-        self.queued += 1;
-        let queue = self
-            .queues
-            .entry(pending.req.service.clone())
-            .or_insert_with(|| FairQueue::new(QUEUE_CAPACITY));
+    fn enqueue(&mut self, pending: PendingRequest<T>, now: BootTime) -> Option<Decision<T>> {
+        let (id, rank, service) = (pending.id, pending.req.rank, pending.req.service.clone());
+        let min_time_left = self.min_time_left(&service, now);
+        self.counts.resent_early += u64::from(pending.req.resent_early);
+        let queue = self.queue(&service);
+        queue.record_offered(rank, now);
         let queued = QueuedRequest {
             workspace: pending.req.workspace.clone(),
             rate_per_s: pending.req.rate_per_s,
             deadline: pending.req.deadline,
+            resent_early: pending.req.resent_early,
             item: pending,
         };
-        let QueueFull(shed) = queue.push(queued).err()?;
-        Some(Decision {
-            item: shed.item.item,
-            res: Err(PickError::Overloaded),
-        })
+        let wait = queue.estimate_wait(rank, &queued, now);
+        if wait.is_some_and(|wait| now + wait + min_time_left >= queued.deadline) {
+            let error = rejection(queue, RejectionReason::TurnTooLate, rank, now);
+            self.counts.hopeless += 1;
+            return Some(rejected(queued, error));
+        }
+        let shed = queue.push(id, rank, queued, now);
+        let shed = shed.map(|(rank, req)| {
+            let error = rejection(queue, RejectionReason::QueueFull, rank, now);
+            rejected(req, error)
+        });
+        self.counts.queued += 1;
+        self.counts.shed += u64::from(shed.is_some());
+        shed
+    }
+
+    /// Returns the time before its deadline at which a queued request is shed.
+    fn min_time_left(&self, service: &str, now: BootTime) -> Duration {
+        self.balancer.mean_latency(service, now) / MIN_TIME_LEFT_DIVISOR
     }
 
     /// Ends a request in flight, and serves the queue of its service.
@@ -139,15 +214,15 @@
 
     /// Sheds the queued requests that have too little time left before their deadline.
     fn shed_late(&mut self, service: &str, now: BootTime, decisions: &mut Vec<Decision<T>>) {
+        let limit = now + self.min_time_left(service, now);
         let Some(queue) = self.queues.get_mut(service) else {
             return;
         };
-        let min_time_left = self.balancer.mean_latency(service, now) / MIN_TIME_LEFT_DIVISOR;
-        let late = queue.take_expired(now + min_time_left).into_iter();
-        decisions.extend(late.map(|queued| Decision {
-            item: queued.item.item,
-            res: Err(PickError::Overloaded),
-        }));
+        for (rank, queued) in queue.take_expired(limit, now) {
+            self.counts.expired += 1;
+            let error = rejection(queue, RejectionReason::Expired, rank, now);
+            decisions.push(rejected(queued, error));
+        }
     }
 
     /// Assigns targets to the queued requests of a service until all targets are busy.
@@ -155,19 +230,48 @@
         self.shed_late(service, now, decisions);
         loop {
             let queue = self.queues.get(service);
-            let Some(first) = queue.and_then(FairQueue::peek) else {
+            let Some(first) = queue.and_then(RankedQueue::peek) else {
                 return;
             };
-            let req = first.item.req.clone();
+            let (id, req) = (first.item.id, first.item.req.clone());
             let res = self.pick(&req, now);
             if matches!(res, Err(PickError::Busy)) {
                 return;
             }
-            let first = self.queues.get_mut(service).and_then(FairQueue::pop);
-            if let Some(first) = first {
-                let item = first.item.item;
-                decisions.push(Decision { item, res });
-            }
+            let Some(queue) = self.queues.get_mut(service) else {
+                return;
+            };
+            let first = if res.is_ok() {
+                self.counts.out_of_turn += u64::from(queue.is_next_out_of_turn());
+                queue.pop(now).map(|(_, req)| req)
+            } else {
+                queue.remove(id, now)
+            };
+            decisions.extend(first.map(|first| Decision {
+                item: first.item.item,
+                res,
+            }));
         }
     }
 }
+
+fn rejection<T>(
+    queue: &RankedQueue<T>,
+    reason: RejectionReason,
+    rank: u32,
+    now: BootTime,
+) -> QueueRejection {
+    let wait = queue.estimate_drain(rank, now);
+    let wait = wait.unwrap_or(DEFAULT_RETRY_AFTER);
+    QueueRejection {
+        reason,
+        retry_after: wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+    }
+}
+
+fn rejected<T>(queued: QueuedRequest<PendingRequest<T>>, rejection: QueueRejection) -> Decision<T> {
+    Decision {
+        item: queued.item.item,
+        res: Err(PickError::Overloaded(rejection)),
+    }
+}
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -78,6 +78,18 @@
     SuspicionsDropped,
     /// Requests queued for a target.
     Queued,
+    /// Requests shed by a full queue.
+    QueueShed,
+    /// Requests rejected on arrival because their turn was not expected before their deadline.
+    QueueHopeless,
+    /// Requests that waited in a queue until too little time was left.
+    QueueExpired,
+    /// Queued requests whose caller disconnected.
+    QueueAbandoned,
+    /// Requests served before more urgent ones because their rank was owed them.
+    QueueOutOfTurn,
+    /// Requests that clients sent again too early, and that found no free target.
+    QueueResentEarly,
 }
 
 impl Counter {
--- a/src/proxy/access_log.rs
+++ b/src/proxy/access_log.rs
@@ -7,7 +7,7 @@
 
 use http::{Method, StatusCode};
 
-use crate::{outcome::ErrorKind, retry::RetryReason};
+use crate::{health::QueueRejection, outcome::ErrorKind, retry::RetryReason};
 
 use super::access_policy::AuthorizedRequest;
 
@@ -69,6 +69,17 @@
     );
 }
 
+/// Logs a request that the queue for targets rejected.
+pub(super) fn log_queue_rejection(request_id: &str, rank: u32, rejection: QueueRejection) {
+    log::info!(
+        request_id = request_id,
+        rank = rank,
+        cause = rejection.reason.name(),
+        retry_after_ms = rejection.retry_after.as_millis() as u64;
+        "rejected by the queue"
+    );
+}
+
 /// Logs whether the retry budget allows a retry.
 pub(super) fn log_retry(request_id: &str, reason: RetryReason, granted: bool) {
     log::info!(request_id = request_id, reason = reason.name(), granted = granted; "retry");
--- a/src/proxy/access_policy.rs
+++ b/src/proxy/access_policy.rs
@@ -49,7 +49,7 @@
     pub max_attempts: u32,
     /// Timeout set by the operator.
     pub timeout: Option<Duration>,
-    /// Rank of the request, which is logged; the queue does not order requests by it.
+    /// Rank of the request; 0 is the most urgent.
     pub rank: u32,
 }
 
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     claim::FirstRequest,
+    clock::BootTime,
     http::{
         encode_response_head, request_body_kind, BodyKind, Framing, HttpError, HttpReader,
         HttpWriter,
@@ -85,6 +86,8 @@
     pub(super) writer: HttpWriter,
     /// Refusals in a row behind which the next request had already arrived.
     pipelined_refusals: u32,
+    /// Time before which the caller was told not to send again, by its latest refused request.
+    retry_not_before: Option<BootTime>,
 }
 
 impl CallerConnection {
@@ -97,6 +100,7 @@
             reader: HttpReader::new(r),
             writer: HttpWriter::new(w),
             pipelined_refusals: 0,
+            retry_not_before: None,
         }
     }
 
@@ -227,6 +231,12 @@
         self.respond_error(kind.into(), &params).await
     }
 
+    /// Returns whether a request that arrived at `now` was sent before the wait that its caller was
+    /// told to had passed.
+    pub(super) fn resent_early(&self, now: BootTime) -> bool {
+        self.retry_not_before.is_some_and(|until| now < until)
+    }
+
     /// Responds with an error.
     pub(super) async fn respond_error(
         &mut self,
@@ -236,6 +246,10 @@
         let heads = &self.cx.heads;
         let retry_after = refusal.retry_after.or_else(|| retry_after(refusal.kind));
         let (head, body) = heads.error_response(refusal.kind, params.request_id, retry_after);
+        let default_s = refusal.kind.response().retry_after_s;
+        let default = default_s.map(|s| Duration::from_secs(s.into()));
+        let now = self.cx.clock.now();
+        self.retry_not_before = retry_after.or(default).map(|wait| now + wait);
         self.send_error_response(refusal.kind, head, &body, params)
             .await
     }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -19,10 +19,10 @@
 };
 
 use super::{
-    access_log::{log_placed, log_retry, PlacedEntry},
+    access_log::{log_placed, log_queue_rejection, log_retry, PlacedEntry},
     admitted_request::AdmittedRequest,
     deadline::Deadline,
-    exchange::{Exchange, ResponseBody},
+    exchange::{caller_disconnected, Exchange, ResponseBody},
     request_body::RequestBody,
     ProxyContext,
 };
@@ -39,6 +39,8 @@
     pub(super) repeatable: bool,
     /// Deadline of the request.
     pub(super) deadline: Deadline,
+    /// Whether the caller sent a request before the wait that it was told to had passed.
+    pub(super) resent_early: bool,
 }
 
 /// A response with the beginning of its body.
@@ -66,8 +68,8 @@
 pub(super) enum DispatchError {
     /// The caller receives this error.
     Failed(ErrorKind),
-    /// All targets limit their requests; one may take the request after this time.
-    Throttled(Duration),
+    /// The caller receives this error, and may send the request again after this time.
+    Unavailable(ErrorKind, Duration),
     /// An earlier request holds the claim.
     ClaimConflict(ErrorKind, FirstRequest),
     /// The caller disconnected.
@@ -117,7 +119,7 @@
             body,
             caller,
             tried: Vec::new(),
-            throttled_for: Duration::ZERO,
+            retry_after: None,
             attempt: None,
             response: None,
         };
@@ -145,8 +147,8 @@
     pub(super) body: &'a mut RequestBody,
     caller: &'a mut HttpReader,
     tried: Vec<TargetId>,
-    /// Time until a target may take the request, if all limit their requests.
-    throttled_for: Duration,
+    /// Time until a target may take the request, if none did for lack of capacity.
+    retry_after: Option<Duration>,
     pub(super) attempt: Option<CurrentAttempt>,
     pub(super) response: Option<StartedResponse>,
 }
@@ -166,10 +168,12 @@
                     () = cx.grace.wait() => self.step(Event::DeadlinePassed),
                 },
                 Action::Relay => return self.take_response(),
-                Action::RespondError(ErrorKind::TargetsLimited) => {
-                    return Err(DispatchError::Throttled(self.throttled_for))
+                Action::RespondError(kind) => {
+                    return Err(match self.retry_after {
+                        Some(wait) => DispatchError::Unavailable(kind, wait),
+                        None => DispatchError::Failed(kind),
+                    })
                 }
-                Action::RespondError(kind) => return Err(DispatchError::Failed(kind)),
                 Action::AbortResponse | Action::Cancel | Action::Finish => {
                     return Err(DispatchError::CallerDisconnected)
                 }
@@ -201,14 +205,25 @@
             return self.step(Event::DeadlinePassed);
         }
         let started = self.cx.clock.now();
-        let picked = match self.cx.balancer.pick(self.schedule_request()).await {
+        let req = self.schedule_request();
+        let rank = req.rank;
+        let res = monoio::select! {
+            res = self.cx.balancer.pick(req) => res,
+            () = caller_disconnected(self.caller) => return self.step(Event::CallerDisconnected),
+        };
+        let picked = match res {
             Ok(picked) => picked,
             Err(PickError::NoTarget) => return self.step(Event::NoTarget),
             Err(PickError::Throttled(wait)) => {
-                self.throttled_for = wait;
+                self.retry_after = Some(wait);
                 return self.step(Event::Throttled);
             }
-            Err(PickError::Busy | PickError::Overloaded) => return self.step(Event::Overloaded),
+            Err(PickError::Overloaded(rejection)) => {
+                log_queue_rejection(self.dispatch.request_id, rank, rejection);
+                self.retry_after = Some(rejection.retry_after);
+                return self.step(Event::Overloaded);
+            }
+            Err(PickError::Busy) => return self.step(Event::Overloaded),
         };
         let now = self.cx.clock.now();
         log_placed(&PlacedEntry {
@@ -234,6 +249,8 @@
             service: self.dispatch.service().clone(),
             workspace: self.dispatch.workspace(),
             rate_per_s: identity.map_or(0.0, |i| i.plan.rate_per_s),
+            rank: self.dispatch.admitted.authorized.rank,
+            resent_early: self.dispatch.resent_early,
             repeatable: self.dispatch.repeatable,
             deadline: self.dispatch.deadline.at(),
             avoid: self.tried.clone(),
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -152,7 +152,7 @@
 }
 
 /// Waits until the caller closes its connection.
-async fn caller_disconnected(caller: &mut HttpReader) {
+pub(super) async fn caller_disconnected(caller: &mut HttpReader) {
     while caller.buffered_len() < MAX_PIPELINED_BYTES {
         match caller.fill().await {
             Ok(n) if n > 0 => {}
--- a/src/proxy/request_handler.rs
+++ b/src/proxy/request_handler.rs
@@ -157,6 +157,7 @@
             request_id: req.id,
             repeatable: authorized.repeatable,
             deadline,
+            resent_early: self.conn.resent_early(started),
         };
         let origin = RequestOrigin {
             workspace: authorized.identity.as_ref().map(|i| &*i.workspace),
@@ -185,9 +186,9 @@
                     .respond_claim_conflict(kind, &first, &error_params)
                     .await;
             }
-            Err(DispatchError::Throttled(wait)) => {
+            Err(DispatchError::Unavailable(kind, wait)) => {
                 let refusal = Refusal {
-                    kind: ErrorKind::TargetsLimited,
+                    kind,
                     retry_after: Some(wait.mul_f64(1.0 + RETRY_SPREAD * fastrand::f64())),
                 };
                 return self.conn.respond_error(refusal, &error_params).await;
--- a/src/queue/mod.rs
+++ b/src/queue/mod.rs
@@ -1,5 +1,8 @@
-//! Fair queueing of requests that wait for a target.
+//! Queues for requests that wait for a target.
 
 mod fair;
+mod rank_account;
+mod ranked;
 
-pub use fair::{FairQueue, QueueFull, QueuedRequest};
+pub use fair::{FairQueue, QueueFull, QueueId, QueuedRequest};
+pub use ranked::RankedQueue;
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -17,8 +17,8 @@
 
 use super::{ConfigurationView, HostRoute, RouteTable, Workspace};
 
-/// Number of route ranks per workspace rank. The logged rank combines both: it is the workspace rank
-/// times this number, plus the route rank. The queue does not order requests by it.
+/// Number of route ranks per workspace rank. The rank of a request combines both: it is the workspace
+/// rank times this number, plus the route rank, which is capped so that the workspace takes precedence.
 const RANKS_PER_WORKSPACE_RANK: u32 = 1000;
 
 /// Authorizes requests by the routing configuration in force.
@@ -119,7 +119,7 @@
             timeout: route.timeout,
             rank: workspace_rank
                 .saturating_mul(RANKS_PER_WORKSPACE_RANK)
-                .saturating_add(route.rank),
+                .saturating_add(route.rank.min(RANKS_PER_WORKSPACE_RANK - 1)),
         })
     }
 
--- a/tests/fairness.rs
+++ b/tests/fairness.rs
@@ -17,6 +17,7 @@
         workspace: Rc::from(workspace),
         rate_per_s,
         deadline,
+        resent_early: false,
         item: (),
     }
 }
