--- a/src/health/scheduler.rs
+++ b/src/health/scheduler.rs
@@ -18,6 +18,10 @@
 /// Divisor of the mean latency that gives the minimum time left before the deadline for a queued
 /// request; one with less time left is shed.
 const MIN_TIME_LEFT_DIVISOR: u32 = 2;
+/// Multiple of the estimated wait within which the deadline must lie. At 1.0, one in seven requests
+/// rejected at 3 times the capacity had waited in vain: requests that arrive after one of their
+/// workspace has expired overtake those that were counted on.
+const WAIT_MARGIN: f64 = 1.1;
 /// Wait of a rejected client if the rate at which its rank is served is unknown.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Shortest wait of a rejected client; the rate is an average over about a second.
@@ -167,7 +171,9 @@
             item: pending,
         };
         let wait = queue.estimate_wait(rank, &queued, now);
-        if wait.is_some_and(|wait| now + wait + min_time_left >= queued.deadline) {
+        if wait
+            .is_some_and(|wait| now + wait.mul_f64(WAIT_MARGIN) + min_time_left >= queued.deadline)
+        {
             let error = rejection(queue, RejectionReason::TurnTooLate, rank, now);
             self.counts.hopeless += 1;
             return Some(rejected(queued, error));
--- a/src/queue/fair.rs
+++ b/src/queue/fair.rs
@@ -181,15 +181,17 @@
     /// Returns the estimated number of requests that would be served before `req`.
     ///
     /// Until the finish time of `req`, each queued workspace is served in proportion to its weight,
-    /// or until it has no more requests.
+    /// or until it has no more requests. The backlog of its own workspace counts as well: after
+    /// refunds for expired requests, several requests of a workspace share one finish time.
     pub fn estimate_ahead(&self, req: &QueuedRequest<T>) -> usize {
         if req.resent_early {
             return self.len();
         }
         let others = self.backlogs.len() - self.rated.1;
         let weights = self.rated.0 + others as f64 * self.default_weight();
-        let (finish, _) = self.finish_time(req);
-        let ahead = (finish - self.virtual_time) * weights;
+        let (finish, interval) = self.finish_time(req);
+        let own = self.backlogs.get(&req.workspace).map_or(0, |b| b.queued);
+        let ahead = (finish - self.virtual_time).max(own as f64 * interval) * weights;
         (ahead as usize).min(self.len())
     }
 
--- a/src/queue/rank_account.rs
+++ b/src/queue/rank_account.rs
@@ -14,6 +14,12 @@
 /// Share of the requests of a rank that is served at least, relative to the share over all ranks:
 /// the required quarter, and a tenth of it for the lag of the averages.
 const MIN_SHARE: f64 = 0.25 * 1.1;
+/// Part by which the least share grows with each less urgent rank. Without it, ranks that get
+/// no more than the least share differ by a request or two, in either direction.
+const SHARE_STEP: f64 = 0.05;
+/// Most less urgent ranks that count for [`SHARE_STEP`], so that the most urgent rank gives up
+/// little where there are many ranks.
+const MAX_SHARE_STEPS: usize = 8;
 /// Most requests that a rank may be owed. Limits what a rank gets at once after a time in which it
 /// had nothing in the queue.
 const MAX_CREDIT: f64 = 8.0;
@@ -50,6 +56,8 @@
 /// waited.
 #[derive(Debug, Default)]
 pub(super) struct RankAccount {
+    /// Number of less urgent ranks.
+    pub(super) less_urgent: usize,
     credit: f64,
     served: DecayingSum,
     waited_s: DecayingSum,
@@ -60,7 +68,9 @@
 impl RankAccount {
     /// Records a request of the rank.
     pub(super) fn record_offered(&mut self, share: &ServedShare, now: BootTime) {
-        self.credit = (self.credit + MIN_SHARE * share.get(now)).min(MAX_CREDIT);
+        let steps = self.less_urgent.min(MAX_SHARE_STEPS);
+        let min_share = MIN_SHARE * (1.0 + SHARE_STEP * steps as f64);
+        self.credit = (self.credit + min_share * share.get(now)).min(MAX_CREDIT);
     }
 
     /// Records that a request of the rank got a target.
--- a/src/queue/ranked.rs
+++ b/src/queue/ranked.rs
@@ -28,7 +28,7 @@
 /// A bounded queue that serves the most urgent rank first, and a [`FairQueue`] within each rank.
 ///
 /// A rank whose share of served requests falls to little more than a quarter of the share over all
-/// ranks is owed requests. What a rank is owed is served before more urgent ranks, and is not shed
+/// ranks is owed requests; more urgent ranks are owed slightly more. What a rank is owed is served before more urgent ranks, and is not shed
 /// for them.
 pub struct RankedQueue<T> {
     capacity: usize,
@@ -70,15 +70,12 @@
     /// Records a request that arrived, before it is served, queued or rejected.
     pub fn record_offered(&mut self, rank: u32, now: BootTime) {
         self.share.record_offered(now);
-        if self.levels.len() >= MAX_IDLE_RANKS && !self.levels.contains_key(&rank) {
-            let is_used = |l: &Level<T>| !l.queue.is_empty() || !l.account.is_void(now);
-            self.levels.retain(|_, level| is_used(level));
+        if !self.levels.contains_key(&rank) {
+            self.add_level(rank, now);
+        }
+        if let Some(level) = self.levels.get_mut(&rank) {
+            level.account.record_offered(&self.share, now);
         }
-        let level = self.levels.entry(rank).or_insert_with(|| Level {
-            queue: FairQueue::new(usize::MAX),
-            account: RankAccount::default(),
-        });
-        level.account.record_offered(&self.share, now);
         self.update_sets(rank, now);
     }
 
@@ -124,11 +121,10 @@
         req: QueuedRequest<T>,
         now: BootTime,
     ) -> Option<(u32, QueuedRequest<T>)> {
-        let level = self.levels.entry(rank).or_insert_with(|| Level {
-            queue: FairQueue::new(usize::MAX),
-            account: RankAccount::default(),
-        });
-        level.queue.insert(id, req);
+        if !self.levels.contains_key(&rank) {
+            self.add_level(rank, now);
+        }
+        self.levels.get_mut(&rank)?.queue.insert(id, req);
         self.ranks.insert(id, rank);
         self.update_sets(rank, now);
         if self.len() <= self.capacity {
@@ -194,6 +190,21 @@
         owed.or(self.waiting.first()).copied()
     }
 
+    fn add_level(&mut self, rank: u32, now: BootTime) {
+        if self.levels.len() >= MAX_IDLE_RANKS {
+            let is_used = |l: &Level<T>| !l.queue.is_empty() || !l.account.is_void(now);
+            self.levels.retain(|_, level| is_used(level));
+        }
+        let level = Level {
+            queue: FairQueue::new(usize::MAX),
+            account: RankAccount::default(),
+        };
+        self.levels.insert(rank, level);
+        for (less_urgent, level) in self.levels.values_mut().rev().enumerate() {
+            level.account.less_urgent = less_urgent;
+        }
+    }
+
     fn forget(&mut self, id: QueueId, rank: u32, now: BootTime) {
         self.ranks.remove(&id);
         self.update_sets(rank, now);
