--- a/tests/rank_overload.rs
+++ b/tests/rank_overload.rs
@@ -352,8 +352,8 @@
     let mut ends: BTreeMap<u64, Vec<Choice>> = BTreeMap::new();
     let mut served = BTreeMap::from([("", 0), ("a", 0)]);
     let names = ["", "a", "a", "a"];
-    let mut id = 0;
-    for now in 0..10_000 {
+    for id in 0..10_000 {
+        let now = id;
         let mut decisions = Vec::new();
         for choice in ends.remove(&now).unwrap_or_default() {
             decisions.extend(scheduler.release(choice.id, choice.attempt, at(now)));
@@ -363,7 +363,6 @@
         let mut req = schedule_request(name, 0, now + 1000);
         req.rate_per_s = if name.is_empty() { 0.0 } else { 100.0 };
         decisions.extend(scheduler.submit(QueueId(id), req, id, at(now)));
-        id += 1;
         for decision in decisions {
             if let Ok(choice) = decision.res {
                 let name = names[decision.item as usize % names.len()];
