quota: wait longer for slice holders while none responds

Cause: a daemon whose link is busy with an upload (360 KB take 0.3 s on 10 Mbit/s) gets no response of any holder within 120 ms, pauses each of them for 700 ms, and rejects all requests within plan as rate_unavailable, the first one as soon as all calls have timed out and the others at once.

Change: quota::TokenSearch decides which holders are asked and how long. The next holder is still asked after 120 ms, but the call goes on, and a late response counts. If no holder has responded, the paused ones are asked too, for half of the time until the deadline and at most 1 s. Holders that are gone (connection refused, not the holder) are not asked again while paused, and holders that did not respond to their last request are asked after the others. After 3 s without any response requests are rejected as before. Limiter::admit gets the deadline of the request.

--- a/src/limit/distributed.rs
+++ b/src/limit/distributed.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     catalog::Plan,
-    clock::Clock,
+    clock::{BootTime, Clock},
     lease::{partition_of, preferred_host, Candidate, SliceId},
     metrics::{Counter, Metrics},
     peer::{MessageKind, Peer, PeerClient},
@@ -53,7 +53,12 @@
 }
 
 impl Limiter for DistributedLimiter {
-    fn admit<'a>(&'a self, workspace: &'a Rc<str>, plan: &'a Plan) -> BoxFuture<'a, Admission> {
+    fn admit<'a>(
+        &'a self,
+        workspace: &'a Rc<str>,
+        plan: &'a Plan,
+        _: BootTime,
+    ) -> BoxFuture<'a, Admission> {
         Box::pin(self.admit_one(workspace, plan))
     }
 }
--- a/src/limit/limiter.rs
+++ b/src/limit/limiter.rs
@@ -4,14 +4,20 @@
 
 use local_sync::{mpsc, oneshot};
 
-use crate::{catalog::Plan, store::BoxFuture};
+use crate::{catalog::Plan, clock::BootTime, store::BoxFuture};
 
 use super::Admission;
 
 /// Decides whether a request is within its workspace's rate and burst.
 pub trait Limiter {
-    /// Requests admission of one request of `workspace`, whose plan is `plan`.
-    fn admit<'a>(&'a self, workspace: &'a Rc<str>, plan: &'a Plan) -> BoxFuture<'a, Admission>;
+    /// Requests admission of one request of `workspace`, whose plan is `plan`, and which must be
+    /// answered by `deadline`.
+    fn admit<'a>(
+        &'a self,
+        workspace: &'a Rc<str>,
+        plan: &'a Plan,
+        deadline: BootTime,
+    ) -> BoxFuture<'a, Admission>;
 }
 
 /// A message to the task that enforces rates.
@@ -42,7 +48,12 @@
 }
 
 impl Limiter for TaskLimiter {
-    fn admit<'a>(&'a self, workspace: &'a Rc<str>, plan: &'a Plan) -> BoxFuture<'a, Admission> {
+    fn admit<'a>(
+        &'a self,
+        workspace: &'a Rc<str>,
+        plan: &'a Plan,
+        _: BootTime,
+    ) -> BoxFuture<'a, Admission> {
         let (reply, rx) = oneshot::channel();
         let msg = LimiterMessage::Admit {
             workspace: workspace.clone(),
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -58,6 +58,10 @@
     AsksAnswered,
     /// Token requests that no daemon answered in time.
     AsksUnanswered,
+    /// Requests that waited beyond the usual timeout because no slice holder responded within it.
+    AsksExtended,
+    /// Tokens that arrived after their request had been decided.
+    TokensUnused,
     /// Grants that were no longer valid when they were to be used.
     GrantsLate,
     /// Sessions of this daemon that were fenced or removed by another daemon.
--- a/src/proxy/admit.rs
+++ b/src/proxy/admit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::{
+    clock::BootTime,
     limit::{Admission, Grant},
     outcome::ErrorKind,
 };
@@ -27,16 +28,20 @@
     }
 }
 
-/// Admits one request against the rate and burst of the workspace.
+/// Admits one request, which must be answered by `deadline`, against the rate and burst of the
+/// workspace.
 pub(super) async fn admit(
     cx: &ProxyContext,
     authorized: &AuthorizedRequest,
     request_id: &str,
+    deadline: BootTime,
 ) -> Result<Grant, Refusal> {
     let Some(identity) = &authorized.identity else {
         return Ok(Grant::NON_EXPIRING);
     };
-    let admission = cx.limiter.admit(&identity.workspace, &identity.plan);
+    let admission = cx
+        .limiter
+        .admit(&identity.workspace, &identity.plan, deadline);
     match admission.await {
         Admission::Granted(grant) => Ok(grant),
         Admission::Exceeded(wait) => {
--- a/src/proxy/admitted_request.rs
+++ b/src/proxy/admitted_request.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 
-use crate::outcome::ErrorKind;
+use crate::{clock::BootTime, outcome::ErrorKind};
 
 use super::{access_policy::AuthorizedRequest, admit::admit, ProxyContext};
 
@@ -12,6 +12,7 @@
     /// The authorized request.
     pub(super) authorized: &'a AuthorizedRequest,
     request_id: &'a str,
+    deadline: BootTime,
     seen_pauses: Cell<u64>,
 }
 
@@ -21,10 +22,12 @@
         cx: &ProxyContext,
         authorized: &'a AuthorizedRequest,
         request_id: &'a str,
+        deadline: BootTime,
     ) -> Self {
         Self {
             authorized,
             request_id,
+            deadline,
             seen_pauses: Cell::new(cx.pauses.count()),
         }
     }
@@ -39,7 +42,7 @@
         self.reauthorize(cx)?;
         while self.seen_pauses.get() != cx.pauses.count() {
             self.seen_pauses.set(cx.pauses.count());
-            admit(cx, self.authorized, self.request_id)
+            admit(cx, self.authorized, self.request_id, self.deadline)
                 .await
                 .map_err(|r| r.kind)?;
             self.reauthorize(cx)?;
--- a/src/proxy/request_handler.rs
+++ b/src/proxy/request_handler.rs
@@ -4,6 +4,7 @@
 use http::{header, request, Version};
 
 use crate::{
+    clock::BootTime,
     http::BodyKind,
     limit::Grant,
     metrics::{Counter, Latency},
@@ -74,7 +75,8 @@
             Ok(body) => body,
             Err(kind) => return self.refuse(kind.into(), &head, req).await,
         };
-        match self.renew_grant(grant, &authorized, req.id).await {
+        let deadline = self.deadline(&head, &authorized).at();
+        match self.renew_grant(grant, &authorized, req.id, deadline).await {
             Ok(()) => self.dispatch(head, body, &authorized, req).await,
             Err(refusal) => self.refuse(refusal, &head, req).await,
         }
@@ -91,10 +93,11 @@
         if matches!(req.kind, BodyKind::Fixed(n) if n > max) {
             return Err(ErrorKind::BodyTooLarge.into());
         }
-        if !cx.grace.has_time_for(self.deadline(head, &authorized).at()) {
+        let deadline = self.deadline(head, &authorized).at();
+        if !cx.grace.has_time_for(deadline) {
             return Err(ErrorKind::ShuttingDown.into());
         }
-        let grant = admit(cx, &authorized, req.id).await?;
+        let grant = admit(cx, &authorized, req.id, deadline).await?;
         Ok((authorized, grant))
     }
 
@@ -112,13 +115,14 @@
         grant: Grant,
         authorized: &AuthorizedRequest,
         id: &str,
+        deadline: BootTime,
     ) -> Result<(), Refusal> {
         let cx = &self.conn.cx;
         if grant.is_valid(cx.clock.now()) {
             return Ok(());
         }
         cx.metrics.count(Counter::GrantsLate);
-        admit(cx, authorized, id).await.map(|_| ())
+        admit(cx, authorized, id, deadline).await.map(|_| ())
     }
 
     /// Responds to `Expect: 100-continue`; returns false if the connection failed.
@@ -143,8 +147,8 @@
         let cx = self.conn.cx.clone();
         let started = cx.clock.now();
         let mut body = received.body;
-        let admitted = AdmittedRequest::new(&cx, authorized, req.id);
         let deadline = self.deadline(&head, authorized);
+        let admitted = AdmittedRequest::new(&cx, authorized, req.id, deadline.at());
         if !cx.grace.has_time_for(deadline.at()) {
             return self
                 .refuse(ErrorKind::ShuttingDown.into(), &head, req)
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -122,6 +122,7 @@
         };
         let (req, kind) = (SliceStatusRequest {}, MessageKind::SliceStatus);
         let res = parts.peers.call(&host, kind, &req, CHECK_TIMEOUT).await;
+        let sent = now;
         let now = parts.clock.now();
         match res {
             Ok(SliceStatus { held: true }) => parts.holders.record_available(centre, now),
@@ -129,7 +130,11 @@
             Err(e) => {
                 log::info!(holder = &*host, data_centre = centre, reason:? = e;
                     "slice holder did not respond to a check");
-                parts.holders.record_unavailable(centre, now);
+                if now.since(sent) < CHECK_TIMEOUT {
+                    parts.holders.record_unavailable(centre, now);
+                } else {
+                    parts.holders.record_silent(centre, now);
+                }
             }
         }
     }
--- a/src/quota/limiter.rs
+++ b/src/quota/limiter.rs
@@ -2,22 +2,24 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
+use local_sync::mpsc;
+use monoio::time::timeout;
 use rustc_hash::FxHashMap;
 
 use crate::{
     catalog::Plan,
     clock::{BootTime, Clock},
     limit::{Admission, Grant, Limiter},
-    metrics::{Counter, Latency, Metrics},
-    peer::{MessageKind, PeerClient},
+    metrics::{Counter, Metrics},
+    peer::PeerClient,
     store::BoxFuture,
 };
 
-use super::{local_slice::TakeOutcome, LocalSlice, SliceHolders, TokenRequest, TokenResponse};
+use super::{
+    token_call::{Answer, TokenCall},
+    LocalSlice, SearchStep, SliceHolders, TakeOutcome, TokenSearch,
+};
 
-/// Timeout for the response of a holder; a host that has used up its CPU quota is suspended for
-/// most of 100 ms.
-const TOKEN_REQUEST_TIMEOUT: Duration = Duration::from_millis(120);
 /// Longest time for which a refusal is cached.
 const MAX_REFUSAL_TTL: Duration = Duration::from_millis(200);
 
@@ -54,82 +56,79 @@
         }
     }
 
-    async fn admit_one(&self, workspace: &Rc<str>, plan: &Plan) -> Admission {
+    async fn admit_one(&self, workspace: &Rc<str>, plan: &Plan, deadline: BootTime) -> Admission {
         if plan.rate_per_s <= 0.0 {
             return Admission::Granted(Grant::NON_EXPIRING);
         }
         let parts = &self.parts;
-        let mut shortest: Option<Duration> = None;
-        for (centre, host) in parts
-            .holders
-            .available_holders(&parts.data_centre, parts.clock.now())
-        {
+        let now = parts.clock.now();
+        let holders = parts.holders.search_holders(&parts.data_centre, now);
+        let mut search = TokenSearch::new(holders, deadline, now);
+        let (tx, mut rx) = mpsc::unbounded::channel();
+        let admission = loop {
             let now = parts.clock.now();
-            let cached = self.cached_refusal(&centre, workspace, now);
-            let taken = match cached {
-                Some(wait) => TakeOutcome::Exceeded(wait),
-                None => self.take(&centre, &host, workspace, plan).await,
-            };
-            match taken {
-                TakeOutcome::Granted => return Admission::Granted(Grant::NON_EXPIRING),
-                TakeOutcome::Exceeded(wait) => {
-                    if cached.is_none() {
-                        self.cache_refusal(&centre, workspace, wait);
+            match search.next(now) {
+                SearchStep::Ask(holder) => {
+                    match self.take_locally(&holder.centre, workspace, plan, now) {
+                        Some(taken) => search.record(&holder.centre, taken),
+                        None => {
+                            let limit = search.call_timeout(now);
+                            let call = TokenCall {
+                                holders: parts.holders.clone(),
+                                peers: parts.peers.clone(),
+                                clock: parts.clock.clone(),
+                                metrics: parts.metrics.clone(),
+                                workspace: workspace.clone(),
+                                holder,
+                            };
+                            monoio::spawn(call.run(limit, tx.clone()));
+                        }
+                    }
+                }
+                SearchStep::Wait(until) => {
+                    if let Ok(Some(answer)) = timeout(until.since(now), rx.recv()).await {
+                        self.record_answer(&mut search, workspace, answer);
                     }
-                    shortest = Some(shortest.map_or(wait, |s| s.min(wait)));
                 }
-                TakeOutcome::NotHolder => {}
+                SearchStep::Done(admission) => break admission,
             }
+        };
+        if search.is_extended() {
+            parts.metrics.count(Counter::AsksExtended);
+            let took_ms = parts.clock.now().since(now).as_millis() as u64;
+            log::info!(workspace = &**workspace, took_ms = took_ms, admission:? = admission;
+                "no slice holder responded in time, waited longer");
         }
-        shortest.map_or(Admission::Unavailable, Admission::Exceeded)
+        admission
     }
 
-    async fn take(
+    /// Takes a token without a call to another daemon: from the slice of this daemon, or from a
+    /// cached refusal.
+    fn take_locally(
         &self,
         centre: &str,
-        host: &str,
         workspace: &Rc<str>,
         plan: &Plan,
-    ) -> TakeOutcome {
-        let parts = &self.parts;
-        if centre == parts.data_centre {
-            let taken = parts.slice.take(workspace, plan, parts.clock.now());
-            if taken != TakeOutcome::NotHolder {
-                return taken;
-            }
+        now: BootTime,
+    ) -> Option<TakeOutcome> {
+        if let Some(wait) = self.cached_refusal(centre, workspace, now) {
+            return Some(TakeOutcome::Exceeded(wait));
         }
-        parts.metrics.count(Counter::Asks);
-        let req = TokenRequest {
-            workspace: workspace.to_string(),
-        };
-        let sent_at = parts.clock.now();
-        let call = parts
-            .peers
-            .call(host, MessageKind::Ask, &req, TOKEN_REQUEST_TIMEOUT);
-        let response = call.await;
-        let latency = parts.clock.now().since(sent_at);
-        parts.metrics.record_latency(Latency::AskLatencyS, latency);
-        match response {
-            Ok(TokenResponse::Granted) => {
-                parts.holders.record_available(centre, parts.clock.now());
-                TakeOutcome::Granted
-            }
-            Ok(TokenResponse::Exceeded(wait)) => {
-                parts.holders.record_available(centre, parts.clock.now());
-                TakeOutcome::Exceeded(wait)
-            }
-            Ok(TokenResponse::NotHolder) => {
-                parts.holders.record_unavailable(centre, parts.clock.now());
-                TakeOutcome::NotHolder
-            }
-            Err(e) => {
-                parts.metrics.count(Counter::AsksUnanswered);
-                log::info!(holder = host, data_centre = centre, reason:? = e;
-                    "slice holder did not respond");
-                parts.holders.record_unavailable(centre, parts.clock.now());
-                TakeOutcome::NotHolder
-            }
+        if centre != self.parts.data_centre {
+            return None;
+        }
+        let taken = self.parts.slice.take(workspace, plan, now);
+        if let TakeOutcome::Exceeded(wait) = taken {
+            self.cache_refusal(centre, workspace, wait);
+        }
+        Some(taken).filter(|t| *t != TakeOutcome::NotHolder)
+    }
+
+    fn record_answer(&self, search: &mut TokenSearch, workspace: &Rc<str>, answer: Answer) {
+        if let TakeOutcome::Exceeded(wait) = answer.taken {
+            self.cache_refusal(&answer.centre, workspace, wait);
         }
+        search.record(&answer.centre, answer.taken);
     }
 
     fn cached_refusal(&self, centre: &str, workspace: &Rc<str>, now: BootTime) -> Option<Duration> {
@@ -147,7 +146,12 @@
 }
 
 impl Limiter for QuotaLimiter {
-    fn admit<'a>(&'a self, workspace: &'a Rc<str>, plan: &'a Plan) -> BoxFuture<'a, Admission> {
-        Box::pin(self.admit_one(workspace, plan))
+    fn admit<'a>(
+        &'a self,
+        workspace: &'a Rc<str>,
+        plan: &'a Plan,
+        deadline: BootTime,
+    ) -> BoxFuture<'a, Admission> {
+        Box::pin(self.admit_one(workspace, plan, deadline))
     }
 }
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -14,10 +14,12 @@
 mod slice_row;
 mod slice_status;
 mod succession;
+mod token_call;
+mod token_search;
 
 pub use lease_task::{LeaseParts, LeaseTask};
 pub use limiter::{QuotaLimiter, QuotaParts};
-pub use local_slice::LocalSlice;
+pub use local_slice::{LocalSlice, TakeOutcome};
 pub use messages::{TokenHandler, TokenRequest, TokenResponse};
 pub use share::SliceShare;
 pub use slice_buckets::SliceBuckets;
@@ -26,3 +28,4 @@
 pub use slice_row::{LeaseHolder, SLICES_TABLE};
 pub use slice_status::{SliceStatus, SliceStatusHandler, SliceStatusRequest};
 pub use succession::{Succession, SuccessionRank};
+pub use token_search::{HolderAddress, SearchHolders, SearchStep, TokenSearch, USUAL_TIMEOUT};
--- a/src/quota/slice_holders.rs
+++ b/src/quota/slice_holders.rs
@@ -6,6 +6,8 @@
 
 use crate::clock::BootTime;
 
+use super::{HolderAddress, SearchHolders};
+
 /// Time for which no request is sent to a holder that did not respond or does not hold the slice.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(700);
 /// Time for which a holder that did not respond or does not hold the slice is suspected to have
@@ -13,6 +15,10 @@
 /// watch it.
 const SUSPECT_TIME: Duration = Duration::from_secs(15);
 
+/// Time for which requests wait beyond the usual timeout for a holder that has stopped responding.
+/// A link that is busy with uploads delivers a late response within it, unlike one that is down.
+const PATIENCE: Duration = Duration::from_secs(3);
+
 /// Time without an answer after which a holder is checked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -42,6 +48,10 @@
 struct Holder {
     host: Rc<str>,
     paused_until: BootTime,
+    /// When it first did not respond in time since its last response.
+    silent_since: Option<BootTime>,
+    /// Whether it was last found to be gone, or not to hold the slice.
+    gone: bool,
     suspect_until: BootTime,
     /// When the holder last answered as such.
     answered_at: Option<BootTime>,
@@ -59,6 +69,8 @@
         let holder = Holder {
             host: Rc::from(host),
             paused_until: BootTime::default(),
+            silent_since: None,
+            gone: false,
             suspect_until: BootTime::default(),
             answered_at: None,
         };
@@ -73,23 +85,50 @@
         holders.get(data_centre).map(|h| h.host.clone())
     }
 
-    /// Returns the data centres with their holders, the local one first and the others in random
-    /// order, without holders that were recently recorded as unavailable.
-    pub fn available_holders(&self, own_centre: &str, now: BootTime) -> Vec<(String, Rc<str>)> {
+    /// Returns the holders that one search for a token may ask. Those that responded to their last
+    /// request come before the others, and the local one before those of other data centres, which
+    /// are in random order.
+    pub fn search_holders(&self, own_centre: &str, now: BootTime) -> SearchHolders {
         let holders = self.by_centre.borrow();
-        let available = holders.iter().filter(|(_, h)| h.paused_until <= now);
-        let mut available: Vec<(String, Rc<str>)> = available
-            .map(|(centre, h)| (centre.clone(), h.host.clone()))
+        let mut all: Vec<(&String, &Holder)> = holders.iter().collect();
+        fastrand::shuffle(&mut all);
+        let silence = |h: &Holder| h.silent_since.map_or(Duration::ZERO, |t| now.since(t));
+        all.sort_by_key(|(centre, h)| (h.suspect_until > now, *centre != own_centre));
+        let address = |(centre, h): &(&String, &Holder)| HolderAddress {
+            centre: (*centre).clone(),
+            host: h.host.clone(),
+        };
+        let is_paused = |h: &Holder| h.paused_until > now;
+        let may_respond = |h: &Holder| !(h.gone && is_paused(h)) && silence(h) < PATIENCE;
+        let available = all.iter().filter(|(_, h)| !is_paused(h));
+        let mut silent: Vec<_> = all
+            .iter()
+            .filter(|(_, h)| is_paused(h) && may_respond(h))
             .collect();
-        fastrand::shuffle(&mut available);
-        available.sort_by_key(|(centre, _)| centre != own_centre);
-        available
+        silent.sort_by_key(|(_, h)| silence(h));
+        SearchHolders {
+            available: available.map(address).collect(),
+            silent: silent.into_iter().map(address).collect(),
+            may_respond_late: all.iter().any(|(_, h)| may_respond(h)),
+        }
     }
 
-    /// Records that the holder of a data centre's slice did not respond, or answered that it does
+    /// Records that the holder of a data centre's slice cannot be reached, or answered that it does
     /// not hold the slice.
     pub fn record_unavailable(&self, data_centre: &str, now: BootTime) {
         if let Some(holder) = self.by_centre.borrow_mut().get_mut(data_centre) {
+            holder.gone = true;
+            holder.paused_until = now + UNAVAILABLE_PAUSE;
+            holder.suspect_until = now + SUSPECT_TIME;
+        }
+    }
+
+    /// Records that the holder of a data centre's slice did not respond in time. It may do so late,
+    /// as this daemon's own link may be busy.
+    pub fn record_silent(&self, data_centre: &str, now: BootTime) {
+        if let Some(holder) = self.by_centre.borrow_mut().get_mut(data_centre) {
+            holder.gone = false;
+            holder.silent_since.get_or_insert(now);
             holder.paused_until = now + UNAVAILABLE_PAUSE;
             holder.suspect_until = now + SUSPECT_TIME;
         }
@@ -100,6 +139,8 @@
     pub fn record_available(&self, data_centre: &str, now: BootTime) {
         if let Some(holder) = self.by_centre.borrow_mut().get_mut(data_centre) {
             holder.suspect_until = BootTime::default();
+            holder.silent_since = None;
+            holder.gone = false;
             holder.answered_at = Some(now);
         }
     }
