health: exclude the targets of evacuated data centres

Cause: the operator could not take a data centre out of use; a target got requests until its own entry or its failures said otherwise.

Change: the rows evacuate/NAME of the operator's table reach the balancer through a sink beside that of the configuration. The balancer builds its sets without the targets of these data centres, lends and uses no tokens of them, and does not probe them. A request whose target is evacuated between its choice and its first byte gets another target, without being charged an attempt. After the reversal the targets ramp up. A target whose entry names another data centre than before follows the evacuation of the new one; before, the balancer kept the old name.

tests/platform_names.rs also looks for the new key. The simulated target can register with other fields, such as its data centre.

--- a/src/daemon/front_tables.rs
+++ b/src/daemon/front_tables.rs
@@ -4,9 +4,9 @@
 
 use crate::{
     follow::{
-        follow_table, ChangesHandler, ConfigurationSink, FollowOptions, FollowParts, FollowedTable,
-        MemberSink, ProofHandler, ReaderParts, ReaderTask, SharedReaderRole, SharedTables,
-        TargetSink, MEMBERS_TABLE,
+        follow_table, ChangesHandler, ConfigurationSink, EvacuationFormat, EvacuationSink,
+        FollowOptions, FollowParts, FollowedTable, MemberSink, ProofHandler, ReaderParts,
+        ReaderTask, SharedReaderRole, SharedTables, SinkSequence, TargetSink, MEMBERS_TABLE,
     },
     peer::{MessageKind, PeerRouter},
     platform,
@@ -125,6 +125,18 @@
             platform::CONFIGURATION_KEY,
             platform::decode_configuration,
         );
+        let format = EvacuationFormat {
+            data_centre: platform::evacuated_data_centre,
+            check_value: platform::check_evacuation_value,
+        };
+        let evacuation = EvacuationSink::new(
+            format,
+            &base.settings.data_centres,
+            balancer.handle.clone(),
+            base.metrics.clone(),
+        );
+        // Evacuations come first, so that they are in force before the first configuration is.
+        let operator = SinkSequence::new(vec![Rc::new(evacuation), Rc::new(configuration)]);
         let targets = TargetSink::new(
             balancer.handle.clone(),
             platform::decode_target,
@@ -134,7 +146,7 @@
         let members = MemberSink::new(self.peers.directory().clone(), holders.clone());
         let table = |name, sink| Rc::new(FollowedTable::new(name, sink));
         SharedTables {
-            configuration: table(platform::CONFIGURATION_TABLE, Rc::new(configuration)),
+            configuration: table(platform::CONFIGURATION_TABLE, Rc::new(operator)),
             targets: table(platform::TARGETS_TABLE, Rc::new(targets)),
             members: table(MEMBERS_TABLE, Rc::new(members)),
         }
--- a/src/health/balancer/feedback.rs
+++ b/src/health/balancer/feedback.rs
@@ -271,7 +271,8 @@
             let age = now.since(t.load_at);
             t.state == TargetState::Leaving && age >= DRAINING_PROBE_INTERVAL
         };
-        let stays = |t: &&Target| !t.listed_leaving && !t.throttle.is_leaving();
+        let stays =
+            |t: &&Target| !t.listed_leaving && !t.throttle.is_leaving() && !t.evacuated.get();
         let live = self.targets.values().filter(stays);
         let due = live.filter(|t| is_due_draining(t) || self.detector.needs_probe(t.id, now));
         due.map(|t| (t.id, t.address)).collect()
--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -1,10 +1,11 @@
 //! Load balancer of a daemon: its target list, feedback about targets, and target selection.
 
+mod evacuation;
 mod feedback;
 mod pick;
 mod target_list;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use rustc_hash::FxHashMap;
 
@@ -61,6 +62,8 @@
     pub address: SocketAddr,
     /// Name of the target.
     pub name: Rc<str>,
+    /// Whether the data centre of the target has been evacuated since.
+    pub evacuated: Rc<Cell<bool>>,
 }
 
 /// Keeps the state of all targets, and picks one for each request.
@@ -76,6 +79,8 @@
     ejections: u64,
     suspicions: Vec<Suspicion>,
     recovered: Vec<Rc<str>>,
+    /// Data centres whose targets receive nothing.
+    evacuated: BTreeSet<Rc<str>>,
     /// Data centre of this host; `None` disables the preference for a data centre.
     data_centre: Option<Rc<str>>,
     rng: fastrand::Rng,
@@ -96,6 +101,7 @@
             ejections: 0,
             suspicions: Vec::new(),
             recovered: Vec::new(),
+            evacuated: BTreeSet::new(),
             data_centre: None,
             rng: fastrand::Rng::with_seed(seed),
         }
--- a/src/health/balancer/pick.rs
+++ b/src/health/balancer/pick.rs
@@ -67,6 +67,9 @@
         let attempt = AttemptId(self.next_attempt);
         self.next_attempt += 1;
         let target = self.targets.get_mut(&id)?;
+        if target.evacuated.get() {
+            return None;
+        }
         target.idle_since.pop();
         target.in_flight.start(attempt, now);
         if let Some(service) = self.services.get_mut(&target.service) {
@@ -77,6 +80,7 @@
             attempt,
             address: target.address,
             name: target.name.clone(),
+            evacuated: target.evacuated.clone(),
         })
     }
 
@@ -94,7 +98,7 @@
         let found = routing.iter().filter_map(|id| self.targets.get(id));
         let usable = found.filter(|t| {
             let is_closed = t.breaker.state(now) == BreakerState::Closed;
-            is_closed && !t.is_leaving() && !avoid.contains(&t.id)
+            is_closed && !t.is_excluded() && !avoid.contains(&t.id)
         });
         let limited = usable.filter_map(|t| Some((t, t.throttle.borrowable_limit(now)?)));
         limited.collect()
@@ -105,7 +109,7 @@
     pub fn lend_token(&mut self, name: &str, now: BootTime) -> bool {
         let id = self.by_name.get(name);
         let target = id.and_then(|id| self.targets.get_mut(id));
-        target.is_some_and(|t| t.throttle.lend(now))
+        target.is_some_and(|t| !t.evacuated.get() && t.throttle.lend(now))
     }
 
     /// Draws an idle target on trial for a small share of the idempotent first attempts.
@@ -208,7 +212,7 @@
         let mut candidates = Vec::with_capacity(old.targets.len());
         let mut on_trial = Vec::new();
         let live = old.targets.iter().filter_map(|id| self.targets.get(id));
-        for target in live.filter(|t| !t.is_leaving()) {
+        for target in live.filter(|t| !t.is_excluded()) {
             let health = self.detector.health(target.id, now);
             candidates.push(Candidate {
                 id: target.id,
--- a/src/health/balancer/target_list.rs
+++ b/src/health/balancer/target_list.rs
@@ -1,6 +1,6 @@
 //! Updates of the target list.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use rustc_hash::FxHashSet;
 
@@ -59,7 +59,14 @@
             let is_same_start = target.born == host.born || host.born.is_none();
             if target.address == host.address && target.service == service && is_same_start {
                 let slots = host.slots.max(1);
-                let changed = target.slots != slots || target.listed_leaving != host.leaving;
+                let moved = *target.data_centre != *host.data_centre;
+                if moved {
+                    target.data_centre = Rc::from(host.data_centre.as_str());
+                    let evacuated = self.evacuated.contains(&target.data_centre);
+                    target.evacuated.set(evacuated);
+                }
+                let changed =
+                    moved || target.slots != slots || target.listed_leaving != host.leaving;
                 target.slots = slots;
                 target.listed_leaving = host.leaving;
                 if changed {
@@ -90,6 +97,9 @@
             data_centre: Rc::from(host.data_centre.as_str()),
             slots,
             listed_leaving: host.leaving,
+            evacuated: Rc::new(Cell::new(
+                self.evacuated.contains(host.data_centre.as_str()),
+            )),
             state: TargetState::Serving,
             in_flight: InFlightRequests::default(),
             concurrency_limit: f64::from(slots),
--- a/src/health/balancer_handle.rs
+++ b/src/health/balancer_handle.rs
@@ -1,6 +1,6 @@
 //! Messages to the task that owns the balancer, and the handle that sends them.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
 use local_sync::{mpsc, oneshot};
 use serde::Serialize;
@@ -8,8 +8,8 @@
 use crate::{proxy::TargetReport, store::ListedHost};
 
 use super::{
-    AttemptId, LeavingNotice, Lender, LimitNews, Observation, PickError, ScheduleRequest, TargetId,
-    TargetState,
+    AttemptId, Evacuations, LeavingNotice, Lender, LimitNews, Observation, PickError,
+    ScheduleRequest, TargetId, TargetState,
 };
 
 /// Receives the picked target.
@@ -19,6 +19,8 @@
 pub enum BalancerMessage {
     /// Replaces the target list with the platform's.
     SetTargets(Rc<Vec<ListedHost>>),
+    /// Replaces the evacuated data centres.
+    SetEvacuations(Evacuations),
     /// Requests a target.
     Pick {
         /// Request that needs the target.
@@ -100,11 +102,17 @@
     pub address: SocketAddr,
     /// Name of the target.
     pub name: Rc<str>,
+    pub(super) evacuated: Rc<Cell<bool>>,
     pub(super) attempt: AttemptId,
     pub(super) handle: BalancerHandle,
 }
 
 impl PickedTarget {
+    /// Returns whether the data centre of the target has been evacuated since it was picked.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated.get()
+    }
+
     /// Records the result of the request.
     pub fn observe(&self, obs: Observation) {
         self.handle
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -84,6 +84,11 @@
         let balancer = &mut self.scheduler.balancer;
         match msg {
             BalancerMessage::SetTargets(hosts) => balancer.set_targets(&hosts, now),
+            BalancerMessage::SetEvacuations(evacuations) => {
+                balancer.set_evacuations(&evacuations, now);
+                log::info!(data_centres = evacuations.in_force.len(),
+                    targets = balancer.evacuated_targets(); "evacuations applied");
+            }
             BalancerMessage::Pick { req, reply } => {
                 let decisions = self.scheduler.submit(req, reply, now);
                 self.reply(decisions);
@@ -234,6 +239,7 @@
                 id: choice.id,
                 address: choice.address,
                 name: choice.name,
+                evacuated: choice.evacuated,
                 attempt: choice.attempt,
                 handle: self.handle.clone(),
             }));
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -8,6 +8,7 @@
 mod consecutive;
 mod decaying_sum;
 mod detector;
+mod evacuations;
 mod evidence;
 mod failure_notice;
 mod fleet_evidence;
@@ -36,6 +37,7 @@
 pub use consecutive::ConsecutiveFailureDetector;
 pub use decaying_sum::DecayingSum;
 pub use detector::{Assessment, Detector, Observation, TargetHealth, WorkResult};
+pub use evacuations::{Evacuations, Reversal};
 pub use evidence::{log_likelihood_ratio, Evidence, EVIDENCE_HALF_LIFE, FAULT_SHARES, SLOW_WEIGHT};
 pub use failure_notice::{
     FailureHandler, FailureNotice, FailureNotifier, LeavingNotice, LimitNotice, TargetNews,
--- a/src/health/target.rs
+++ b/src/health/target.rs
@@ -1,6 +1,6 @@
 //! State of one target in a daemon.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use crate::clock::BootTime;
 
@@ -51,6 +51,8 @@
     pub slots: u32,
     /// Whether the platform's list marks it as leaving.
     pub listed_leaving: bool,
+    /// Whether its data centre is evacuated; shared with the requests that were assigned to it.
+    pub evacuated: Rc<Cell<bool>>,
     /// State that it last reported.
     pub state: TargetState,
     /// Requests of this daemon that are in flight.
@@ -75,6 +77,12 @@
         self.listed_leaving || self.throttle.is_leaving() || self.state == TargetState::Leaving
     }
 
+    /// Returns whether the target must get no new requests and no probes: it leaves for good or its
+    /// data centre is evacuated.
+    pub fn is_excluded(&self) -> bool {
+        self.is_leaving() || self.evacuated.get()
+    }
+
     /// Returns the share of its normal load that the target may receive, from 0 to 1.
     pub fn weight(&self, now: BootTime) -> f64 {
         if self.state == TargetState::Cold {
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -70,6 +70,14 @@
     TokensAsked,
     /// Tokens of limited targets given to other daemons.
     TokensLent,
+    /// Data centres whose evacuation this daemon learned of.
+    EvacuationsStarted,
+    /// Data centres whose evacuation was reverted.
+    EvacuationsReverted,
+    /// Evacuation rows with an unknown or empty data centre or an unreadable value.
+    EvacuationRowsInvalid,
+    /// Requests whose picked target was withdrawn before they were sent.
+    PicksWithdrawn,
     /// Targets ejected or put on trial.
     Ejections,
     /// Messages about suspected targets sent to other daemons.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 //! The adapter makes no decisions. A field whose name is misleading has a comment on its meaning.
 
 mod configuration;
+mod evacuation;
 mod head_format;
 mod row_client;
 mod target_entry;
@@ -11,6 +12,7 @@
 use std::{env, path::PathBuf};
 
 pub use configuration::decode_configuration;
+pub use evacuation::{check_evacuation_value, evacuated_data_centre};
 pub use head_format::PlatformHeadFormat;
 pub use row_client::RowClient;
 pub use target_entry::decode_target;
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -282,6 +282,13 @@
         if let Err(DispatchError::Failed(kind)) = self.dispatch.check_poison(self.head, self.body) {
             return self.step(Event::SendRefused(kind));
         }
+        let picked = self.attempt.as_ref().map(|attempt| &attempt.picked);
+        if let Some(picked) = picked.filter(|picked| picked.is_evacuated()) {
+            log::info!(request_id = self.dispatch.request_id, target_name = &*picked.name;
+                "target evacuated before the request was sent");
+            self.cx.metrics.count(Counter::PicksWithdrawn);
+            return self.step(Event::TargetWithdrawn);
+        }
         let next = self.step(Event::SendStarted);
         let left = self.dispatch.deadline.left(self.cx.clock.now());
         if let Some(attempt) = &self.attempt {
--- a/src/retry/event.rs
+++ b/src/retry/event.rs
@@ -22,6 +22,8 @@
     },
     /// The request may no longer be sent, for this reason; no byte has been written.
     SendRefused(ErrorKind),
+    /// The picked target was excluded from requests before any byte was written.
+    TargetWithdrawn,
     /// The body of the request must not be passed on any further, for this reason.
     UploadRefused(UploadError),
     /// The first byte of the request is about to be written.
--- a/src/retry/state_machine.rs
+++ b/src/retry/state_machine.rs
@@ -95,6 +95,9 @@
             (Phase::Exchanging { written: false, .. }, Event::SendRefused(kind)) => {
                 self.respond_error(self.send_error(kind))
             }
+            (Phase::Exchanging { written: false, .. }, Event::TargetWithdrawn) => {
+                self.on_withdrawn()
+            }
             (Phase::Exchanging { .. }, Event::UploadRefused(_)) => {
                 // The target may act on the part of the body that it has received.
                 self.may_have_run = true;
@@ -152,6 +155,13 @@
         Some(Action::Send)
     }
 
+    /// Picks another target; as nothing was sent to the former one, this is no further attempt.
+    fn on_withdrawn(&mut self) -> Option<Action> {
+        self.attempts = self.attempts.saturating_sub(1);
+        self.phase = Phase::Picking;
+        Some(Action::Pick)
+    }
+
     fn on_send_started(&mut self, reused: bool) -> Option<Action> {
         self.written_once = true;
         self.phase = Phase::Exchanging {
--- a/standins/src/entry_target.rs
+++ b/standins/src/entry_target.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use serde_json::json;
+use serde_json::{json, Value};
 
 use crate::{
     http::{respond, ConnectionAction, Handler, Request, Server},
@@ -132,11 +132,20 @@
 
     /// The same for the start of the target at `born`, Unix time in ms.
     pub fn register_start(&self, store: &RowStore, state: &str, born: u64) {
-        let entry = json!({
+        self.register_with(store, &json!({"state": state, "born": born}));
+    }
+
+    /// Registers the target as ready in the data centre `a`, with other values for the fields of
+    /// `changed`.
+    pub fn register_with(&self, store: &RowStore, changed: &Value) {
+        let mut entry = json!({
             "backend": self.service, "addr": self.address().to_string(), "zone": "a",
-            "version": "v1", "slots": 2, "state": state, "warmupLeftS": 0, "seq": 1,
-            "born": born,
+            "version": "v1", "slots": 2, "state": "ready", "warmupLeftS": 0, "seq": 1,
+            "born": 1_700_000_000_000_u64,
         });
+        for (name, value) in changed.as_object().into_iter().flatten() {
+            entry[name] = value.clone();
+        }
         store.put("servers", &self.id, entry.to_string().as_bytes());
     }
 
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 /// Names of the platform's interface that no file outside `src/platform/` may contain.
-const NAMES: [&str; 22] = [
+const NAMES: [&str; 23] = [
     "rows-tx",
     "rows-get",
     "rows-feed",
@@ -26,6 +26,7 @@
     "CHERVILLUG_CONFIG",
     "healthPath",
     "x-tenant",
+    "evacuate/",
 ];
 
 fn find_names(directory: &Path, found: &mut Vec<String>) {
