--- a/src/health/balancer_handle.rs
+++ b/src/health/balancer_handle.rs
@@ -8,8 +8,8 @@
 use crate::{proxy::TargetReport, queue::QueueId, store::ListedHost};
 
 use super::{
-    AttemptId, LeavingNotice, Lender, LimitNews, Observation, PickError, ScheduleRequest, TargetId,
-    TargetState,
+    AttemptId, Evacuations, LeavingNotice, Lender, LimitNews, Observation, PickError,
+    ScheduleRequest, TargetId, TargetState,
 };
 
 /// Receives the picked target.
@@ -19,6 +19,8 @@
 pub enum BalancerMessage {
     /// Replaces the target list with the platform's.
     SetTargets(Rc<Vec<ListedHost>>),
+    /// Replaces the evacuated data centres.
+    SetEvacuations(Evacuations),
     /// Requests a target.
     Pick {
         /// Identity of the request in the queue.
@@ -109,11 +111,17 @@
     pub address: SocketAddr,
     /// Name of the target.
     pub name: Rc<str>,
+    pub(super) evacuated: Rc<Cell<bool>>,
     pub(super) attempt: AttemptId,
     pub(super) handle: BalancerHandle,
 }
 
 impl PickedTarget {
+    /// Returns whether the data centre of the target has been evacuated since it was picked.
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuated.get()
+    }
+
     /// Records the result of the request.
     pub fn observe(&self, obs: Observation) {
         self.handle
