--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -14,6 +14,7 @@
     metrics::{Counter, Metrics},
     outcome::ErrorKind,
     platform,
+    queue::QueueId,
     retry::{Action, Event, RequestStateMachine, RetryPolicy},
     store::{ListedHost, StoredRow},
 };
@@ -444,22 +445,26 @@
         service: Rc::from("one"),
         workspace: Rc::from("w"),
         rate_per_s: 0.0,
+        rank: 0,
+        resent_early: false,
         repeatable: true,
         deadline: at(60_000),
         avoid: Vec::new(),
     };
-    for _ in 0..4 {
-        let decision = scheduler.submit(request(), (), at(0)).expect("a decision");
+    let submit =
+        |scheduler: &mut Scheduler<()>, id, now| scheduler.submit(QueueId(id), request(), (), now);
+    for id in 0..4 {
+        let decision = submit(&mut scheduler, id, at(0)).expect("a decision");
         assert!(decision.res.is_ok());
     }
-    assert!(scheduler.submit(request(), (), at(0)).is_none(), "queued");
+    assert!(submit(&mut scheduler, 4, at(0)).is_none(), "queued");
     scheduler
         .balancer
         .set_evacuations(&evacuations(&["a", "b"], &[]), at(1));
     let decisions = scheduler.tick(at(20));
     assert_eq!(decisions.len(), 1);
     assert_eq!(decisions[0].res.as_ref().err(), Some(&PickError::NoTarget));
-    let decision = scheduler.submit(request(), (), at(21)).expect("a decision");
+    let decision = submit(&mut scheduler, 5, at(21)).expect("a decision");
     assert_eq!(decision.res.err(), Some(PickError::NoTarget));
 }
 
