--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -1,16 +1,17 @@
 //! Load balancer of a daemon: its target list, feedback about targets, and target selection.
 
+mod evacuation;
 mod feedback;
 mod pick;
 mod target_list;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use rustc_hash::FxHashMap;
 
 use crate::clock::BootTime;
 
-use super::{AttemptId, Detector, Service, ServiceId, Suspicion, Target, TargetId};
+use super::{AttemptId, Detector, QueueRejection, Service, ServiceId, Suspicion, Target, TargetId};
 
 /// Maximum age of the routing set of a service before it is rebuilt.
 const REBUILD_INTERVAL: Duration = Duration::from_millis(100);
@@ -34,9 +35,8 @@
     Busy,
     /// All targets limited their requests, and none accepts one of this daemon for this time.
     Throttled(Duration),
-    /// The request was shed because the queue was full or too little time was left before its
-    /// deadline.
-    Overloaded,
+    /// The queue rejected the request.
+    Overloaded(QueueRejection),
 }
 
 /// A request for a target.
@@ -61,6 +61,8 @@
     pub address: SocketAddr,
     /// Name of the target.
     pub name: Rc<str>,
+    /// Whether the data centre of the target has been evacuated since.
+    pub evacuated: Rc<Cell<bool>>,
 }
 
 /// Keeps the state of all targets, and picks one for each request.
@@ -76,6 +78,8 @@
     ejections: u64,
     suspicions: Vec<Suspicion>,
     recovered: Vec<Rc<str>>,
+    /// Data centres whose targets receive nothing.
+    evacuated: BTreeSet<Rc<str>>,
     /// Data centre of this host; `None` disables the preference for a data centre.
     data_centre: Option<Rc<str>>,
     rng: fastrand::Rng,
@@ -96,6 +100,7 @@
             ejections: 0,
             suspicions: Vec::new(),
             recovered: Vec::new(),
+            evacuated: BTreeSet::new(),
             data_centre: None,
             rng: fastrand::Rng::with_seed(seed),
         }
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -58,6 +58,10 @@
     AsksAnswered,
     /// Token requests that no daemon answered in time.
     AsksUnanswered,
+    /// Requests that waited beyond the usual timeout because no slice holder responded within it.
+    AsksExtended,
+    /// Tokens that arrived after their request had been decided.
+    TokensUnused,
     /// Grants that were no longer valid when they were to be used.
     GrantsLate,
     /// Sessions of this daemon that were fenced or removed by another daemon.
@@ -70,6 +74,14 @@
     TokensAsked,
     /// Tokens of limited targets given to other daemons.
     TokensLent,
+    /// Data centres whose evacuation this daemon learned of.
+    EvacuationsStarted,
+    /// Data centres whose evacuation was reverted.
+    EvacuationsReverted,
+    /// Evacuation rows with an unknown or empty data centre or an unreadable value.
+    EvacuationRowsInvalid,
+    /// Requests whose picked target was withdrawn before they were sent.
+    PicksWithdrawn,
     /// Targets ejected or put on trial.
     Ejections,
     /// Messages about suspected targets sent to other daemons.
@@ -78,6 +90,18 @@
     SuspicionsDropped,
     /// Requests queued for a target.
     Queued,
+    /// Requests shed by a full queue.
+    QueueShed,
+    /// Requests rejected on arrival because their turn was not expected before their deadline.
+    QueueHopeless,
+    /// Requests that waited in a queue until too little time was left.
+    QueueExpired,
+    /// Queued requests whose caller disconnected.
+    QueueAbandoned,
+    /// Requests served before more urgent ones because their rank was owed them.
+    QueueOutOfTurn,
+    /// Requests that clients sent again too early, and that found no free target.
+    QueueResentEarly,
 }
 
 impl Counter {
