--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -10,7 +10,7 @@
     health::{PickError, PickedTarget, ScheduleRequest, TargetId},
     http::{BodyKind, HttpError, HttpReader},
     metrics::Counter,
-    outcome::ErrorKind,
+    outcome::{ErrorKind, Outcome},
     pool::{TargetConnection, MAX_IDLE, MAX_RECENT_IDLE},
     retry::{
         Action, AttemptFailure, ConnectionSource, Event, RequestStateMachine, RetryPolicy,
@@ -169,10 +169,10 @@
                 },
                 Action::Relay => return self.take_response(),
                 Action::RespondError(kind) => {
-                    return Err(match self.retry_after {
-                        Some(wait) => DispatchError::Unavailable(kind, wait),
-                        None => DispatchError::Failed(kind),
-                    })
+                    let is_not_run = kind.response().outcome == Outcome::NotRun;
+                    let wait = self.retry_after.filter(|_| is_not_run);
+                    let failed = DispatchError::Failed(kind);
+                    return Err(wait.map_or(failed, |w| DispatchError::Unavailable(kind, w)));
                 }
                 Action::AbortResponse | Action::Cancel | Action::Finish => {
                     return Err(DispatchError::CallerDisconnected)
