quota: hand the lease of a rate slice over at a planned stop

Cause: a holder that gets SIGTERM stops without releasing its lease. Its successor waits until the lease expires, 8 to 12 s, during which the data centre counts no rates, and the other slices reject requests within plan.

Change: on SIGTERM the holder checks which daemons of its data centre respond, stops granting tokens for good, and offers one after the other the version of the lease row and the levels of its buckets. The successor writes the row conditional on that version and responds once the write is committed. The former holder announces it to the fleet and names it to daemons that ask for tokens, until it exits. Requests that arrive in between wait for the outcome. If no daemon confirms, the lease expires as before. The messages have the kind handover, which daemons of the previous build refuse; to them a redirected token request looks like the response of a daemon that does not hold the slice.

Holders are remembered with the version of the rows that named them, so that late rows and announcements do not bring a former holder back.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -8,7 +8,7 @@
 };
 
 use local_sync::mpsc;
-use monoio::net::TcpListener;
+use monoio::{net::TcpListener, time::timeout};
 
 use crate::{
     catalog::KeyHasher,
@@ -28,8 +28,8 @@
     pool::{pool_task, PoolHandle},
     proxy::{listen_task, AccessPolicy, HeadFormat, ProxyContext, ProxyParts, RetryBudgetSource},
     quota::{
-        LeaseParts, LeaseTask, LocalSlice, QuotaLimiter, QuotaParts, SliceHolders, SliceShare,
-        SliceStatusHandler, TokenHandler,
+        HandoverHandler, LeaseHandle, LeaseParts, LeaseTask, LocalSlice, QuotaLimiter, QuotaParts,
+        SliceHolders, SliceShare, SliceStatusHandler, TokenHandler,
     },
     retry::RetryBudgetConfig,
     routing::{ConfigurationView, RoutingPolicy},
@@ -105,6 +105,7 @@
     let tables = front.make_tables(&balancer, &holders);
     let following = front.prepare_following(&tables, &mut router);
     let (limiter, lease) = front.prepare_quota(&holders, &mut router, incarnation);
+    let mut handover = None;
     let poison = front.start_poison(&mut router);
     monoio::spawn(peer_server_task(
         Rc::new(PeerServer {
@@ -128,20 +129,29 @@
             let known = [joined.members, joined.holders].concat();
             tables.members.sink().replace(known, front.base.clock.now());
             following.start();
+            handover = Some(lease.handle());
             monoio::spawn(lease.run());
             termination.next().await?;
         }
         stopped = termination.next() => stopped?,
     }
-    shut_down(&proxy, settings).await;
+    shut_down(&proxy, settings, handover).await;
     Ok(())
 }
 
-/// Drains requests in flight within the shutdown time from the settings.
-async fn shut_down(proxy: &ProxyContext, settings: &FrontSettings) {
+/// Drains requests in flight within the shutdown time from the settings, and hands over the slice
+/// meanwhile.
+async fn shut_down(proxy: &ProxyContext, settings: &FrontSettings, lease: Option<LeaseHandle>) {
     log::info!("shutting down");
     let grace = settings.shutdown_timeout.mul_f64(DRAIN_SHARE);
-    drain(proxy, settings.limits.drain_notice.min(grace), grace).await;
+    let end = proxy.clock.now() + grace;
+    let hand_over = async {
+        if let Some(lease) = lease {
+            let _ = timeout(grace, lease.stop(end)).await;
+        }
+    };
+    let notice = settings.limits.drain_notice.min(grace);
+    monoio::join!(drain(proxy, notice, grace), hand_over);
     log::info!("stopped");
 }
 
@@ -262,6 +272,8 @@
             slices: settings.data_centres.len() as u32,
             slack: settings.quota_slack,
         });
+        let centre = settings.data_centre.as_str();
+        let broadcast = FleetBroadcast::new(self.peers.clone(), centre, BROADCAST_TIMEOUT);
         let lease = LeaseTask::new(LeaseParts {
             store: base.store.clone(),
             slice: slice.clone(),
@@ -270,6 +282,8 @@
             data_centre: settings.data_centre.clone(),
             incarnation,
             clock: base.clock.clone(),
+            broadcast: broadcast.clone(),
+            metrics: base.metrics.clone(),
         });
         let handler = TokenHandler {
             slice: slice.clone(),
@@ -278,6 +292,13 @@
             metrics: base.metrics.clone(),
         };
         router.register(MessageKind::Ask, Rc::new(handler));
+        let handler = HandoverHandler {
+            lease: lease.handle(),
+            holders: holders.clone(),
+            broadcast,
+            clock: base.clock.clone(),
+        };
+        router.register(MessageKind::Handover, Rc::new(handler));
         let handler = SliceStatusHandler {
             slice: slice.clone(),
             clock: base.clock.clone(),
--- a/src/follow/member_sink.rs
+++ b/src/follow/member_sink.rs
@@ -28,9 +28,9 @@
         }
     }
 
-    fn apply_row(&self, row: StoredRow) {
+    fn apply_row(&self, row: StoredRow, now: BootTime) {
         if let Some(centre) = HolderRow::data_centre(&row.key) {
-            return self.apply_holder(centre, &row);
+            return self.apply_holder(centre, &row, now);
         }
         let mut members = self.members.borrow_mut();
         let Some(value) = row.value else {
@@ -58,7 +58,7 @@
         }
     }
 
-    fn apply_holder(&self, data_centre: &str, row: &StoredRow) {
+    fn apply_holder(&self, data_centre: &str, row: &StoredRow, now: BootTime) {
         let value = row.value.as_ref();
         let holder = value.and_then(|v| serde_json::from_slice::<HolderRow>(v).ok());
         let Some(holder) = holder else {
@@ -67,7 +67,8 @@
         };
         let host = holder.host.as_str();
         log::info!(data_centre = data_centre, holder = host, row = row.version; "slice holder read");
-        self.holders.set(data_centre, host);
+        self.holders
+            .set_from_row(data_centre, host, row.version, now);
     }
 
     fn publish(&self) {
@@ -78,17 +79,17 @@
 }
 
 impl TableSink for MemberSink {
-    fn replace(&self, rows: Vec<StoredRow>, _: BootTime) {
+    fn replace(&self, rows: Vec<StoredRow>, now: BootTime) {
         self.members.borrow_mut().clear();
-        rows.into_iter().for_each(|row| self.apply_row(row));
+        rows.into_iter().for_each(|row| self.apply_row(row, now));
         self.publish();
     }
 
-    fn apply(&self, rows: Vec<StoredRow>, _: BootTime) {
+    fn apply(&self, rows: Vec<StoredRow>, now: BootTime) {
         if rows.is_empty() {
             return;
         }
-        rows.into_iter().for_each(|row| self.apply_row(row));
+        rows.into_iter().for_each(|row| self.apply_row(row, now));
         self.publish();
     }
 
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -58,6 +58,12 @@
     AsksAnswered,
     /// Token requests that no daemon answered in time.
     AsksUnanswered,
+    /// Token requests of other daemons that were answered with the new holder of the slice.
+    AsksRedirected,
+    /// Slices handed over to another daemon.
+    SlicesHandedOver,
+    /// Handovers of a slice that no daemon confirmed.
+    SliceHandoversFailed,
     /// Requests that waited beyond the usual timeout because no slice holder responded within it.
     AsksExtended,
     /// Tokens that arrived after their request had been decided.
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -2,19 +2,22 @@
 
 use std::{rc::Rc, time::Duration};
 
+use local_sync::mpsc;
 use monoio::time::sleep;
 
 use crate::{
     clock::{BootTime, Clock},
     follow::{FLEET_TABLE, MEMBERS_TABLE},
     membership::Incarnation,
-    peer::{MessageKind, PeerClient},
+    metrics::Metrics,
+    peer::{FleetBroadcast, MessageKind, PeerClient},
     store::{RowPut, RowStore, StoreError, StoredRow, WriteOutcome},
 };
 
 use super::{
-    slice_row::SLICES_TABLE, HolderRow, LeaseHolder, LocalSlice, SliceHolders, SliceStatus,
-    SliceStatusRequest, Succession, SuccessionRank, RENEW_INTERVAL,
+    handover_task::SliceHandover, lease_handle::SliceOffer, slice_row::SLICES_TABLE, HolderRow,
+    LeaseHandle, LeaseHolder, LocalSlice, SliceHolders, SliceStatus, SliceStatusRequest,
+    Succession, SuccessionRank, RENEW_INTERVAL,
 };
 
 /// Time after the start of a daemon that gives the other daemons of a new fleet time to register.
@@ -48,30 +51,87 @@
     pub incarnation: Incarnation,
     /// Clock.
     pub clock: Rc<dyn Clock>,
+    /// Broadcast of the new holder at a handover.
+    pub broadcast: FleetBroadcast,
+    /// Metrics of this daemon.
+    pub metrics: Rc<Metrics>,
 }
 
 /// Acquires and renews the lease of the local data centre's slice.
 pub struct LeaseTask {
     parts: LeaseParts,
     succession: Succession,
+    handle: LeaseHandle,
+    offers: mpsc::unbounded::Rx<SliceOffer>,
 }
 
 impl LeaseTask {
     /// Creates the task with the given dependencies.
     pub fn new(parts: LeaseParts) -> Self {
+        let (handle, offers) = LeaseHandle::new();
         Self {
             parts,
+            handle,
+            offers,
             succession: Succession::default(),
         }
     }
 
-    /// Runs until the daemon ends.
+    /// Returns the handle by which the task is stopped and given slices of other daemons.
+    pub fn handle(&self) -> LeaseHandle {
+        self.handle.clone()
+    }
+
+    /// Runs until the daemon leaves, and hands the slice over then.
     pub async fn run(mut self) {
-        self.wait_for_fleet().await;
-        loop {
-            let pause = self.step().await;
-            sleep(pause).await;
+        let stop = self.handle.stop.clone();
+        monoio::select! {
+            () = self.wait_for_fleet() => {},
+            () = stop.wait() => {},
+        }
+        let mut pause = Duration::ZERO;
+        while !stop.is_triggered() {
+            // A step is not interrupted, so that no write is in transit at the handover.
+            monoio::select! {
+                () = sleep(pause) => pause = self.step().await,
+                offer = self.offers.recv() => if let Some(offer) = offer {
+                    pause = self.take_over(offer).await;
+                },
+                () = stop.wait() => {},
+            }
+        }
+        let parts = &self.parts;
+        let handover = SliceHandover {
+            slice: parts.slice.clone(),
+            holders: parts.holders.clone(),
+            peers: parts.peers.clone(),
+            broadcast: parts.broadcast.clone(),
+            data_centre: parts.data_centre.clone(),
+            clock: parts.clock.clone(),
+            metrics: parts.metrics.clone(),
+        };
+        handover.run(self.handle.end.get()).await;
+        self.handle.stopped.trigger();
+    }
+
+    /// Acquires the lease of a slice that its holder has released, and returns the time until the
+    /// next step.
+    async fn take_over(&mut self, offer: SliceOffer) -> Duration {
+        let SliceOffer { slice, reply } = offer;
+        let parts = &self.parts;
+        let expected = slice.version;
+        let is_own = slice.data_centre == parts.data_centre;
+        let mut pause = Duration::ZERO;
+        if is_own && parts.slice.accept(slice, parts.clock.now()) {
+            log::info!(data_centre = parts.data_centre.as_str(), row = expected;
+                "slice released to this daemon");
+            pause = self.write(expected).await;
         }
+        let now = parts.clock.now();
+        let held = parts.slice.is_held(now);
+        let version = parts.slice.with_lease(now, |l| l.observed_version());
+        let _ = reply.send(version.filter(|_| held));
+        pause
     }
 
     /// Waits until the holder of the slice is known, or until the daemons of a new fleet have had
@@ -125,15 +185,17 @@
         let sent = now;
         let now = parts.clock.now();
         match res {
-            Ok(SliceStatus { held: true }) => parts.holders.record_available(centre, now),
-            Ok(SliceStatus { held: false }) => parts.holders.record_unavailable(centre, now),
+            Ok(SliceStatus { held: true }) => parts.holders.record_available(centre, &host, now),
+            Ok(SliceStatus { held: false }) => {
+                parts.holders.record_unavailable(centre, &host, now);
+            }
             Err(e) => {
                 log::info!(holder = &*host, data_centre = centre, reason:? = e;
                     "slice holder did not respond to a check");
                 if now.since(sent) < CHECK_TIMEOUT {
-                    parts.holders.record_unavailable(centre, now);
+                    parts.holders.record_unavailable(centre, &host, now);
                 } else {
-                    parts.holders.record_silent(centre, now);
+                    parts.holders.record_silent(centre, &host, now);
                 }
             }
         }
@@ -221,9 +283,10 @@
                 if !was_held {
                     log::info!(data_centre = centre, row = version; "slice taken");
                 }
-                parts
-                    .holders
-                    .set(centre, parts.peers.directory().own_host());
+                if !self.is_recorded_holder() {
+                    let host = parts.peers.directory().own_host();
+                    parts.holders.set(centre, host, version);
+                }
                 RENEW_INTERVAL
             }
             Ok(WriteOutcome::Conflict(_)) => {
--- a/src/quota/limiter.rs
+++ b/src/quota/limiter.rs
@@ -74,6 +74,7 @@
                         None => {
                             let limit = search.call_timeout(now);
                             let call = TokenCall {
+                                slice: parts.slice.clone(),
                                 holders: parts.holders.clone(),
                                 peers: parts.peers.clone(),
                                 clock: parts.clock.clone(),
--- a/src/quota/messages.rs
+++ b/src/quota/messages.rs
@@ -15,7 +15,7 @@
     store::BoxFuture,
 };
 
-use super::{local_slice::TakeOutcome, LocalSlice};
+use super::{local_slice::TakeOutcome, HolderChange, LocalSlice};
 
 /// Requests one token from the holder of a slice.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,7 +26,7 @@
 
 /// The response to a [`TokenRequest`].
 #[serde_as]
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TokenResponse {
     /// One token was granted.
     Granted,
@@ -34,6 +34,8 @@
     Exceeded(#[serde_as(as = "DurationMicroSeconds<u64>")] Duration),
     /// The daemon does not hold the slice at present, or does not know the workspace.
     NotHolder,
+    /// The daemon has handed the slice over to this holder.
+    Moved(HolderChange),
 }
 
 impl From<TakeOutcome> for TokenResponse {
@@ -59,7 +61,7 @@
 }
 
 impl TokenHandler {
-    fn answer(&self, req: &TokenRequest) -> TokenResponse {
+    async fn answer(&self, req: &TokenRequest) -> TokenResponse {
         self.metrics.count(Counter::AsksAnswered);
         let table = self.view.table();
         let Some(workspace) = table.workspace_by_name(&req.workspace) else {
@@ -67,6 +69,12 @@
         };
         let now = self.clock.now();
         let taken = self.slice.take(&req.workspace, &workspace.plan, now);
+        if taken == TakeOutcome::NotHolder {
+            if let Some(holder) = self.slice.new_holder().await {
+                self.metrics.count(Counter::AsksRedirected);
+                return TokenResponse::Moved(holder);
+            }
+        }
         taken.into()
     }
 }
@@ -75,7 +83,7 @@
     fn handle<'a>(&'a self, _: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
         Box::pin(async move {
             let req: TokenRequest = decode(body)?;
-            encode(&self.answer(&req))
+            encode(&self.answer(&req).await)
         })
     }
 }
--- a/src/quota/slice_holders.rs
+++ b/src/quota/slice_holders.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::BootTime;
 
-use super::{HolderAddress, SearchHolders};
+use super::{HolderAddress, HolderChange, SearchHolders};
 
 /// Time for which no request is sent to a holder that did not respond or does not hold the slice.
 const UNAVAILABLE_PAUSE: Duration = Duration::from_millis(700);
@@ -19,6 +19,10 @@
 /// A link that is busy with uploads delivers a late response within it, unlike one that is down.
 const PATIENCE: Duration = Duration::from_secs(3);
 
+/// Time for which rows older than an announcement are ignored. Readers of the store pass changes of
+/// the members on late, by up to 3 s.
+const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(10);
+
 /// Time without an answer after which a holder is checked.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -47,6 +51,10 @@
 #[derive(Debug, Clone)]
 struct Holder {
     host: Rc<str>,
+    /// Version of the rows that named it.
+    version: u64,
+    /// Until when rows of an earlier version are ignored, if it was announced by another daemon.
+    announced_until: BootTime,
     paused_until: BootTime,
     /// When it first did not respond in time since its last response.
     silent_since: Option<BootTime>,
@@ -64,10 +72,44 @@
 }
 
 impl SliceHolders {
-    /// Sets the holder of a data centre's slice.
-    pub fn set(&self, data_centre: &str, host: &str) {
+    /// Sets the holder of a data centre's slice that was named by rows of this version.
+    pub fn set(&self, data_centre: &str, host: &str, version: u64) {
+        self.insert(data_centre, host, version, BootTime::default());
+    }
+
+    /// Sets the holder of a data centre's slice from a row of this version, unless another daemon
+    /// has announced a newer holder.
+    pub fn set_from_row(&self, data_centre: &str, host: &str, version: u64, now: BootTime) {
+        let is_outdated = |h: &Holder| h.version > version && h.announced_until > now;
+        let is_known = |h: &Holder| h.version == version && *h.host == *host;
+        let holders = self.by_centre.borrow();
+        let known = holders.get(data_centre);
+        if known.is_some_and(|h| is_outdated(h) || is_known(h)) {
+            return;
+        }
+        drop(holders);
+        self.insert(data_centre, host, version, BootTime::default());
+    }
+
+    /// Sets the holder that another daemon has announced, unless a newer one is known.
+    pub fn announce(&self, change: &HolderChange, now: BootTime) {
+        let holders = self.by_centre.borrow();
+        let known = holders.get(&change.data_centre);
+        if known.is_some_and(|h| h.version >= change.version) {
+            return;
+        }
+        drop(holders);
+        let (centre, host) = (change.data_centre.as_str(), change.host.as_str());
+        log::info!(data_centre = centre, holder = host, row = change.version;
+            "slice holder announced");
+        self.insert(centre, host, change.version, now + ANNOUNCEMENT_TIME);
+    }
+
+    fn insert(&self, data_centre: &str, host: &str, version: u64, announced_until: BootTime) {
         let holder = Holder {
             host: Rc::from(host),
+            version,
+            announced_until,
             paused_until: BootTime::default(),
             silent_since: None,
             gone: false,
@@ -113,36 +155,44 @@
         }
     }
 
+    /// Updates the holder of a data centre's slice, unless it is another host than this one.
+    fn update(&self, data_centre: &str, host: &str, f: impl FnOnce(&mut Holder)) {
+        let mut holders = self.by_centre.borrow_mut();
+        if let Some(holder) = holders.get_mut(data_centre).filter(|h| *h.host == *host) {
+            f(holder);
+        }
+    }
+
     /// Records that the holder of a data centre's slice cannot be reached, or answered that it does
     /// not hold the slice.
-    pub fn record_unavailable(&self, data_centre: &str, now: BootTime) {
-        if let Some(holder) = self.by_centre.borrow_mut().get_mut(data_centre) {
+    pub fn record_unavailable(&self, data_centre: &str, host: &str, now: BootTime) {
+        self.update(data_centre, host, |holder| {
             holder.gone = true;
             holder.paused_until = now + UNAVAILABLE_PAUSE;
             holder.suspect_until = now + SUSPECT_TIME;
-        }
+        });
     }
 
     /// Records that the holder of a data centre's slice did not respond in time. It may do so late,
     /// as this daemon's own link may be busy.
-    pub fn record_silent(&self, data_centre: &str, now: BootTime) {
-        if let Some(holder) = self.by_centre.borrow_mut().get_mut(data_centre) {
+    pub fn record_silent(&self, data_centre: &str, host: &str, now: BootTime) {
+        self.update(data_centre, host, |holder| {
             holder.gone = false;
             holder.silent_since.get_or_insert(now);
             holder.paused_until = now + UNAVAILABLE_PAUSE;
             holder.suspect_until = now + SUSPECT_TIME;
-        }
+        });
     }
 
     /// Records that the holder of a data centre's slice answered as its holder, which clears the
     /// suspicion that it has failed.
-    pub fn record_available(&self, data_centre: &str, now: BootTime) {
-        if let Some(holder) = self.by_centre.borrow_mut().get_mut(data_centre) {
+    pub fn record_available(&self, data_centre: &str, host: &str, now: BootTime) {
+        self.update(data_centre, host, |holder| {
             holder.suspect_until = BootTime::default();
             holder.silent_since = None;
             holder.gone = false;
             holder.answered_at = Some(now);
-        }
+        });
     }
 
     /// Returns the holder of a data centre's slice if it has not answered for [`CHECK_INTERVAL`].
--- a/src/quota/slice_lease.rs
+++ b/src/quota/slice_lease.rs
@@ -17,9 +17,9 @@
 struct ObservedRow {
     version: u64,
     since: BootTime,
-    /// Whether it was read back as written by this host's daemon, so that no other daemon holds the
-    /// lease.
-    own_host: bool,
+    /// Whether no other daemon holds the lease, because the row was read back as written by this
+    /// host's daemon, or its holder has released it to this one.
+    unheld: bool,
 }
 
 /// The lease of one slice from the point of view of one daemon.
@@ -30,20 +30,22 @@
 pub struct SliceLease {
     observed: Option<ObservedRow>,
     held_until: Option<BootTime>,
+    /// Whether this daemon has given up the lease for good.
+    released: bool,
 }
 
 impl SliceLease {
     /// Updates the state from the row as read: its version, 0 if it is absent, and whether this
     /// host's daemon wrote it, in this or an earlier incarnation.
     pub fn observe(&mut self, version: u64, own_host: bool, now: BootTime) {
-        if self.observed.is_some_and(|s| s.version == version) {
+        if self.released || self.observed.is_some_and(|s| s.version == version) {
             return;
         }
         self.held_until = None;
         self.observed = Some(ObservedRow {
             version,
             since: now,
-            own_host,
+            unheld: own_host,
         });
     }
 
@@ -52,7 +54,7 @@
     pub fn acquirable_version(&self, now: BootTime) -> Option<u64> {
         let observed = self.observed?;
         let expired = now.since(observed.since) >= LEASE_TERM + MARGIN;
-        let is_free = observed.version == 0 || observed.own_host || expired;
+        let is_free = observed.version == 0 || observed.unheld || expired;
         (is_free || self.held_until.is_some()).then_some(observed.version)
     }
 
@@ -71,10 +73,13 @@
 
     /// Records that a write that was sent at `sent` was committed.
     pub fn record_write(&mut self, version: u64, sent: BootTime) {
+        if self.released {
+            return;
+        }
         self.observed = Some(ObservedRow {
             version,
             since: sent,
-            own_host: false,
+            unheld: false,
         });
         self.held_until = Some(sent + LEASE_TERM);
     }
@@ -84,7 +89,7 @@
     pub fn adopt_own_write(&mut self, version: u64) {
         if let Some(observed) = &mut self.observed {
             observed.version = version;
-            observed.own_host = true;
+            observed.unheld = true;
         }
     }
 
@@ -94,6 +99,38 @@
         self.held_until = None;
     }
 
+    /// Gives up a held lease for good, and returns the version of its row, which entitles a
+    /// successor to acquire it before the term is over; `None` if the lease is not held.
+    pub fn release(&mut self, now: BootTime) -> Option<u64> {
+        let version = self.observed.filter(|_| self.is_held(now))?.version;
+        self.mark_lost();
+        self.released = true;
+        Some(version)
+    }
+
+    /// Records that the holder has released the lease while its row had this version, and returns
+    /// whether this daemon may acquire it.
+    ///
+    /// The holder may have released it to several daemons. Only one of their writes can find the row
+    /// unchanged.
+    pub fn accept_release(&mut self, version: u64, now: BootTime) -> bool {
+        let is_newer_known = self.observed.is_some_and(|o| o.version > version);
+        if self.released || self.is_holder() || is_newer_known {
+            return false;
+        }
+        self.observed = Some(ObservedRow {
+            version,
+            since: now,
+            unheld: true,
+        });
+        true
+    }
+
+    /// Returns the version of the row as last read or written.
+    pub fn observed_version(&self) -> Option<u64> {
+        self.observed.map(|o| o.version)
+    }
+
     /// Returns whether the lease is held at `now`.
     pub fn is_held(&self, now: BootTime) -> bool {
         self.held_until.is_some_and(|end| now < end)
--- a/tests/token_requests.rs
+++ b/tests/token_requests.rs
@@ -86,7 +86,7 @@
                 start_holder(&secrets, handler)
             };
             let host = format!("holder-{centre}");
-            holders.set(centre, &host);
+            holders.set(centre, &host, 1);
             hosts.push(ListedHost {
                 name: host,
                 data_centre: centre.to_owned(),
--- a/tests/token_search.rs
+++ b/tests/token_search.rs
@@ -224,26 +224,26 @@
 fn paused_holders_are_asked_again_unless_they_are_gone() {
     let holders = SliceHolders::default();
     for centre in ["a", "b", "c"] {
-        holders.set(centre, &format!("host-{centre}"));
+        holders.set(centre, &format!("host-{centre}"), 1);
     }
-    holders.record_silent("a", at(0));
-    holders.record_silent("b", at(200));
-    holders.record_unavailable("c", at(200));
+    holders.record_silent("a", "host-a", at(0));
+    holders.record_silent("b", "host-b", at(200));
+    holders.record_unavailable("c", "host-c", at(200));
     let paused = holders.search_holders("a", at(300));
     assert!(paused.available.is_empty());
     assert_eq!(centres(&paused.silent), ["b", "a"]);
     assert!(paused.may_respond_late);
 
     // The pauses are over; the holder that responds is asked first, although it is a remote one.
-    holders.record_available("b", at(800));
+    holders.record_available("b", "host-b", at(800));
     let resumed = holders.search_holders("a", at(1000));
     assert_eq!(centres(&resumed.available)[..2], ["b", "a"]);
 
     // Without any response for seconds, the link is down rather than busy.
     let silent = SliceHolders::default();
-    silent.set("a", "host-a");
+    silent.set("a", "host-a", 1);
     for ms in (0..4000).step_by(500) {
-        silent.record_silent("a", at(ms));
+        silent.record_silent("a", "host-a", at(ms));
     }
     assert!(!silent.search_holders("a", at(4000)).may_respond_late);
     assert!(silent.search_holders("a", at(2000)).may_respond_late);
