health: limit the requests of the whole fleet to cold targets (partial)

Cause: targets that are cold crash above a number of requests per second; the fleet sent them their share of the load from the start of a ramp.

Change: services may state how long their targets are cold and which rate they take then. Daemons selected by rendezvous hashing share the rate of a cold target and lend tokens to the others. A target is cold by its entry, by its response to a probe, after the end of an evacuation, and until verified after the start of a daemon.

--- a/src/config/front_settings.rs
+++ b/src/config/front_settings.rs
@@ -5,7 +5,10 @@
 use serde::Deserialize;
 use serde_with::{serde_as, DurationSecondsWithFrac};
 
-use crate::{health::Profile, retry::FleetRetryLimit};
+use crate::{
+    health::{Profile, WarmupTolerance},
+    retry::FleetRetryLimit,
+};
 
 use super::{check::InvalidSetting, LimitSettings};
 
@@ -49,6 +52,11 @@
     pub retry_ratio: Option<f64>,
     /// Retries in addition to `retry_ratio` that the whole fleet may send to a service.
     pub retry_slack: Option<f64>,
+    /// Factor of the rate that a cold target takes, up to which the whole fleet may send to it.
+    /// Without this setting and `warmup_slack` there is no limit.
+    pub warmup_over: Option<f64>,
+    /// Requests in addition to `warmup_over` that a cold target may get in a second.
+    pub warmup_slack: Option<f64>,
     /// Whether the whole fleet starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -69,6 +77,14 @@
         })
     }
 
+    /// Returns the tolerance above the rates that cold targets take; `None` if there is no limit.
+    pub fn warmup_tolerance(&self) -> Option<WarmupTolerance> {
+        Some(WarmupTolerance {
+            over: self.warmup_over?,
+            slack: self.warmup_slack?,
+        })
+    }
+
     /// Returns the first invalid setting.
     pub(super) fn check(&self) -> Option<InvalidSetting> {
         let invalid = |key, expected| Some(InvalidSetting { key, expected });
@@ -97,6 +113,16 @@
         if self.retry_ratio.is_some() != self.retry_slack.is_some() {
             return invalid("retry_ratio", "expected together with retry_slack");
         }
+        let is_factor = |over: f64| over.is_finite() && over >= 1.0;
+        if !self.warmup_over.is_none_or(is_factor) {
+            return invalid("warmup_over", "expected a number from 1");
+        }
+        if !self.warmup_slack.is_none_or(is_valid) {
+            return invalid("warmup_slack", "expected a non-negative number");
+        }
+        if self.warmup_over.is_some() != self.warmup_slack.is_some() {
+            return invalid("warmup_over", "expected together with warmup_slack");
+        }
         None
     }
 }
--- a/src/daemon/front_tables.rs
+++ b/src/daemon/front_tables.rs
@@ -6,7 +6,8 @@
     follow::{
         follow_table, ChangesHandler, ConfigurationSink, EvacuationFormat, EvacuationSink,
         FollowOptions, FollowParts, FollowedTable, MemberSink, ProofHandler, ReaderParts,
-        ReaderTask, SharedReaderRole, SharedTables, SinkSequence, TargetSink, MEMBERS_TABLE,
+        ReaderTask, SharedReaderRole, SharedTables, SinkSequence, TableSink, TargetSink,
+        WarmupSink, MEMBERS_TABLE,
     },
     peer::{MessageKind, PeerRouter},
     platform,
@@ -136,10 +137,16 @@
             base.metrics.clone(),
         );
         // Evacuations come first, so that they are in force before the first configuration is.
-        let operator = SinkSequence::new(vec![Rc::new(evacuation), Rc::new(configuration)]);
+        let mut sinks: Vec<Rc<dyn TableSink>> = vec![Rc::new(evacuation), Rc::new(configuration)];
+        if let Some(tolerance) = base.settings.warmup_tolerance() {
+            let (view, balancer) = (base.view.clone(), balancer.handle.clone());
+            sinks.push(Rc::new(WarmupSink::new(view, tolerance, balancer)));
+        }
+        let operator = SinkSequence::new(sinks);
         let targets = TargetSink::new(
             balancer.handle.clone(),
             platform::decode_target,
+            platform::decode_entry_warmup,
             base.view.clone(),
             base.clock.clone(),
         );
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -25,6 +25,7 @@
 mod table_follower;
 mod target_list;
 mod target_sink;
+mod warmup_sink;
 
 pub use change_message::{ChangesRequest, ChangesResponse, EncodedDelta, HeldCopy, RowVersion};
 pub use changes_handler::ChangesHandler;
@@ -49,3 +50,4 @@
 pub use table_follower::{follow_table, FollowOptions, FollowParts, ResponseTiming, TableSink};
 pub use target_list::TargetList;
 pub use target_sink::TargetSink;
+pub use warmup_sink::WarmupSink;
--- a/src/follow/target_sink.rs
+++ b/src/follow/target_sink.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::{BootTime, Clock},
-    health::{BalancerHandle, BalancerMessage},
+    health::{BalancerHandle, BalancerMessage, EntryWarmup},
     routing::ConfigurationView,
     store::{ListedHost, StoredRow},
 };
@@ -16,12 +16,15 @@
 
 /// Decodes the entry of a target, or returns what is invalid in it.
 type DecodeTarget = fn(&str, &[u8]) -> Result<ListedHost, String>;
+/// Returns the time for which an entry states that its target is cold.
+type DecodeWarmup = fn(&[u8]) -> Duration;
 
 /// Maintains the list of targets and sends each change to the balancer.
 pub struct TargetSink {
     list: Rc<RefCell<TargetList>>,
     balancer: BalancerHandle,
     decode: DecodeTarget,
+    decode_warmup: DecodeWarmup,
     view: ConfigurationView,
     clock: Rc<dyn Clock>,
 }
@@ -31,6 +34,7 @@
     pub fn new(
         balancer: BalancerHandle,
         decode: DecodeTarget,
+        decode_warmup: DecodeWarmup,
         view: ConfigurationView,
         clock: Rc<dyn Clock>,
     ) -> Self {
@@ -38,6 +42,7 @@
             list: Rc::default(),
             balancer,
             decode,
+            decode_warmup,
             view,
             clock,
         }
@@ -68,6 +73,20 @@
         }
     }
 
+    /// Tells the balancer what entries that were read state about the warm-up of their targets. The
+    /// list must have been published before.
+    fn publish_warmups(&self, rows: &[StoredRow]) {
+        let warmup = |row: &StoredRow| {
+            Some(EntryWarmup {
+                target: row.key.clone(),
+                version: row.version,
+                left: (self.decode_warmup)(row.value.as_ref()?),
+            })
+        };
+        let entries = rows.iter().filter_map(warmup).collect();
+        self.balancer.send(BalancerMessage::RecordEntries(entries));
+    }
+
     fn apply_row(&self, row: &StoredRow, now: BootTime) {
         let (key, version) = (row.key.as_str(), row.version);
         let host = self.decode(row);
@@ -96,6 +115,7 @@
             list.replace(hosts, now);
         }
         self.publish();
+        self.publish_warmups(&rows);
     }
 
     fn apply(&self, rows: Vec<StoredRow>, now: BootTime) {
@@ -107,6 +127,7 @@
             self.apply_row(row, now);
         }
         self.publish();
+        self.publish_warmups(&rows);
     }
 
     fn on_failure(&self, now: BootTime) {
--- a/src/health/balancer/evacuation.rs
+++ b/src/health/balancer/evacuation.rs
@@ -2,7 +2,10 @@
 
 use crate::clock::BootTime;
 
-use super::{super::Evacuations, Balancer};
+use super::{
+    super::{Evacuations, TargetId},
+    Balancer,
+};
 
 impl Balancer {
     /// Excludes the targets in evacuated data centres from all requests and probes, and lets those
@@ -16,9 +19,14 @@
         }
         for reversal in &evacuations.reverted {
             let in_force = self.evacuated.contains(&reversal.data_centre);
-            let targets = self.targets.values_mut();
-            let returned = targets.filter(|t| !in_force && t.data_centre == reversal.data_centre);
-            returned.for_each(|target| target.ramp_from = Some(now));
+            let name = reversal.data_centre.clone();
+            let targets = self.targets.values();
+            let returned = targets.filter(|t| !in_force && t.data_centre == name);
+            let returned: Vec<TargetId> = returned.map(|t| t.id).collect();
+            for id in returned {
+                self.record_return(id, reversal.version, now);
+            }
+            self.returned.insert(name, (reversal.version, now));
         }
         for service in self.services.values_mut() {
             service.built_at = None;
--- a/src/health/balancer/feedback.rs
+++ b/src/health/balancer/feedback.rs
@@ -275,7 +275,13 @@
             |t: &&Target| !t.listed_leaving && !t.throttle.is_leaving() && !t.evacuated.get();
         let live = self.targets.values().filter(stays);
         let due = live.filter(|t| is_due_draining(t) || self.detector.needs_probe(t.id, now));
-        due.map(|t| (t.id, t.address)).collect()
+        let mut probes: Vec<_> = due.map(|t| (t.id, t.address)).collect();
+        for probe in self.unverified_targets(now) {
+            if !probes.contains(&probe) {
+                probes.push(probe);
+            }
+        }
+        probes
     }
 
     /// Records the result of a probe, and the state that the target reported in its response.
--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -4,14 +4,23 @@
 mod feedback;
 mod pick;
 mod target_list;
+mod warmup;
 
-use std::{cell::Cell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+pub use warmup::EntryWarmup;
+
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use rustc_hash::FxHashMap;
 
 use crate::clock::BootTime;
 
-use super::{AttemptId, Detector, Service, ServiceId, Suspicion, Target, TargetId};
+use super::{AttemptId, Detector, Service, ServiceId, Suspicion, Target, TargetId, WarmupTerms};
 
 /// Maximum age of the routing set of a service before it is rebuilt.
 const REBUILD_INTERVAL: Duration = Duration::from_millis(100);
@@ -64,6 +73,8 @@
     pub name: Rc<str>,
     /// Whether the data centre of the target has been evacuated since.
     pub evacuated: Rc<Cell<bool>>,
+    /// When another target must be picked if the request has not been sent; `None` for never.
+    pub send_by: Option<BootTime>,
 }
 
 /// Keeps the state of all targets, and picks one for each request.
@@ -81,6 +92,14 @@
     recovered: Vec<Rc<str>>,
     /// Data centres whose targets receive nothing.
     evacuated: BTreeSet<Rc<str>>,
+    /// Version and time of the end of the last evacuation of each data centre.
+    returned: BTreeMap<Rc<str>, (Option<u64>, BootTime)>,
+    /// Services whose cold targets take a limited rate.
+    warmup_terms: BTreeMap<Rc<str>, WarmupTerms>,
+    /// Targets that became cold, for which the place of this daemon in the fleet is needed.
+    shares_needed: Vec<TargetId>,
+    /// Makes daemons probe targets that may be cold in different orders.
+    probe_offset: usize,
     /// Data centre of this host; `None` disables the preference for a data centre.
     data_centre: Option<Rc<str>>,
     rng: fastrand::Rng,
@@ -102,6 +121,10 @@
             suspicions: Vec::new(),
             recovered: Vec::new(),
             evacuated: BTreeSet::new(),
+            returned: BTreeMap::new(),
+            warmup_terms: BTreeMap::new(),
+            shares_needed: Vec::new(),
+            probe_offset: seed as usize,
             data_centre: None,
             rng: fastrand::Rng::with_seed(seed),
         }
--- a/src/health/balancer/pick.rs
+++ b/src/health/balancer/pick.rs
@@ -10,7 +10,9 @@
 };
 
 use super::{
-    super::{routing_set, AttemptId, BreakerState, Candidate, ServiceId, Target, TargetId},
+    super::{
+        routing_set, AttemptId, BreakerState, Candidate, ServiceId, Target, TargetId, TokenKind,
+    },
     Balancer, Choice, PickError, PickRequest, MAX_DRAWS, REBUILD_INTERVAL, TRIAL_SHARE,
 };
 
@@ -25,6 +27,10 @@
 
 /// Cost of a target without an idle connection, as a share of the slots that is added to its load.
 const CONNECT_COST: f64 = 0.4;
+/// Time from the choice of a target of a service with warm-up limits to the first byte of the
+/// request. Opening a connection takes at most half of it; a process that was suspended must not
+/// send a request with a token of an earlier time.
+const MAX_TOKEN_AGE: Duration = Duration::from_millis(500);
 
 /// Returns the maximum idle time of a connection that a request may be sent on.
 fn max_idle(repeatable: bool) -> Duration {
@@ -72,8 +78,10 @@
         }
         target.idle_since.pop();
         target.in_flight.start(attempt, now);
+        let mut is_limited = false;
         if let Some(service) = self.services.get_mut(&target.service) {
             service.record_dispatch(now);
+            is_limited = self.warmup_terms.contains_key(&service.name);
         }
         Some(Choice {
             id,
@@ -81,17 +89,18 @@
             address: target.address,
             name: target.name.clone(),
             evacuated: target.evacuated.clone(),
+            send_by: is_limited.then_some(now + MAX_TOKEN_AGE),
         })
     }
 
-    /// Returns the targets of a service that only their limit keeps from this daemon, each with its
-    /// limit.
+    /// Returns the targets of a service that only their limit keeps from this daemon, each with the
+    /// kind of the token that it lacks.
     pub fn borrowable_targets(
         &self,
         service: &str,
         avoid: &[TargetId],
         now: BootTime,
-    ) -> Vec<(&Target, f64)> {
+    ) -> Vec<(&Target, TokenKind)> {
         let service = self.service_ids.get(service);
         let routing = service.and_then(|id| self.services.get(id));
         let routing = routing.map_or(&[][..], |service| &service.routing);
@@ -100,16 +109,16 @@
             let is_closed = t.breaker.state(now) == BreakerState::Closed;
             is_closed && !t.is_excluded() && !avoid.contains(&t.id)
         });
-        let limited = usable.filter_map(|t| Some((t, t.throttle.borrowable_limit(now)?)));
+        let limited = usable.filter_map(|t| Some((t, t.throttle.borrowable_token(now)?)));
         limited.collect()
     }
 
-    /// Takes a token of a limited target for a request of another daemon; returns whether there was
-    /// one.
-    pub fn lend_token(&mut self, name: &str, now: BootTime) -> bool {
+    /// Takes a token of a limited target for a request of another daemon, which may know that the
+    /// target is cold; returns whether there was one.
+    pub fn lend_token(&mut self, name: &str, is_cold: bool, now: BootTime) -> bool {
         let id = self.by_name.get(name);
         let target = id.and_then(|id| self.targets.get_mut(id));
-        target.is_some_and(|t| !t.evacuated.get() && t.throttle.lend(now))
+        target.is_some_and(|t| !t.evacuated.get() && t.throttle.lend(is_cold, now))
     }
 
     /// Draws an idle target on trial for a small share of the idempotent first attempts.
--- a/src/health/balancer/target_list.rs
+++ b/src/health/balancer/target_list.rs
@@ -9,7 +9,7 @@
 use super::{
     super::{
         Breaker, InFlightRequests, Service, ServiceId, Target, TargetId, TargetState,
-        TargetThrottle,
+        TargetThrottle, WarmupState,
     },
     Balancer,
 };
@@ -88,6 +88,14 @@
         let id = TargetId(self.next_id);
         self.next_id += 1;
         let slots = host.slots.max(1);
+        let mut warmup = if ramp_from.is_none() {
+            WarmupState::unverified(now)
+        } else {
+            WarmupState::default()
+        };
+        if let Some((version, at)) = self.returned.get(host.data_centre.as_str()) {
+            warmup.record_return(*version, *at);
+        }
         let target = Target {
             id,
             service,
@@ -104,6 +112,7 @@
             in_flight: InFlightRequests::default(),
             concurrency_limit: f64::from(slots),
             throttle: TargetThrottle::default(),
+            warmup,
             breaker: Breaker::default(),
             idle_since: Vec::new(),
             ramp_from: ramp_from.or(host.cold.then_some(now)),
@@ -113,6 +122,7 @@
         self.by_name.insert(target.name.clone(), id);
         self.targets.insert(id, target);
         self.detector.add_target(id, service);
+        self.update_warmup(id, now);
         if let Some(service) = self.services.get_mut(&service) {
             service.targets.push(id);
             service.built_at = None;
--- a/src/health/balancer_handle.rs
+++ b/src/health/balancer_handle.rs
@@ -1,15 +1,15 @@
 //! Messages to the task that owns the balancer, and the handle that sends them.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc};
+use std::{cell::Cell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use local_sync::{mpsc, oneshot};
 use serde::Serialize;
 
-use crate::{proxy::TargetReport, store::ListedHost};
+use crate::{clock::BootTime, proxy::TargetReport, store::ListedHost};
 
 use super::{
-    AttemptId, Evacuations, LeavingNotice, Lender, LimitNews, Observation, PickError,
-    ScheduleRequest, TargetId, TargetState,
+    AttemptId, EntryWarmup, Evacuations, LeavingNotice, Lender, LimitNews, Observation, PickError,
+    ScheduleRequest, TargetId, TargetState, WarmupTerms,
 };
 
 /// Receives the picked target.
@@ -21,6 +21,10 @@
     SetTargets(Rc<Vec<ListedHost>>),
     /// Replaces the evacuated data centres.
     SetEvacuations(Evacuations),
+    /// Replaces the limits of cold targets, by service.
+    SetWarmupTerms(BTreeMap<Rc<str>, WarmupTerms>),
+    /// Applies what entries state about the warm-up of their targets.
+    RecordEntries(Vec<EntryWarmup>),
     /// Requests a target.
     Pick {
         /// Request that needs the target.
@@ -33,7 +37,14 @@
     /// Starts a request on a target for which another daemon gave a token.
     PickGranted(TargetId, PickReply),
     /// Takes a token of a limited target for another daemon.
-    LendToken(String, oneshot::Sender<bool>),
+    LendToken {
+        /// Name of the target.
+        target: String,
+        /// Whether the other daemon knows that the target is cold.
+        is_cold: bool,
+        /// Receives whether there was a token.
+        reply: oneshot::Sender<bool>,
+    },
     /// Ends a request in flight.
     Release(TargetId, AttemptId),
     /// Records the result of a request.
@@ -74,6 +85,8 @@
         healthy: bool,
         /// State that the target reported.
         state: Option<TargetState>,
+        /// Time for which the target is cold, as it reported; `None` without a usable response.
+        warmup_left: Option<Duration>,
     },
     /// Triggers the periodic checks.
     Tick,
@@ -103,14 +116,16 @@
     /// Name of the target.
     pub name: Rc<str>,
     pub(super) evacuated: Rc<Cell<bool>>,
+    pub(super) send_by: Option<BootTime>,
     pub(super) attempt: AttemptId,
     pub(super) handle: BalancerHandle,
 }
 
 impl PickedTarget {
-    /// Returns whether the data centre of the target has been evacuated since it was picked.
-    pub fn is_evacuated(&self) -> bool {
-        self.evacuated.get()
+    /// Returns whether the request must not be sent any more: the data centre of the target has been
+    /// evacuated since it was picked, or a token that was taken for it is too old.
+    pub fn is_withdrawn(&self, now: BootTime) -> bool {
+        self.evacuated.get() || self.send_by.is_some_and(|end| now > end)
     }
 
     /// Records the result of the request.
@@ -187,10 +202,15 @@
         rx.await.unwrap_or(Err(PickError::NoTarget))
     }
 
-    /// Takes a token of a limited target for another daemon; returns whether there was one.
-    pub async fn lend_token(&self, target: String) -> bool {
+    /// Takes a token of a limited target for another daemon, which may know that the target is cold;
+    /// returns whether there was one.
+    pub async fn lend_token(&self, target: String, is_cold: bool) -> bool {
         let (reply, rx) = oneshot::channel();
-        self.send(BalancerMessage::LendToken(target, reply));
+        self.send(BalancerMessage::LendToken {
+            target,
+            is_cold,
+            reply,
+        });
         rx.await.unwrap_or(false)
     }
 
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -13,7 +13,7 @@
 use super::{
     balancer_handle::PickReply, Balancer, BalancerHandle, BalancerMessage, Decision,
     FailureNotifier, FleetShare, LeavingNotice, Lender, LimitNews, PickError, PickedTarget,
-    ScheduleRequest, Scheduler, SuspicionEvent, Target, TargetId, TargetStatus,
+    ScheduleRequest, Scheduler, SuspicionEvent, Target, TargetId, TargetStatus, TokenKind,
 };
 
 /// Most daemons that are asked for a token for one request.
@@ -28,6 +28,8 @@
     suspicions: mpsc::unbounded::Tx<SuspicionEvent>,
     failure_notifier: Option<FailureNotifier>,
     directory: PeerDirectory,
+    /// Generation of the directory by which the shares of cold targets were computed.
+    shares_of: u64,
     ejections: u64,
     queued: u64,
 }
@@ -63,11 +65,13 @@
         suspicions: parts.suspicions,
         failure_notifier: parts.failure_notifier,
         directory: parts.directory,
+        shares_of: 0,
         ejections: 0,
         queued: 0,
     };
     while let Some(msg) = rx.recv().await {
         task.handle_message(msg, clock.now());
+        task.update_warmup_shares(clock.now());
         task.publish_changes();
     }
 }
@@ -89,6 +93,8 @@
                 log::info!(data_centres = evacuations.in_force.len(),
                     targets = balancer.evacuated_targets(); "evacuations applied");
             }
+            BalancerMessage::SetWarmupTerms(terms) => balancer.set_warmup_terms(terms, now),
+            BalancerMessage::RecordEntries(entries) => balancer.record_entries(&entries, now),
             BalancerMessage::Pick { req, reply } => {
                 let decisions = self.scheduler.submit(req, reply, now);
                 self.reply(decisions);
@@ -100,8 +106,12 @@
                 let res = balancer.start_granted(id, now).ok_or(PickError::NoTarget);
                 self.reply([Decision { item: reply, res }]);
             }
-            BalancerMessage::LendToken(target, reply) => {
-                let _ = reply.send(balancer.lend_token(&target, now));
+            BalancerMessage::LendToken {
+                target,
+                is_cold,
+                reply,
+            } => {
+                let _ = reply.send(balancer.lend_token(&target, is_cold, now));
             }
             BalancerMessage::Release(id, attempt) => {
                 let decisions = self.scheduler.release(id, attempt, now);
@@ -144,8 +154,14 @@
             BalancerMessage::TargetsToProbe(reply) => {
                 let _ = reply.send(balancer.targets_to_probe(now));
             }
-            BalancerMessage::ProbeResult { id, healthy, state } => {
+            BalancerMessage::ProbeResult {
+                id,
+                healthy,
+                state,
+                warmup_left,
+            } => {
                 balancer.record_probe(id, healthy, state, now);
+                balancer.record_probe_warmup(id, warmup_left, now);
             }
             BalancerMessage::Tick => {
                 let decisions = self.scheduler.tick(now);
@@ -169,14 +185,19 @@
             let others = peers.iter().filter(|p| !p.leaving).map(|p| &*p.host);
             others.chain([own])
         };
-        let lender = |(target, limit): (&Target, f64)| {
-            let selected = FleetShare::selected(hosts(), &target.name, limit);
+        let all_hosts = || peers.iter().map(|p| &*p.host).chain([own]);
+        let lender = |(target, kind): (&Target, TokenKind)| {
+            let selected = match kind {
+                TokenKind::Named(limit) => FleetShare::selected(hosts(), &target.name, limit),
+                TokenKind::Warmup(count) => FleetShare::first(all_hosts(), &target.name, count),
+            };
             let others: Vec<&str> = selected.into_iter().filter(|host| *host != own).collect();
             let host = others.get(fastrand::usize(0..others.len().max(1)))?;
             Some(Lender {
                 id: target.id,
                 target: target.name.clone(),
                 host: Rc::from(*host),
+                is_cold: matches!(kind, TokenKind::Warmup(_)),
             })
         };
         targets.into_iter().filter_map(lender).collect()
@@ -233,6 +254,38 @@
         FleetShare::new(self.directory.own_host(), others, target)
     }
 
+    /// Sets this daemon's share of the limits of targets that became cold, and of all cold targets
+    /// if the members of the fleet changed.
+    fn update_warmup_shares(&mut self, now: BootTime) {
+        let cold = self.scheduler.balancer.take_shares_needed();
+        if !cold.is_empty() {
+            self.metrics.add(Counter::TargetsCold, cold.len() as u64);
+            log::info!(targets = cold.len(), first = &*cold[0].1; "targets count as cold");
+        }
+        let generation = self.directory.generation();
+        let targets = if self.shares_of == generation {
+            cold
+        } else {
+            self.shares_of = generation;
+            self.scheduler.balancer.cold_targets(now)
+        };
+        for (id, name) in targets {
+            let share = self.warmup_share(&name);
+            self.scheduler.balancer.set_warmup_share(id, share, now);
+        }
+    }
+
+    /// Returns the place of this daemon among all members for a cold target. Members that leave
+    /// keep their place, as they may send until they exit.
+    fn warmup_share(&self, target: &str) -> FleetShare {
+        if self.directory.generation() == 0 {
+            return FleetShare::UNKNOWN;
+        }
+        let peers = self.directory.peers();
+        let others = peers.iter().map(|p| &*p.host);
+        FleetShare::new(self.directory.own_host(), others, target)
+    }
+
     fn reply(&self, decisions: impl IntoIterator<Item = Decision<PickReply>>) {
         for Decision { item, res } in decisions {
             let _ = item.send(res.map(|choice| PickedTarget {
@@ -240,6 +293,7 @@
                 address: choice.address,
                 name: choice.name,
                 evacuated: choice.evacuated,
+                send_by: choice.send_by,
                 attempt: choice.attempt,
                 handle: self.handle.clone(),
             }));
--- a/src/health/mod.rs
+++ b/src/health/mod.rs
@@ -27,9 +27,10 @@
 mod target;
 mod throttle;
 mod verdict;
+mod warmup_state;
 mod work_counts;
 
-pub use balancer::{Balancer, Choice, PickError, PickRequest};
+pub use balancer::{Balancer, Choice, EntryWarmup, PickError, PickRequest};
 pub use balancer_handle::{BalancerHandle, BalancerMessage, PickedTarget, TargetStatus};
 pub use balancer_task::{balancer_task, BalancerTaskParts};
 pub use breaker::{Breaker, BreakerState};
@@ -60,7 +61,9 @@
 pub use suspicion_task::{SuspicionEvent, SuspicionHandler, SuspicionTask};
 pub use target::{Target, TargetId, TargetState, RAMP_DURATION};
 pub use throttle::{
-    FleetShare, LendHandler, LendRequest, Lender, LimitNews, TargetThrottle, TokenBorrower,
+    FleetShare, LendHandler, LendRequest, Lender, LimitNews, ServiceWarmup, TargetThrottle,
+    TokenBorrower, TokenKind, WarmupTerms, WarmupTolerance,
 };
 pub use verdict::Verdict;
+pub use warmup_state::WarmupState;
 pub use work_counts::{WorkCounts, WorkTotals, BASELINE_HALF_LIFE};
--- a/src/health/probe_task.rs
+++ b/src/health/probe_task.rs
@@ -53,8 +53,14 @@
     };
     let response = call(address, &req).await;
     let healthy = response.as_ref().is_ok_and(|r| r.status.is_success());
-    let state = response
-        .ok()
-        .and_then(|r| heads.target_report(r.status, &r.headers).state);
-    balancer.send(BalancerMessage::ProbeResult { id, healthy, state });
+    let response = response.ok();
+    let reported = response.as_ref();
+    let state = reported.and_then(|r| heads.target_report(r.status, &r.headers).state);
+    let warmup_left = reported.and_then(|r| heads.warmup_left(r.status, &r.headers));
+    balancer.send(BalancerMessage::ProbeResult {
+        id,
+        healthy,
+        state,
+        warmup_left,
+    });
 }
--- a/src/health/target.rs
+++ b/src/health/target.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::BootTime;
 
-use super::{Breaker, InFlightRequests, ServiceId, TargetThrottle};
+use super::{Breaker, InFlightRequests, ServiceId, TargetThrottle, WarmupState};
 
 /// Time in which a cold target ramps up to its full share of requests.
 pub const RAMP_DURATION: Duration = Duration::from_secs(5);
@@ -62,6 +62,8 @@
     pub concurrency_limit: f64,
     /// What the target asked of its callers.
     pub throttle: TargetThrottle,
+    /// What is known about whether it is cold.
+    pub warmup: WarmupState,
     /// Blocks requests after the target aborted one.
     pub breaker: Breaker,
     /// Times of last use of the connections that are expected to be idle, in ascending order.
--- a/src/health/throttle/fleet_share.rs
+++ b/src/health/throttle/fleet_share.rs
@@ -27,6 +27,12 @@
         daemons: 1,
     };
 
+    /// The share of a daemon that does not know the fleet's members; it is never selected.
+    pub const UNKNOWN: Self = Self {
+        rank: usize::MAX,
+        daemons: usize::MAX,
+    };
+
     /// Returns the place of the daemon on `own_host` beside those on `others`, for `target`.
     pub fn new<'a>(own_host: &str, others: impl Iterator<Item = &'a str>, target: &str) -> Self {
         let own = rank_key(own_host, target);
@@ -50,6 +56,25 @@
         hosts
     }
 
+    /// Returns the first `count` of the daemons on `hosts` for `target`.
+    pub fn first<'a>(
+        hosts: impl Iterator<Item = &'a str>,
+        target: &str,
+        count: usize,
+    ) -> Vec<&'a str> {
+        let mut hosts: Vec<&str> = hosts.collect();
+        hosts.sort_by_cached_key(|host| rank_key(host, target));
+        hosts.truncate(count);
+        hosts
+    }
+
+    /// Returns this daemon's part of `rate_per_s`, which the first `count` daemons share equally;
+    /// `None` if it is not one of them.
+    pub fn part_of(&self, rate_per_s: f64, count: usize) -> Option<f64> {
+        let selected = count.min(self.daemons);
+        (self.rank < selected).then(|| rate_per_s / selected as f64)
+    }
+
     /// Returns this daemon's part of a limit on the whole fleet, in requests per second; `None` if
     /// it is not selected.
     ///
--- a/src/health/throttle/mod.rs
+++ b/src/health/throttle/mod.rs
@@ -4,8 +4,10 @@
 mod named_limit;
 mod target_throttle;
 mod token_lending;
+mod warmup_limit;
 
 pub use fleet_share::FleetShare;
 pub use named_limit::LimitNews;
-pub use target_throttle::TargetThrottle;
+pub use target_throttle::{TargetThrottle, TokenKind};
 pub use token_lending::{LendHandler, LendRequest, Lender, TokenBorrower};
+pub use warmup_limit::{ServiceWarmup, WarmupTerms, WarmupTolerance};
--- a/src/health/throttle/token_lending.rs
+++ b/src/health/throttle/token_lending.rs
@@ -1,6 +1,9 @@
 //! Requests for tokens that another daemon has left for a limited target.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -24,6 +27,8 @@
     pub target: Rc<str>,
     /// Host of the daemon.
     pub host: Rc<str>,
+    /// Whether the target is cold.
+    pub is_cold: bool,
 }
 
 /// Requests one token of a limited target.
@@ -31,6 +36,10 @@
 pub struct LendRequest {
     /// Name of the target.
     pub target: String,
+    /// Whether the target is cold, so that a token of its warm-up limit is needed. Left out if not,
+    /// as earlier builds do.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_cold: bool,
 }
 
 /// Picks targets, with tokens of other daemons where this one has none.
@@ -66,11 +75,14 @@
     async fn borrow(&self, lender: &Lender) -> bool {
         let req = LendRequest {
             target: lender.target.to_string(),
+            is_cold: lender.is_cold,
         };
+        let asked = Instant::now();
         self.metrics.count(Counter::TokensAsked);
         let (peers, kind) = (&self.peers, MessageKind::Lend);
         match peers.call(&lender.host, kind, &req, LEND_TIMEOUT).await {
-            Ok(lent) => lent,
+            // A token that arrives late, as after a suspension, belongs to an earlier time.
+            Ok(lent) => lent && asked.elapsed() <= LEND_TIMEOUT,
             Err(e) => {
                 log::info!(lender = &*lender.host, target_name = &*lender.target, reason:? = e;
                     "no response to a request for a token");
@@ -92,7 +104,7 @@
     fn handle<'a>(&'a self, _: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
         Box::pin(async move {
             let req: LendRequest = decode(body)?;
-            let lent = self.balancer.lend_token(req.target).await;
+            let lent = self.balancer.lend_token(req.target, req.is_cold).await;
             if lent {
                 self.metrics.count(Counter::TokensLent);
             }
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -76,6 +76,8 @@
     EvacuationsReverted,
     /// Evacuation rows with an unknown or empty data centre or an unreadable value.
     EvacuationRowsInvalid,
+    /// Targets that began to count as cold, with a limit on their requests.
+    TargetsCold,
     /// Requests whose picked target was withdrawn before they were sent.
     PicksWithdrawn,
     /// Targets ejected or put on trial.
--- a/src/peer/directory.rs
+++ b/src/peer/directory.rs
@@ -1,7 +1,7 @@
 //! Directory of the fleet's daemons, taken from the platform's host list.
 
 use std::{
-    cell::{Ref, RefCell},
+    cell::{Cell, Ref, RefCell},
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
@@ -37,6 +37,7 @@
     addresses: Rc<BTreeMap<String, SocketAddr>>,
     peers: Rc<RefCell<Vec<Peer>>>,
     history: Rc<RefCell<ListHistory>>,
+    generation: Rc<Cell<u64>>,
 }
 
 /// Record of when daemons were missing from the platform's list.
@@ -56,6 +57,7 @@
             addresses: Rc::new(addresses.clone()),
             peers: Rc::default(),
             history: Rc::default(),
+            generation: Rc::default(),
         }
     }
 
@@ -111,6 +113,12 @@
             .collect();
         peers.sort_by(|a, b| a.host.cmp(&b.host));
         *self.peers.borrow_mut() = peers;
+        self.generation.set(self.generation.get() + 1);
+    }
+
+    /// Returns how often the peers were replaced; 0 if they are not known yet.
+    pub fn generation(&self) -> u64 {
+        self.generation.get()
     }
 
     /// Returns the address at which this daemon reaches `host`, which is listed at `listed`.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     catalog::Plan,
+    health::ServiceWarmup,
     proxy::is_valid_header_value,
     routing::{
         CallerLimitOverrides, Configuration, HostRoute, ServiceSettings, WeightedService,
@@ -16,6 +17,8 @@
 
 /// Rate at or below which a workspace is not limited.
 const NO_LIMIT: f64 = 0.0;
+/// Longest time for which targets of a service are cold, s; a larger number may be no duration.
+const MAX_WARMUP_S: f64 = 86_400.0;
 
 #[derive(Deserialize)]
 struct ConfigurationRow {
@@ -63,6 +66,12 @@
 #[serde(rename_all = "camelCase")]
 struct ServiceField {
     health_path: String,
+    /// Time for which a target is cold after its start, s.
+    #[serde(default)]
+    warmup_s: f64,
+    /// Requests per second that a cold target takes.
+    #[serde(default)]
+    warmup_per_s: f64,
 }
 
 #[serde_as]
@@ -107,6 +116,7 @@
     let services = row.services.into_iter().map(|(name, s)| ServiceSettings {
         name,
         probe_path: s.health_path,
+        warmup: decode_warmup_limit(s.warmup_s, s.warmup_per_s),
     });
     let services = services.collect();
     let workspaces = row.tenants.map(|tenants| {
@@ -169,6 +179,15 @@
     })
 }
 
+/// Returns what cold targets take; `None` if there is no limit.
+fn decode_warmup_limit(warmup_s: f64, rate_per_s: f64) -> Option<ServiceWarmup> {
+    let is_limited = warmup_s > 0.0 && rate_per_s > 0.0;
+    is_limited.then(|| ServiceWarmup {
+        duration: Duration::from_secs_f64(warmup_s.min(MAX_WARMUP_S)),
+        rate_per_s,
+    })
+}
+
 /// Returns whether requests of a route of type `kind` may run more than once. Those of a type that
 /// this build does not know run at most once, so that one new type takes no route out of service.
 fn is_repeatable(route: &str, kind: &str) -> bool {
--- a/src/platform/head_format.rs
+++ b/src/platform/head_format.rs
@@ -34,6 +34,9 @@
 /// Sent with the value 1 by a target that leaves.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
+/// Time for which a target is cold, ms; in responses to health probes only.
+const WARMUP_MS: HeaderName = HeaderName::from_static("x-warmup-ms");
+
 /// The platform's format of HTTP heads towards callers and targets.
 pub struct PlatformHeadFormat;
 
@@ -105,6 +108,14 @@
         }
     }
 
+    fn warmup_left(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+        let (left_ms, bad) = positive_numbers(headers, &WARMUP_MS);
+        match left_ms.into_iter().reduce(f64::max) {
+            Some(ms) => Some(Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::MAX)),
+            None => (bad == 0 && status.is_success()).then_some(Duration::ZERO),
+        }
+    }
+
     fn prepare_for_caller(&self, head: &mut response::Parts, _: &str) {
         strip_hop_by_hop(&mut head.headers);
         for name in [LOAD, LIMIT, LEAVING] {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,7 +15,7 @@
 pub use evacuation::{check_evacuation_value, evacuated_data_centre};
 pub use head_format::PlatformHeadFormat;
 pub use row_client::RowClient;
-pub use target_entry::decode_target;
+pub use target_entry::{decode_entry_warmup, decode_target};
 
 /// Table that holds the operator's configuration.
 pub const CONFIGURATION_TABLE: &str = "op";
--- a/src/platform/target_entry.rs
+++ b/src/platform/target_entry.rs
@@ -1,6 +1,6 @@
 //! The entry by which a target registers itself in the store.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::Deserialize;
 use serde_json::Value;
@@ -31,6 +31,22 @@
     born: Option<u64>,
 }
 
+/// The field of an entry that states how long its target is cold.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WarmupField {
+    #[serde(default)]
+    warmup_left_s: f64,
+}
+
+/// Returns the time for which the target of an entry is cold, at the time of its writing; zero if it
+/// is not, or the entry cannot be used.
+pub fn decode_entry_warmup(body: &[u8]) -> Duration {
+    let field = serde_json::from_slice::<WarmupField>(body);
+    let left_s = field.map_or(0.0, |field| field.warmup_left_s.max(0.0));
+    Duration::try_from_secs_f64(left_s).unwrap_or(Duration::MAX)
+}
+
 /// Decodes the entry of the target `id`.
 ///
 /// # Errors
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -283,9 +283,10 @@
             return self.step(Event::SendRefused(kind));
         }
         let picked = self.attempt.as_ref().map(|attempt| &attempt.picked);
-        if let Some(picked) = picked.filter(|picked| picked.is_evacuated()) {
+        let now = self.cx.clock.now();
+        if let Some(picked) = picked.filter(|picked| picked.is_withdrawn(now)) {
             log::info!(request_id = self.dispatch.request_id, target_name = &*picked.name;
-                "target evacuated before the request was sent");
+                "target withdrawn before the request was sent");
             self.cx.metrics.count(Counter::PicksWithdrawn);
             return self.step(Event::TargetWithdrawn);
         }
--- a/src/proxy/head_format.rs
+++ b/src/proxy/head_format.rs
@@ -70,6 +70,12 @@
     /// Returns what a target reports about itself.
     fn target_report(&self, status: StatusCode, headers: &HeaderMap) -> TargetReport;
 
+    /// Returns the time for which a target is cold, by its response to a health probe; zero if it is
+    /// not, and `None` if the response does not tell.
+    fn warmup_left(&self, _: StatusCode, _: &HeaderMap) -> Option<Duration> {
+        None
+    }
+
     /// Converts a target's response head to the head sent to the caller.
     fn prepare_for_caller(&self, head: &mut response::Parts, request_id: &str);
 
--- a/src/routing/configuration.rs
+++ b/src/routing/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::catalog::Plan;
+use crate::{catalog::Plan, health::ServiceWarmup};
 
 /// One of the services that share the requests of a route.
 #[derive(Debug, Clone, PartialEq)]
@@ -35,12 +35,14 @@
 }
 
 /// Settings of a service.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServiceSettings {
     /// Name of the service.
     pub name: String,
     /// Path of health probes sent to its targets.
     pub probe_path: String,
+    /// What cold targets take; `None` if they are not limited.
+    pub warmup: Option<ServiceWarmup>,
 }
 
 /// A workspace with its plan and keys.
--- a/src/routing/route_table.rs
+++ b/src/routing/route_table.rs
@@ -4,7 +4,10 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::catalog::{KeyHash, KeyHasher, Plan};
+use crate::{
+    catalog::{KeyHash, KeyHasher, Plan},
+    health::ServiceWarmup,
+};
 
 use super::{CallerLimitOverrides, Configuration, HostRoute};
 
@@ -32,6 +35,7 @@
     by_key: FxHashMap<KeyHash, Rc<Workspace>>,
     by_name: FxHashMap<Rc<str>, Rc<Workspace>>,
     probe_paths: FxHashMap<String, String>,
+    warmups: FxHashMap<String, ServiceWarmup>,
 }
 
 impl RouteTable {
@@ -66,6 +70,10 @@
             .iter()
             .map(|s| (s.name.clone(), s.probe_path.clone()));
         table.probe_paths = paths.collect();
+        let warmups = cfg.services.iter();
+        table.warmups = warmups
+            .filter_map(|s| Some((s.name.clone(), s.warmup?)))
+            .collect();
         table
     }
 
@@ -96,6 +104,11 @@
         self.by_name.get(name)
     }
 
+    /// Returns the services whose cold targets take a limited rate.
+    pub fn warmups(&self) -> impl Iterator<Item = (&str, ServiceWarmup)> {
+        self.warmups.iter().map(|(name, w)| (name.as_str(), *w))
+    }
+
     /// Returns the path of health probes sent to targets of a service.
     pub fn probe_path(&self, service: &str) -> Option<&str> {
         self.probe_paths.get(service).map(String::as_str)
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -358,7 +358,7 @@
     for name in ["t0", "t1"] {
         let news = LimitNews::Named(1.0);
         balancer.apply_limit_news(name, news, FleetShare::ALONE, at(0));
-        balancer.lend_token(name, at(0));
+        balancer.lend_token(name, false, at(0));
     }
     balancer.routed_targets("one", at(1));
     assert_eq!(balancer.borrowable_targets("one", &[], at(1)).len(), 2);
@@ -367,8 +367,8 @@
     balancer.routed_targets("one", at(1));
     assert_eq!(balancer.borrowable_targets("one", &[], at(1)).len(), 1);
     assert!(balancer.start_granted(evacuated, at(1)).is_none());
-    assert!(!balancer.lend_token("t0", at(5000)));
-    assert!(balancer.lend_token("t1", at(5000)));
+    assert!(!balancer.lend_token("t0", false, at(5000)));
+    assert!(balancer.lend_token("t1", false, at(5000)));
 }
 
 /// Guards against requests in flight that are dropped, and against requests that were picked but
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 /// Names of the platform's interface that no file outside `src/platform/` may contain.
-const NAMES: [&str; 23] = [
+const NAMES: [&str; 27] = [
     "rows-tx",
     "rows-get",
     "rows-feed",
@@ -27,6 +27,10 @@
     "healthPath",
     "x-tenant",
     "evacuate/",
+    "warmupPerS",
+    "warmupS",
+    "X-Warmup-Ms",
+    "x-warmup-ms",
 ];
 
 fn find_names(directory: &Path, found: &mut Vec<String>) {
