health: limit the requests of the whole fleet to cold targets

Cause: targets that are cold crash above a number of requests per second; the fleet sent them a tenth of their share from the start of a ramp, from every daemon, and knew of no coldness after an evacuation.

Without the members of all data centres a daemon has no part of a limit.

--- a/src/health/balancer/target_list.rs
+++ b/src/health/balancer/target_list.rs
@@ -88,12 +88,10 @@
         let id = TargetId(self.next_id);
         self.next_id += 1;
         let slots = host.slots.max(1);
-        let mut warmup = if ramp_from.is_none() {
-            WarmupState::unverified(now)
-        } else {
-            WarmupState::default()
-        };
-        if let Some((version, at)) = self.returned.get(host.data_centre.as_str()) {
+        let mut warmup = WarmupState::default();
+        if ramp_from.is_none() {
+            warmup = WarmupState::unverified(now);
+        } else if let Some((version, at)) = self.returned.get(host.data_centre.as_str()) {
             warmup.record_return(*version, *at);
         }
         let target = Target {
--- a/src/health/balancer/warmup.rs
+++ b/src/health/balancer/warmup.rs
@@ -54,9 +54,15 @@
             return;
         };
         target.warmup.probed_at = Some(now);
-        if let Some(left) = left {
-            target.warmup.record_probe(left, now);
-            self.update_warmup(id, now);
+        let Some(left) = left else {
+            return;
+        };
+        let is_verified = target.warmup.record_probe(left, now);
+        self.update_warmup(id, now);
+        let target = self.targets.get_mut(&id);
+        if let Some(target) = target.filter(|t| is_verified && !t.throttle.is_cold(now)) {
+            // The target was warm all the time.
+            target.ramp_from = None;
         }
     }
 
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -18,6 +18,9 @@
 
 /// Most daemons that are asked for a token for one request.
 const MAX_LENDERS: usize = 2;
+/// Generation of the directory from which it holds all members of the fleet; the first one holds those
+/// of the own data centre only, which the daemon read when it joined.
+const COMPLETE_GENERATION: u64 = 2;
 /// Interval of the checks for overdue requests and expired deadlines.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -278,7 +281,7 @@
     /// Returns the place of this daemon among all members for a cold target. Members that leave
     /// keep their place, as they may send until they exit.
     fn warmup_share(&self, target: &str) -> FleetShare {
-        if self.directory.generation() == 0 {
+        if self.directory.generation() < COMPLETE_GENERATION {
             return FleetShare::UNKNOWN;
         }
         let peers = self.directory.peers();
--- a/src/health/warmup_state.rs
+++ b/src/health/warmup_state.rs
@@ -68,13 +68,16 @@
         }
     }
 
-    /// Applies a response to a probe, which states that the target is cold for `left`.
-    pub fn record_probe(&mut self, left: Duration, now: BootTime) {
+    /// Applies a response to a probe, which states that the target is cold for `left`; returns
+    /// whether it shows that a target that was not verified is warm.
+    pub fn record_probe(&mut self, left: Duration, now: BootTime) -> bool {
         let is_cold = !left.is_zero();
         self.probe_until = is_cold.then(|| now + left.min(MAX_WARMUP));
-        if !is_cold && self.doubt.is_some_and(|doubt| doubt.ends_by_probe) {
+        let is_verified = !is_cold && self.doubt.is_some_and(|doubt| doubt.ends_by_probe);
+        if is_verified {
             self.doubt = None;
         }
+        is_verified
     }
 
     /// Records that the evacuation of the target's data centre ended with `version` of the store,
--- a/standins/src/entry_fleet.rs
+++ b/standins/src/entry_fleet.rs
@@ -38,7 +38,8 @@
 }
 
 impl EntryDaemon {
-    /// Starts a daemon on `host` that uses the store at `store`.
+    /// Starts a daemon on `host` that uses the store at `store`, with the keys of `more` in its
+    /// settings.
     ///
     /// # Errors
     ///
@@ -49,15 +50,19 @@
         host: &str,
         data_centre: &str,
         store: SocketAddr,
+        more: &Value,
     ) -> io::Result<Self> {
         let (caller, ready, peer) = (free_address()?, free_address()?, free_address()?);
-        let settings = json!({
+        let mut settings = json!({
             "host": host, "data_centre": data_centre, "data_centres": ["a", "b"],
             "caller_address": caller.to_string(), "ready_address": ready.to_string(),
             "peer_address": peer.to_string(), "store_address": store.to_string(),
             "key_withdrawal_s": 5, "shutdown_s": 6, "floor": 0.7, "quota_slack": 20,
             "first_start": true,
         });
+        for (key, value) in more.as_object().into_iter().flatten() {
+            settings[key] = value.clone();
+        }
         let settings_path = directory.join(format!("{host}.json"));
         fs::write(&settings_path, settings.to_string())?;
         let log_path = directory.join(format!("{host}.log"));
@@ -176,6 +181,15 @@
     ///
     /// Returns an error if a part does not start in time.
     pub fn start(program: &Path, daemons: usize) -> io::Result<Self> {
+        Self::start_with(program, daemons, &Value::Null)
+    }
+
+    /// The same with the keys of `more` in the settings of all daemons.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part does not start in time.
+    pub fn start_with(program: &Path, daemons: usize, more: &Value) -> io::Result<Self> {
         let store = RowStore::start(free_address()?)?;
         let directory = std::env::temp_dir().join(format!(
             "chervillug-entry-{}-{}",
@@ -205,7 +219,8 @@
             let address = free_address()?;
             let link = Link::start(address, fleet.store.address())?;
             fleet.store_links.push(link);
-            let daemon = EntryDaemon::start(program, &fleet.directory, &host, centre, address)?;
+            let daemon =
+                EntryDaemon::start(program, &fleet.directory, &host, centre, address, more)?;
             fleet.daemons.push(daemon);
         }
         fleet.wait_serving()?;
--- a/tests/front_settings.rs
+++ b/tests/front_settings.rs
@@ -31,7 +31,7 @@
     key: &'static str,
 }
 
-const CASES: [Case; 12] = [
+const CASES: [Case; 15] = [
     Case {
         name: "local data centre not listed",
         from: r#"["a", "b"]"#,
@@ -102,6 +102,27 @@
         line: 14,
         key: "retry_ratio",
     },
+    Case {
+        name: "fewer requests at a cold target than it takes",
+        from: "MORE",
+        to: ",\n \"warmup_over\": 0.9, \"warmup_slack\": 8",
+        line: 14,
+        key: "warmup_over",
+    },
+    Case {
+        name: "negative slack at a cold target",
+        from: "MORE",
+        to: ",\n \"warmup_over\": 1.5,\n \"warmup_slack\": -1",
+        line: 15,
+        key: "warmup_slack",
+    },
+    Case {
+        name: "factor at a cold target without slack",
+        from: "MORE",
+        to: ",\n \"warmup_over\": 1.5",
+        line: 14,
+        key: "warmup_over",
+    },
     Case {
         name: "unknown key",
         from: "MORE",
