--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -58,6 +58,12 @@
     AsksAnswered,
     /// Token requests that no daemon answered in time.
     AsksUnanswered,
+    /// Token requests of other daemons that were answered with the new holder of the slice.
+    AsksRedirected,
+    /// Slices handed over to another daemon.
+    SlicesHandedOver,
+    /// Handovers of a slice that no daemon confirmed.
+    SliceHandoversFailed,
     /// Requests that waited beyond the usual timeout because no slice holder responded within it.
     AsksExtended,
     /// Tokens that arrived after their request had been decided.
@@ -80,6 +86,8 @@
     EvacuationsReverted,
     /// Evacuation rows with an unknown or empty data centre or an unreadable value.
     EvacuationRowsInvalid,
+    /// Targets that began to count as cold, with a limit on their requests.
+    TargetsCold,
     /// Requests whose picked target was withdrawn before they were sent.
     PicksWithdrawn,
     /// Targets ejected or put on trial.
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -10,7 +10,7 @@
     health::{PickError, PickedTarget, ScheduleRequest, TargetId},
     http::{BodyKind, HttpError, HttpReader},
     metrics::Counter,
-    outcome::ErrorKind,
+    outcome::{ErrorKind, Outcome},
     pool::{TargetConnection, MAX_IDLE, MAX_RECENT_IDLE},
     retry::{
         Action, AttemptFailure, ConnectionSource, Event, RequestStateMachine, RetryPolicy,
@@ -169,10 +169,10 @@
                 },
                 Action::Relay => return self.take_response(),
                 Action::RespondError(kind) => {
-                    return Err(match self.retry_after {
-                        Some(wait) => DispatchError::Unavailable(kind, wait),
-                        None => DispatchError::Failed(kind),
-                    })
+                    let is_not_run = kind.response().outcome == Outcome::NotRun;
+                    let wait = self.retry_after.filter(|_| is_not_run);
+                    let failed = DispatchError::Failed(kind);
+                    return Err(wait.map_or(failed, |w| DispatchError::Unavailable(kind, w)));
                 }
                 Action::AbortResponse | Action::Cancel | Action::Finish => {
                     return Err(DispatchError::CallerDisconnected)
@@ -300,9 +300,10 @@
             return self.step(Event::SendRefused(kind));
         }
         let picked = self.attempt.as_ref().map(|attempt| &attempt.picked);
-        if let Some(picked) = picked.filter(|picked| picked.is_evacuated()) {
+        let now = self.cx.clock.now();
+        if let Some(picked) = picked.filter(|picked| picked.is_withdrawn(now)) {
             log::info!(request_id = self.dispatch.request_id, target_name = &*picked.name;
-                "target evacuated before the request was sent");
+                "target withdrawn before the request was sent");
             self.cx.metrics.count(Counter::PicksWithdrawn);
             return self.step(Event::TargetWithdrawn);
         }
