peer: send repeatable messages again if a kept connection fails

Change: PeerClient::call_repeatable sends a message once more, on a new connection, within the same limit. Broadcasts, checks of holders, offers of slices and token requests use it. Broadcasts arrive twice already where two relays pass them on; only one write of a repeated offer can be committed; a token that was granted before the connection failed is lost.

--- a/src/peer/broadcast.rs
+++ b/src/peer/broadcast.rs
@@ -94,7 +94,9 @@
             let (tx, rx) = oneshot::channel::<()>();
             let (peers, msg) = (self.peers.clone(), msg.clone());
             monoio::spawn(async move {
-                if let Err(e) = peers.call::<_, ()>(&host, kind, &msg, limit).await {
+                // Messages may arrive twice, as several relays pass them on.
+                let sent = peers.call_repeatable::<_, ()>(&host, kind, &msg, limit);
+                if let Err(e) = sent.await {
                     log::debug!(peer = &*host, reason:? = e; "broadcast to a peer failed");
                 }
                 let _ = tx.send(());
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -94,6 +94,30 @@
         self.call_address(peer.address, kind, msg, limit).await
     }
 
+    /// Sends `msg` to the daemon on `host`, again if the connection fails, and returns the reply.
+    ///
+    /// A connection kept from before a restart of the other daemon fails at once. The other daemon
+    /// may handle the message twice.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no reply arrives within `limit`.
+    pub async fn call_repeatable<Req: Serialize, Res: DeserializeOwned>(
+        &self,
+        host: &str,
+        kind: MessageKind,
+        msg: &Req,
+        limit: Duration,
+    ) -> Result<Res, PeerError> {
+        let end = Instant::now() + limit;
+        let res = self.call(host, kind, msg, limit).await;
+        let left = end.saturating_duration_since(Instant::now());
+        if !matches!(res, Err(PeerError::NoAnswer)) || left.is_zero() {
+            return res;
+        }
+        self.call(host, kind, msg, left).await
+    }
+
     /// Sends `msg` to the daemon at `address` and returns its reply.
     ///
     /// # Errors
--- a/src/quota/handover_task.rs
+++ b/src/quota/handover_task.rs
@@ -104,7 +104,8 @@
                 let (peers, host, tx) = (self.peers.clone(), host.clone(), tx.clone());
                 monoio::spawn(async move {
                     let (kind, req) = (MessageKind::SliceStatus, SliceStatusRequest {});
-                    let res = peers.call::<_, SliceStatus>(&host, kind, &req, CHECK_TIMEOUT);
+                    let res =
+                        peers.call_repeatable::<_, SliceStatus>(&host, kind, &req, CHECK_TIMEOUT);
                     if res.await.is_ok() {
                         let _ = tx.send(host);
                     }
@@ -126,7 +127,7 @@
         let kind = MessageKind::Handover;
         let res = self
             .peers
-            .call::<_, ReleaseResponse>(host, kind, offer, limit)
+            .call_repeatable::<_, ReleaseResponse>(host, kind, offer, limit)
             .await;
         match res {
             Ok(ReleaseResponse {
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -181,7 +181,10 @@
             return;
         };
         let (req, kind) = (SliceStatusRequest {}, MessageKind::SliceStatus);
-        let res = parts.peers.call(&host, kind, &req, CHECK_TIMEOUT).await;
+        let call = parts
+            .peers
+            .call_repeatable(&host, kind, &req, CHECK_TIMEOUT);
+        let res = call.await;
         let sent = now;
         let now = parts.clock.now();
         match res {
--- a/src/quota/token_call.rs
+++ b/src/quota/token_call.rs
@@ -99,7 +99,9 @@
         let req = TokenRequest {
             workspace: self.workspace.to_string(),
         };
-        self.peers.call(host, MessageKind::Ask, &req, limit).await
+        // A token that was granted before the connection failed is lost.
+        let (peers, kind) = (&self.peers, MessageKind::Ask);
+        peers.call_repeatable(host, kind, &req, limit).await
     }
 
     fn record_silence(&self) {
