routing: test that the rank of a workspace takes precedence over any route

Cause: a route rank of 1,000 or more outweighed a rank of the workspace, and nothing tested the cap.

Change: a test with real processes, route rank 5,000 and workspace rank 1.

--- a/tests/entry_waiting.rs
+++ b/tests/entry_waiting.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use standins::{Client, EntryFleet, TargetBehaviour};
+use standins::{configuration, Client, EntryFleet, TargetBehaviour};
 
 /// Timeout of the callers.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -124,3 +124,31 @@
     );
     drop(occupied);
 }
+
+/// Guards against a route whose rank outweighs that of the workspace: rank 5,000 of a route counts as
+/// 999, one less than a rank of a workspace.
+#[test]
+fn rank_of_a_workspace_takes_precedence_over_any_route() {
+    let fleet = start(TargetBehaviour::Answers);
+    let mut cfg = configuration(2);
+    cfg["routes"]["safe"]["priority"] = 5000.into();
+    fleet.publish_configuration(&cfg);
+    let end = Instant::now() + REPLY_TIMEOUT;
+    let is_in_force = || {
+        let reply = fleet.request(0, "key-big", "GET", "/one/x", "ranked");
+        assert_eq!(reply.expect("a response").status, 200);
+        let log = fleet.daemons[0].log();
+        let mut admitted = log.lines().filter(|l| l.contains("admitted"));
+        admitted.any(|l| rank(l) == Some(1999))
+    };
+    while !is_in_force() {
+        assert!(Instant::now() < end, "no request of rank 1999");
+        sleep(Duration::from_millis(50));
+    }
+}
+
+/// Returns the rank in a line of the log, which is JSON.
+fn rank(line: &str) -> Option<u64> {
+    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    line.get("rank")?.as_u64()
+}
