routing: rank requests without a workspace rank by their route

Cause: a request without a workspace, or of a workspace without a rank, had workspace rank 0 and came before all others, now that the queue orders by rank. Change: the route's rank stands in for that of the workspace.

--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -106,7 +106,9 @@
             None
         };
         let (identity, workspace) = identified.unzip();
-        let workspace_rank = workspace.and_then(|w| w.rank).unwrap_or(0);
+        // Without a rank of the workspace, that of the route decides, so that such requests are not
+        // all among the most urgent.
+        let workspace_rank = workspace.and_then(|w| w.rank).unwrap_or(route.rank);
         Ok(AuthorizedRequest {
             identity,
             basis: DecisionBasis {
