health: probe targets that may be cold only while requests lack a target

Cause: a daemon that starts counts all targets as cold until it has probed them, so that each start cost a probe of every target.

Change: only targets of a service whose requests found no target within the last second are probed; the doubt about the others ends after the warm-up time. Retry-After is rounded up to the next millisecond: a wait of less than half a millisecond read as 0.000, on which tests/entry_warmup.rs failed once.

Result: tests/warmup_fleet.rs (119 daemons, restarts) stays within the limit.

--- a/src/health/balancer/pick.rs
+++ b/src/health/balancer/pick.rs
@@ -58,7 +58,12 @@
         let trial = self.draw_trial(service, req, now);
         let id = match trial.or_else(|| self.draw_half_open(service, req, now)) {
             Some(id) => id,
-            None => self.draw(service, req, now)?,
+            None => self.draw(service, req, now).inspect_err(|e| {
+                let throttled = matches!(e, PickError::Throttled(_));
+                if let Some(service) = self.services.get_mut(&service).filter(|_| throttled) {
+                    service.record_throttled(now);
+                }
+            })?,
         };
         self.start(id, now).ok_or(PickError::NoTarget)
     }
--- a/src/health/balancer/warmup.rs
+++ b/src/health/balancer/warmup.rs
@@ -12,7 +12,7 @@
 /// Time between two probes of a target that may be cold.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Targets that may be cold which are probed at once. A third of 119 daemons that restart together
-/// thus send 360 targets less than 10 probes per second each.
+/// thus send 360 targets less than 10 probes per second each, and only while requests lack a target.
 const MAX_PROBES: usize = 8;
 
 /// What the entry of a target states about its warm-up.
@@ -117,7 +117,8 @@
         }
     }
 
-    /// Returns some targets whose response to a probe would tell whether they are cold.
+    /// Returns some targets whose response to a probe would tell whether they are cold. Only those of
+    /// services whose requests lack a target are probed; the doubt about the others ends by time.
     pub(super) fn unverified_targets(&self, now: BootTime) -> Vec<(TargetId, SocketAddr)> {
         if self.warmup_terms.is_empty() {
             return Vec::new();
@@ -129,6 +130,7 @@
             let is_due = probed.is_none_or(|at| now.since(at) >= PROBE_INTERVAL);
             is_due
                 && !t.is_excluded()
+                && service.is_some_and(|s| s.is_throttled(now))
                 && terms.is_some_and(|terms| t.warmup.needs_probe(terms.duration, now))
         };
         let due = self.targets.values().filter(is_due);
--- a/src/health/service.rs
+++ b/src/health/service.rs
@@ -9,6 +9,9 @@
 /// Half-life of the request counts and of the latency sum.
 const WORK_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Time after a request that no target accepted for which a service counts as throttled.
+const THROTTLED_TIME: Duration = Duration::from_secs(1);
+
 /// Identity of a service within one daemon, never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServiceId(pub u32);
@@ -27,6 +30,8 @@
     pub on_trial: Vec<TargetId>,
     /// Time at which the sets were built; `None` if they must be rebuilt.
     pub built_at: Option<BootTime>,
+    /// When no target last accepted a request.
+    throttled_at: Option<BootTime>,
     dispatched: DecayingSum,
     answered: DecayingSum,
     latency_s: DecayingSum,
@@ -41,12 +46,24 @@
             routing: Vec::new(),
             on_trial: Vec::new(),
             built_at: None,
+            throttled_at: None,
             dispatched: DecayingSum::default(),
             answered: DecayingSum::default(),
             latency_s: DecayingSum::default(),
         }
     }
 
+    /// Records that no target accepted a request.
+    pub fn record_throttled(&mut self, now: BootTime) {
+        self.throttled_at = Some(now);
+    }
+
+    /// Returns whether no target accepted a request lately.
+    pub fn is_throttled(&self, now: BootTime) -> bool {
+        let at = self.throttled_at;
+        at.is_some_and(|at| now.since(at) < THROTTLED_TIME)
+    }
+
     /// Counts a request that was dispatched to a target.
     pub fn record_dispatch(&mut self, now: BootTime) {
         self.dispatched.add(1.0, now, WORK_HALF_LIFE);
--- a/src/platform/head_format.rs
+++ b/src/platform/head_format.rs
@@ -133,7 +133,9 @@
         head.headers
             .insert(REQUEST_ID, header_value_or_empty(request_id));
         if let Some(wait) = retry_after {
-            let text = format!("{:.3}", wait.as_secs_f64());
+            // Rounded up, so that a short wait does not read as none.
+            let ms = wait.as_micros().div_ceil(1000).max(1);
+            let text = format!("{}.{:03}", ms / 1000, ms % 1000);
             let value = header_value_or_empty(&text);
             head.headers.insert(header::RETRY_AFTER, value);
         }
--- a/tests/warmup_fleet.rs
+++ b/tests/warmup_fleet.rs
@@ -42,6 +42,8 @@
 #[test]
 fn unverified_targets_are_probed_a_few_at_once_until_verified() {
     let mut balancer = balancer(1, 30, 10);
+    assert!(balancer.targets_to_probe(at(50)).is_empty(), "no request");
+    assert!(balancer.pick(&ONE, at(100)).is_err());
     let first = balancer.targets_to_probe(at(100));
     assert_eq!(first.len(), 8);
     for (id, _) in &first {
--- a/tests/warmup_sim/mod.rs
+++ b/tests/warmup_sim/mod.rs
@@ -137,8 +137,11 @@
         sim
     }
 
-    /// Completes the probes of a daemon after its start.
+    /// Completes the probes of a daemon after its start, which begin with its first request.
     fn verify(&mut self, i: usize, now: u64) {
+        if let Ok(choice) = self.daemons[i].pick(&ONE, at(now)) {
+            self.daemons[i].release(choice.id, choice.attempt);
+        }
         let is_cold = |name: &str| name[1..].parse::<usize>().is_ok_and(|n| n < COLD);
         loop {
             let probes = self.daemons[i].targets_to_probe(at(now));
