quota: name the new holder in response to checks of the former one

Cause: a daemon that missed the announcement of a new holder and checks the former one learns only that it does not hold the slice, pauses it for 700 ms, and does not ask it for the tokens whose refusal would name the new holder.

Change: SliceStatus carries the new holder, left out if there is none, so that its format is that of the previous build otherwise.

--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -184,14 +184,15 @@
         let call = parts
             .peers
             .call_repeatable(&host, kind, &req, CHECK_TIMEOUT);
-        let res = call.await;
+        let res: Result<SliceStatus, _> = call.await;
         let sent = now;
         let now = parts.clock.now();
         match res {
-            Ok(SliceStatus { held: true }) => parts.holders.record_available(centre, &host, now),
-            Ok(SliceStatus { held: false }) => {
-                parts.holders.record_unavailable(centre, &host, now);
-            }
+            Ok(status) => match status.moved {
+                _ if status.held => parts.holders.record_available(centre, &host, now),
+                Some(change) => parts.holders.announce(&change, now),
+                None => parts.holders.record_unavailable(centre, &host, now),
+            },
             Err(e) => {
                 log::info!(holder = &*host, data_centre = centre, reason:? = e;
                     "slice holder did not respond to a check");
--- a/src/quota/slice_status.rs
+++ b/src/quota/slice_status.rs
@@ -10,17 +10,21 @@
     store::BoxFuture,
 };
 
-use super::LocalSlice;
+use super::{HolderChange, LocalSlice};
 
 /// Asks whether a daemon holds the slice of its data centre.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SliceStatusRequest {}
 
 /// The response to a [`SliceStatusRequest`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SliceStatus {
     /// Whether the daemon holds the slice.
     pub held: bool,
+    /// The new holder if the daemon has handed the slice over; left out otherwise, as daemons of
+    /// earlier builds do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub moved: Option<HolderChange>,
 }
 
 /// Answers slice status requests of other daemons.
@@ -35,9 +39,13 @@
     fn handle<'a>(&'a self, _: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
         Box::pin(async move {
             let _: SliceStatusRequest = decode(body)?;
-            encode(&SliceStatus {
-                held: self.slice.is_held(self.clock.now()),
-            })
+            let held = self.slice.is_held(self.clock.now());
+            let moved = if held {
+                None
+            } else {
+                self.slice.new_holder().await
+            };
+            encode(&SliceStatus { held, moved })
         })
     }
 }
--- a/src/quota/token_search.rs
+++ b/src/quota/token_search.rs
@@ -53,9 +53,9 @@
 
 /// Decides which holders are asked for one token, and how long their responses are awaited.
 ///
-/// The holders are asked one after the other. A holder that does not respond within
-/// [`USUAL_TIMEOUT`] does not end its own call: the response counts if it arrives before the search
-/// ends. Only if no holder responds at all, the search goes on beyond these timeouts.
+/// The holders are asked one after the other, the next one if the last one has not responded within
+/// [`USUAL_TIMEOUT`]. Calls go on meanwhile, so that a late response counts until the search ends.
+/// The search goes on beyond these timeouts only if no holder has responded.
 #[derive(Debug)]
 pub struct TokenSearch {
     untried: VecDeque<HolderAddress>,
--- a/tests/slice_handover.rs
+++ b/tests/slice_handover.rs
@@ -9,7 +9,7 @@
     peer::{decode, encode},
     quota::{
         HandoverMessage, HandoverPlan, HandoverStep, HolderChange, LocalSlice, ReleasedSlice,
-        SliceBuckets, SliceHolders, SliceShare, TakeOutcome, TokenResponse,
+        SliceBuckets, SliceHolders, SliceShare, SliceStatus, TakeOutcome, TokenResponse,
     },
 };
 use quickcheck::{quickcheck, TestResult};
@@ -289,6 +289,16 @@
         let bytes = encode(&message).expect("not encoded");
         assert_eq!(decode(&bytes), Some(message));
     }
+    for (status, length) in [(None, 1), (Some(change("b", 9)), 2)] {
+        let status = SliceStatus {
+            held: false,
+            moved: status,
+        };
+        let bytes = encode(&status).expect("not encoded");
+        // Without a new holder the fields are those of earlier builds.
+        assert_eq!(bytes[0], 0x90 + length, "not an array of {length}");
+        assert_eq!(decode(&bytes), Some(status));
+    }
     let response = TokenResponse::Moved(change("b", 9));
     let bytes = encode(&response).expect("not encoded");
     assert_eq!(decode(&bytes), Some(response));
