--- /dev/null
+++ b/src/admission/level.rs
@@ -0,0 +1,101 @@
+//! The admission level of a service, and its derivation from demand and load.
+
+use serde::{Deserialize, Serialize};
+
+use super::ServiceLoad;
+
+/// Largest load that is taken into account, as a share of the slots: one running and four waiting
+/// requests per slot, beyond which targets shed.
+pub const MAX_LOAD: f64 = 5.0;
+/// Load from which a level is derived at any rate of requests. At 0.95 of full load, requests that
+/// daemons place independently already cause a load of 2.3.
+const MIN_LOAD: f64 = 3.2;
+/// Load from which a level is derived if more requests are offered than answered by the factor
+/// [`MIN_EXCESS`], so that the queues of the targets grow.
+const MIN_GROWING_LOAD: f64 = 1.3;
+/// Factor between offered and answered requests that shows overload. At 0.95 of full load the
+/// fleet's rates differ by 5% at random.
+const MIN_EXCESS: f64 = 1.25;
+/// Load at a single daemon from which it polls its reader ahead of time.
+pub const EARLY_POLL_LOAD: f64 = 1.5;
+/// Load that the admitted requests are meant to cause: enough waiting requests to keep the slots of
+/// all targets busy although daemons place requests independently.
+const LOAD_SETPOINT: f64 = 2.6;
+/// Relative increase of the admitted rate per unit of load below the setpoint.
+const GAIN_BELOW: f64 = 0.2;
+/// Relative decrease of the admitted rate per unit of load above the setpoint. It is larger, as
+/// targets with full queues shed urgent requests, too.
+const GAIN_ABOVE: f64 = 0.2;
+/// Requests in flight per slot below which some slots are idle, whatever the targets report.
+const MIN_IN_FLIGHT: f64 = 0.95;
+/// Share of the mean admitted share that every rank keeps; above the required quarter, so that the
+/// quarter is kept despite late levels.
+const FLOOR_RATIO: f64 = 0.26;
+
+/// Which ranks of a service are admitted, and with which share.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct AdmissionLevel {
+    /// The only rank that is admitted in part; more urgent ones are admitted.
+    pub marginal_rank: u32,
+    /// Share of the requests of the marginal rank that is admitted.
+    pub marginal_share: f64,
+    /// Share of the requests of less urgent ranks that is admitted.
+    pub floor_share: f64,
+}
+
+impl AdmissionLevel {
+    /// Returns the share of the requests of `rank` that is admitted.
+    pub fn share(&self, rank: u32) -> f64 {
+        match rank.cmp(&self.marginal_rank) {
+            std::cmp::Ordering::Less => 1.0,
+            std::cmp::Ordering::Equal => self.marginal_share,
+            std::cmp::Ordering::Greater => self.floor_share,
+        }
+    }
+
+    /// Returns whether all shares are from 0 to 1.
+    pub fn is_valid(&self) -> bool {
+        let is_share = |s: f64| (0.0..=1.0).contains(&s);
+        is_share(self.marginal_share) && is_share(self.floor_share)
+    }
+}
+
+/// Derives the level of a service from the sums over the fleet; `None` admits all requests.
+///
+/// The rate of answers of a service whose slots are all busy is its capacity. The admitted rate is
+/// that capacity, corrected in proportion to the distance of the load from its setpoint.
+pub fn derive_level(sums: &ServiceLoad) -> Option<AdmissionLevel> {
+    let load = sums.mean_load()?.min(MAX_LOAD);
+    let is_busy = sums.in_flight >= MIN_IN_FLIGHT * f64::from(sums.slots);
+    let offered: f64 = sums.offered.iter().map(|(_, rate)| rate).sum();
+    let grows = load >= MIN_GROWING_LOAD && offered >= MIN_EXCESS * sums.answered_per_s;
+    let is_full = is_busy && sums.slots > 0 && (grows || load >= MIN_LOAD);
+    if !is_full || sums.offered.len() < 2 {
+        return None;
+    }
+    let distance = LOAD_SETPOINT - load;
+    let gain = if distance < 0.0 {
+        GAIN_ABOVE
+    } else {
+        GAIN_BELOW
+    };
+    let rate = sums.answered_per_s * (1.0 + gain * distance);
+    if rate >= offered {
+        return None;
+    }
+    let floor_share = FLOOR_RATIO * rate / offered;
+    // Every rank gets the floor; what is left of the rate goes to the ranks in order of urgency.
+    let mut left = rate - floor_share * offered;
+    for (rank, rank_rate) in &sums.offered {
+        let above_floor = rank_rate * (1.0 - floor_share);
+        if left < above_floor {
+            return Some(AdmissionLevel {
+                marginal_rank: *rank,
+                marginal_share: (floor_share + left / rank_rate).clamp(floor_share, 1.0),
+                floor_share,
+            });
+        }
+        left -= above_floor;
+    }
+    None
+}
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -11,10 +11,11 @@
 use monoio::net::TcpListener;
 
 use crate::{
+    admission::AdmissionHandle,
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
     config::{self, FrontSettings, KEY_PROOF_MARGIN},
-    follow::{join_fleet, JoinParts, JoinedFleet, MemberRow, StoreConnectivity},
+    follow::{join_fleet, JoinParts, JoinedFleet, MemberRow, SharedReaderRole, StoreConnectivity},
     health::{BalancerHandle, FailureHandler, FailureNotifier, LendHandler, TokenBorrower},
     lifecycle::{readiness_server_task, ReadinessServer, ShutdownSignal, Signals},
     membership::Incarnation,
@@ -98,7 +99,14 @@
     let secrets = FleetSecrets::default();
     let directory = PeerDirectory::new(&base.settings.host, &Default::default());
     let peers = PeerClient::new(secrets.clone(), directory, base.metrics.clone());
-    let front = FrontDaemon { base, peers };
+    let role = SharedReaderRole::default();
+    let admission = base.admission(&role);
+    let front = FrontDaemon {
+        base,
+        peers,
+        role,
+        admission,
+    };
     let mut router = PeerRouter::default();
     let balancer = front.start_balancer(&mut router);
     let holders = SliceHolders::default();
@@ -186,6 +194,11 @@
         monoio::spawn(readiness_server_task(Rc::new(server), listener));
     }
 
+    fn admission(&self, role: &SharedReaderRole) -> AdmissionHandle {
+        let (metrics, clock) = (self.metrics.clone(), self.clock.clone());
+        AdmissionHandle::new(self.view.clone(), role.clone(), metrics, clock)
+    }
+
     /// Registers this daemon in the fleet.
     async fn join(&self) -> JoinedFleet {
         let row = MemberRow {
@@ -213,6 +226,8 @@
 pub(super) struct FrontDaemon {
     pub(super) base: FrontBase,
     pub(super) peers: PeerClient,
+    pub(super) role: SharedReaderRole,
+    pub(super) admission: AdmissionHandle,
 }
 
 impl FrontDaemon {
@@ -340,6 +355,7 @@
             // Aborting work that a target has started costs more than a slow response.
             retry_on_silence: false,
             claims: None,
+            admission: Some(self.admission.clone()),
             poison,
             retry_budget: self.retry_budget(),
             failure_notifier: Some(balancer.failure_notifier),
--- a/src/daemon/front_tables.rs
+++ b/src/daemon/front_tables.rs
@@ -3,10 +3,10 @@
 use std::{rc::Rc, time::Duration};
 
 use crate::{
+    admission::{AdmissionHandler, AdmissionTask, AdmissionTaskParts},
     follow::{
         follow_table, ChangesHandler, ConfigurationSink, FollowOptions, FollowParts, FollowedTable,
-        MemberSink, ProofHandler, ReaderParts, ReaderTask, SharedReaderRole, SharedTables,
-        TargetSink, MEMBERS_TABLE,
+        MemberSink, ProofHandler, ReaderParts, ReaderTask, SharedTables, TargetSink, MEMBERS_TABLE,
     },
     peer::{MessageKind, PeerRouter},
     platform,
@@ -37,6 +37,7 @@
     parts: FollowParts,
     followed: Vec<(Rc<FollowedTable>, FollowOptions)>,
     reader: ReaderTask,
+    admission: AdmissionTask,
 }
 
 impl Following {
@@ -46,6 +47,7 @@
             monoio::spawn(follow_table(self.parts.clone(), table, opts));
         }
         monoio::spawn(self.reader.run());
+        monoio::spawn(self.admission.run());
     }
 }
 
@@ -61,11 +63,17 @@
             view: base.view.clone(),
             tables: tables.clone(),
             connectivity: base.connectivity.clone(),
+            admission: self.admission.clone(),
             clock: base.clock.clone(),
         };
         router.register(MessageKind::Proof, Rc::new(handler));
         router.register(MessageKind::Changes, Rc::new(ChangesHandler::new(tables)));
-        let role = SharedReaderRole::default();
+        let handler = AdmissionHandler {
+            admission: self.admission.clone(),
+            data_centre: base.settings.data_centre.clone(),
+        };
+        router.register(MessageKind::Admission, Rc::new(handler));
+        let role = self.role.clone();
         let parts = FollowParts {
             store: base.store.clone(),
             clock: base.clock.clone(),
@@ -103,13 +111,21 @@
             tables: tables.clone(),
             connectivity: base.connectivity.clone(),
             role,
+            admission: self.admission.clone(),
             metrics: base.metrics.clone(),
             clock: base.clock.clone(),
         });
+        let admission = AdmissionTask::new(AdmissionTaskParts {
+            admission: self.admission.clone(),
+            peers: self.peers.clone(),
+            data_centre: base.settings.data_centre.clone(),
+            clock: base.clock.clone(),
+        });
         Following {
             parts,
             followed,
             reader,
+            admission,
         }
     }
 
@@ -129,6 +145,7 @@
             balancer.handle.clone(),
             platform::decode_target,
             base.view.clone(),
+            self.admission.clone(),
             base.clock.clone(),
         );
         let members = MemberSink::new(self.peers.directory().clone(), holders.clone());
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -161,6 +161,7 @@
         pool: PoolHandle::new(pool_tx),
         retry_on_silence: true,
         claims: Some(claims),
+        admission: None,
         poison,
         failure_notifier: None,
         retry_budget: Box::new(RetryBudgetConfig::default),
--- a/src/follow/proof_handler.rs
+++ b/src/follow/proof_handler.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 
 use crate::{
+    admission::AdmissionHandle,
     clock::Clock,
-    peer::{decode, encode, PeerHandler},
+    peer::{decode_extended, encode_extended, PeerHandler},
     routing::ConfigurationView,
     store::BoxFuture,
 };
@@ -26,6 +27,8 @@
     pub tables: SharedTables,
     /// This daemon's connectivity to the store.
     pub connectivity: StoreConnectivity,
+    /// Derives admission levels from the load that daemons report with their requests.
+    pub admission: AdmissionHandle,
     /// Source of time.
     pub clock: Rc<dyn Clock>,
 }
@@ -61,10 +64,15 @@
 }
 
 impl PeerHandler for ProofHandler {
-    fn handle<'a>(&'a self, _: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
+    fn handle<'a>(&'a self, from: &'a str, body: &'a [u8]) -> BoxFuture<'a, Option<Vec<u8>>> {
         Box::pin(async move {
-            let req: ProofRequest = decode(body)?;
-            encode(&self.respond(&req))
+            let (req, report) = decode_extended(body)?;
+            let reports = report.is_some();
+            if let Some(report) = report {
+                self.admission.record_daemon(from, report);
+            }
+            let levels = reports.then(|| self.admission.levels());
+            encode_extended(&self.respond(&req), levels.as_ref())
         })
     }
 }
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -5,16 +5,17 @@
 use monoio::time::sleep;
 
 use crate::{
+    admission::AdmissionHandle,
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
-    peer::{MessageKind, PeerClient},
+    peer::{decode_extended, encode_extended, MessageKind, PeerClient, PeerError},
     routing::ConfigurationView,
 };
 
 use super::{
     change_fetcher::{ChangeFetcher, PeerProof},
-    FollowedTable, ProofResponse, ReaderRole, ReaderSelector, RowChange, SharedReaderRole,
-    SharedTables, StoreConnectivity, TableDelta,
+    FollowedTable, ProofRequest, ProofResponse, ReaderRole, ReaderSelector, RowChange,
+    SharedReaderRole, SharedTables, StoreConnectivity, TableDelta,
 };
 
 /// Time between two polls of the readers. Added to [`MAX_PROOF_AGE`] it stays below the operator's
@@ -40,6 +41,8 @@
 const STARTUP_RETRY_PER_DAEMON: Duration = Duration::from_millis(4);
 /// Time within which all daemons of a starting fleet have joined it.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
+/// Time between two checks whether a poll is due ahead of time.
+const EARLY_POLL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of one poll; four timeouts in a row stay below the operator's limits.
 const POLL_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -57,6 +60,8 @@
     pub connectivity: StoreConnectivity,
     /// Whether this daemon reads the store.
     pub role: SharedReaderRole,
+    /// Reports load with the polls, and applies the admission levels in the responses.
+    pub admission: AdmissionHandle,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -110,7 +115,19 @@
         self.last_direct = self.started;
         loop {
             let pause = self.step().await;
-            sleep(pause).await;
+            self.pause(pause).await;
+        }
+    }
+
+    /// Waits for `pause`, or until the load of a service must be reported before.
+    async fn pause(&self, pause: Duration) {
+        let end = self.parts.clock.now() + pause;
+        loop {
+            let left = end.since(self.parts.clock.now());
+            sleep(left.min(EARLY_POLL_CHECK_INTERVAL)).await;
+            if left <= EARLY_POLL_CHECK_INTERVAL || self.parts.admission.takes_early_poll() {
+                return;
+            }
         }
     }
 
@@ -226,8 +243,7 @@
     async fn poll(&mut self, reader: &Rc<str>) -> PollResult {
         let sent = self.parts.clock.now();
         let req = self.parts.tables.versions();
-        let (peers, kind) = (&self.parts.peers, MessageKind::Proof);
-        match peers.call(reader, kind, &req, POLL_TIMEOUT).await {
+        match self.call_reader(reader, &req).await {
             Ok(res) => self.handle_response(reader, res, sent),
             Err(e) => {
                 let waited_ms = self.elapsed_ms(sent);
@@ -244,6 +260,27 @@
         }
     }
 
+    /// Sends `req` with the load report of this daemon, if a service is busy, and applies the
+    /// admission levels in the response.
+    async fn call_reader(
+        &self,
+        reader: &Rc<str>,
+        req: &ProofRequest,
+    ) -> Result<ProofResponse, PeerError> {
+        let admission = &self.parts.admission;
+        admission.record_poll();
+        let body = encode_extended(req, admission.own_report().as_ref());
+        let call = self
+            .parts
+            .peers
+            .call_encoded(reader, MessageKind::Proof, body, POLL_TIMEOUT);
+        let (res, levels) = decode_extended(&call.await?).ok_or(PeerError::BadAnswer)?;
+        if let Some(levels) = levels {
+            admission.apply_levels(&levels);
+        }
+        Ok(res)
+    }
+
     /// Returns whether the fleet may be starting together with this daemon, so that a reader that
     /// does not respond may only have to join first.
     fn is_starting(&self, now: BootTime) -> bool {
--- a/src/follow/target_sink.rs
+++ b/src/follow/target_sink.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use crate::{
+    admission::AdmissionHandle,
     clock::{BootTime, Clock},
     health::{BalancerHandle, BalancerMessage},
     routing::ConfigurationView,
@@ -23,15 +24,17 @@
     balancer: BalancerHandle,
     decode: DecodeTarget,
     view: ConfigurationView,
+    admission: AdmissionHandle,
     clock: Rc<dyn Clock>,
 }
 
 impl TargetSink {
-    /// Creates a sink that sends changes to `balancer`.
+    /// Creates a sink that sends changes to `balancer` and `admission`.
     pub fn new(
         balancer: BalancerHandle,
         decode: DecodeTarget,
         view: ConfigurationView,
+        admission: AdmissionHandle,
         clock: Rc<dyn Clock>,
     ) -> Self {
         Self {
@@ -39,6 +42,7 @@
             balancer,
             decode,
             view,
+            admission,
             clock,
         }
     }
@@ -57,6 +61,7 @@
 
     fn publish(&self) {
         let hosts = self.list.borrow().hosts();
+        self.admission.set_targets(&hosts);
         self.balancer
             .send(BalancerMessage::SetTargets(Rc::new(hosts)));
         if self.list.borrow().has_expiring() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The crate is a library so that tests and benchmarks can use its parts; the product is the
 //! program `chervillug`.
 
+pub mod admission;
 pub mod catalog;
 pub mod claim;
 pub mod cli;
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -78,6 +78,12 @@
     SuspicionsDropped,
     /// Requests queued for a target.
     Queued,
+    /// Requests rejected by the admission level of their service.
+    AdmissionRejected,
+    /// Retries not sent as their rank is being rejected.
+    AdmissionRetriesDropped,
+    /// Services that began to reject requests by rank.
+    AdmissionLevels,
 }
 
 impl Counter {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -94,6 +94,24 @@
         self.call_address(peer.address, kind, msg, limit).await
     }
 
+    /// Sends the encoded body of a message to the daemon on `host`, and returns the body of its
+    /// reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no reply arrives within `limit`.
+    pub async fn call_encoded(
+        &self,
+        host: &str,
+        kind: MessageKind,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<Vec<u8>, PeerError> {
+        let peer = self.shared.directory.find(host);
+        let address = peer.ok_or(PeerError::UnknownPeer)?.address;
+        self.exchange(address, kind, body, limit).await
+    }
+
     /// Sends `msg` to the daemon at `address` and returns its reply.
     ///
     /// # Errors
@@ -106,12 +124,20 @@
         msg: &Req,
         limit: Duration,
     ) -> Result<Res, PeerError> {
+        let body = self.exchange(address, kind, encode(msg), limit).await?;
+        decode(&body).ok_or(PeerError::BadAnswer)
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        kind: MessageKind,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<Vec<u8>, PeerError> {
         let (reply, rx) = oneshot::channel();
         let call = Call {
-            msg: Envelope {
-                kind,
-                body: encode(msg),
-            },
+            msg: Envelope { kind, body },
             deadline: Instant::now() + limit,
             reply,
         };
@@ -121,8 +147,7 @@
             Ok(Ok(reply)) => reply?,
             _ => return Err(PeerError::NoAnswer),
         };
-        let body = reply.body.ok_or(PeerError::Refused)?;
-        decode(&body).ok_or(PeerError::BadAnswer)
+        reply.body.ok_or(PeerError::Refused)
     }
 
     fn enqueue(&self, key: LaneKey, call: Call) {
--- a/src/peer/envelope.rs
+++ b/src/peer/envelope.rs
@@ -33,6 +33,8 @@
     Changes,
     /// Requests for tokens of a limited target.
     Lend,
+    /// Demand and load of a data centre's services.
+    Admission,
 }
 
 /// One message or reply with a MessagePack body, whose type depends on the kind.
--- a/src/peer/handler.rs
+++ b/src/peer/handler.rs
@@ -27,6 +27,29 @@
     rmp_serde::from_slice(body).ok()
 }
 
+/// Encodes a body that is followed by an extension, which daemons of builds that do not know it
+/// ignore. `None` for the extension leaves the bytes of the body as they are.
+pub fn encode_extended(
+    body: &impl Serialize,
+    extension: Option<&impl Serialize>,
+) -> Option<Vec<u8>> {
+    let mut bytes = encode(body)?;
+    if let Some(extension) = extension {
+        bytes.extend(encode(extension)?);
+    }
+    Some(bytes)
+}
+
+/// Decodes a body and the extension behind it; `None` if the body is malformed. An extension that
+/// is missing or malformed is `None`.
+pub fn decode_extended<T: DeserializeOwned, E: DeserializeOwned>(
+    mut bytes: &[u8],
+) -> Option<(T, Option<E>)> {
+    let body = rmp_serde::from_read(&mut bytes).ok()?;
+    let extension = (!bytes.is_empty()).then(|| decode(bytes)).flatten();
+    Some((body, extension))
+}
+
 /// Maps each message kind to its handler.
 #[derive(Default, Clone)]
 pub struct PeerRouter {
--- a/src/peer/lane.rs
+++ b/src/peer/lane.rs
@@ -25,7 +25,8 @@
             | MessageKind::Suspicion
             | MessageKind::Poison
             | MessageKind::Failure
-            | MessageKind::Proof => Self::Control,
+            | MessageKind::Proof
+            | MessageKind::Admission => Self::Control,
             MessageKind::Revision | MessageKind::Changes => Self::Bulk,
         }
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -21,5 +21,5 @@
 pub use directory::{Peer, PeerDirectory};
 pub use envelope::{Envelope, MessageKind};
 pub use error::PeerError;
-pub use handler::{decode, encode, PeerHandler, PeerRouter};
+pub use handler::{decode, decode_extended, encode, encode_extended, PeerHandler, PeerRouter};
 pub use server::{peer_server_task, PeerServer};
--- a/src/proxy/admit.rs
+++ b/src/proxy/admit.rs
@@ -1,8 +1,9 @@
-//! Admission of requests by the rate limiter.
+//! Admission of requests by the rate limiter, and by rank while their service is full.
 
 use std::time::Duration;
 
 use crate::{
+    admission::GateDecision,
     limit::{Admission, Grant},
     outcome::ErrorKind,
 };
@@ -53,3 +54,25 @@
         Admission::Unavailable => Err(ErrorKind::RateUnavailable.into()),
     }
 }
+
+/// Admits one request that is within its plan against the level of its service.
+pub(super) fn admit_by_rank(
+    cx: &ProxyContext,
+    authorized: &AuthorizedRequest,
+    request_id: &str,
+) -> Result<(), Refusal> {
+    let Some(admission) = &cx.admission else {
+        return Ok(());
+    };
+    match admission.admit(&authorized.service, authorized.rank) {
+        GateDecision::Admit => Ok(()),
+        GateDecision::Reject { retry_after, share } => {
+            log::info!(request_id = request_id, service = &*authorized.service,
+                rank = authorized.rank, share = share; "rejected by rank");
+            Err(Refusal {
+                kind: ErrorKind::Overloaded,
+                retry_after: Some(retry_after),
+            })
+        }
+    }
+}
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -42,10 +42,12 @@
         let heads = &self.cx.heads;
         let reused = attempt.conn.as_ref().is_none_or(|conn| conn.reused);
         let class = heads.classify(&head, self.dispatch.request_id, reused);
+        let mut load = None;
         if class != ResponseClass::WrongTarget {
             let report = heads.target_report(head.status, &head.headers);
             let is_answer = class == ResponseClass::Answer;
             attempt.picked.report(report, is_answer);
+            load = report.load;
             if report.unusable > 0 {
                 let n = u64::from(report.unusable);
                 self.cx.metrics.add(Counter::TargetHeadersUnusable, n);
@@ -87,6 +89,9 @@
             .record_latency(Latency::TargetLatencyS, latency);
         let service = self.dispatch.service();
         self.cx.retry_states.record_answer(service, latency, now);
+        if let Some(admission) = &self.cx.admission {
+            admission.record_answer(service, load);
+        }
         self.observe(if head.status.is_server_error() {
             WorkResult::ServerError
         } else {
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc};
 
 use crate::{
+    admission::AdmissionHandle,
     claim::ClaimStore,
     clock::{BootTime, Clock},
     config::LimitSettings,
@@ -43,6 +44,8 @@
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice; `None` if callers never repeat a request.
     pub claims: Option<ClaimStore>,
+    /// Admits requests over the whole fleet by rank; `None` if all have one rank.
+    pub admission: Option<AdmissionHandle>,
     /// Tracks requests that crash targets.
     pub poison: PoisonTracker,
     /// Notifies the fleet of failed targets; `None` if each daemon relies on its own observations.
@@ -94,6 +97,8 @@
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice; `None` if callers never repeat a request.
     pub claims: Option<ClaimStore>,
+    /// Admits requests over the whole fleet by rank; `None` if all have one rank.
+    pub admission: Option<AdmissionHandle>,
     /// Tracks requests that crash targets.
     pub poison: PoisonTracker,
     /// Notifies the fleet of failed targets; `None` if each daemon relies on its own observations.
@@ -125,6 +130,7 @@
             retry_on_silence: parts.retry_on_silence,
             pool: parts.pool,
             claims: parts.claims,
+            admission: parts.admission,
             poison: parts.poison,
             failure_notifier: parts.failure_notifier,
             metrics: parts.metrics,
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -93,6 +93,13 @@
         self.admitted.authorized.workspace()
     }
 
+    /// Returns whether requests of this rank are being rejected, so that this one is not sent again.
+    fn is_rank_rejected(&self) -> bool {
+        let authorized = self.admitted.authorized;
+        let admission = self.cx.admission.as_ref();
+        admission.is_some_and(|a| a.rejects(&authorized.service, authorized.rank))
+    }
+
     /// Sends the request to targets until one responds.
     pub(super) async fn send_to_targets(
         &self,
@@ -102,6 +109,8 @@
     ) -> RunResult {
         let (service, now) = (self.service(), self.cx.clock.now());
         self.cx.retry_states.record_request(service, now);
+        let admission = self.cx.admission.as_ref();
+        let _in_flight = admission.map(|admission| admission.start(service));
         let policy = RetryPolicy {
             repeatable: self.repeatable,
             replayable: body.is_replayable(),
@@ -234,7 +243,8 @@
             service: self.dispatch.service().clone(),
             workspace: self.dispatch.workspace(),
             rate_per_s: identity.map_or(0.0, |i| i.plan.rate_per_s),
-            repeatable: self.dispatch.repeatable,
+            // A request that is not repeatable is never sent to a target on trial.
+            repeatable: self.dispatch.repeatable && !self.dispatch.is_rank_rejected(),
             deadline: self.dispatch.deadline.at(),
             avoid: self.tried.clone(),
         }
@@ -348,11 +358,13 @@
         let is_poison = self.dispatch.check_poison(self.head, self.body).is_err();
         // A retry after a failed connect is free, as the target received nothing of the request.
         let is_free = reason == RetryReason::ConnectFailed;
-        let granted = is_free
-            || self
-                .cx
-                .retry_states
-                .try_withdraw_retry(self.dispatch.service(), now);
+        let is_dropped = self.dispatch.is_rank_rejected();
+        if is_dropped {
+            self.cx.metrics.count(Counter::AdmissionRetriesDropped);
+        }
+        let retry_states = &self.cx.retry_states;
+        let granted = !is_dropped
+            && (is_free || retry_states.try_withdraw_retry(self.dispatch.service(), now));
         log_retry(self.dispatch.request_id, reason, granted && !is_poison);
         if is_poison || !granted {
             self.cx.metrics.count_refused_retry(reason);
--- a/src/proxy/request_handler.rs
+++ b/src/proxy/request_handler.rs
@@ -13,7 +13,7 @@
 use super::{
     access_log::{log_admitted, log_caller_disconnected, log_response, ResponseEntry},
     access_policy::AuthorizedRequest,
-    admit::{admit, Refusal},
+    admit::{admit, admit_by_rank, Refusal},
     admitted_request::AdmittedRequest,
     caller::{CallerConnection, ConnectionFate, ErrorParams},
     deadline::Deadline,
@@ -95,6 +95,7 @@
             return Err(ErrorKind::ShuttingDown.into());
         }
         let grant = admit(cx, &authorized, req.id).await?;
+        admit_by_rank(cx, &authorized, req.id)?;
         Ok((authorized, grant))
     }
 
--- a/src/routing/route_table.rs
+++ b/src/routing/route_table.rs
@@ -28,6 +28,8 @@
     pub requires_keys: bool,
     /// Overrides of the limits on requests of callers.
     pub limit_overrides: CallerLimitOverrides,
+    /// Whether requests differ in rank, so that admission by rank is active.
+    pub has_several_ranks: bool,
     routes: FxHashMap<String, FxHashMap<String, HostRoute>>,
     by_key: FxHashMap<KeyHash, Rc<Workspace>>,
     by_name: FxHashMap<Rc<str>, Rc<Workspace>>,
@@ -41,6 +43,7 @@
             version: cfg.version,
             requires_keys: cfg.workspaces.is_some(),
             limit_overrides: cfg.limit_overrides,
+            has_several_ranks: has_several_ranks(cfg),
             ..Self::default()
         };
         for route in &cfg.routes {
@@ -101,3 +104,15 @@
         self.probe_paths.get(service).map(String::as_str)
     }
 }
+
+/// Returns whether two routes, or two workspaces, differ in rank.
+fn has_several_ranks(cfg: &Configuration) -> bool {
+    let differ = |mut ranks: Box<dyn Iterator<Item = u32> + '_>| {
+        let first = ranks.next();
+        ranks.any(|rank| Some(rank) != first)
+    };
+    let workspaces = cfg.workspaces.iter().flatten();
+    let public = cfg.routes.iter().filter(|r| r.public).map(|_| 0);
+    let workspace_ranks = workspaces.map(|w| w.rank.unwrap_or(0)).chain(public);
+    differ(Box::new(cfg.routes.iter().map(|r| r.rank))) || differ(Box::new(workspace_ranks))
+}
--- /dev/null
+++ b/tests/admission/fleet.rs
@@ -0,0 +1,540 @@
+//! Simulated fleet before targets that queue and shed requests.
+
+use std::{collections::BTreeMap, collections::VecDeque, ops::Range, rc::Rc, time::Duration};
+
+use chervillug::{
+    admission::{
+        AdmissionGate, EarlyPolls, GateDecision, LevelMessage, LoadAggregator, LoadRecorder,
+        EARLY_POLL_LOAD,
+    },
+    clock::BootTime,
+    health::{Balancer, Choice, Observation, PickRequest, Profile, SequentialDetector, WorkResult},
+    proxy::TargetReport,
+    retry::{RetryBudget, RetryBudgetConfig},
+    store::ListedHost,
+};
+
+pub(super) const RANKS: usize = 3;
+pub(super) const TARGETS: usize = 206;
+pub(super) const SLOTS: u32 = 2;
+/// Work of one request, ms.
+pub(super) const WORK_MS: u64 = 160;
+/// Deadline of a request, ms.
+pub(super) const DEADLINE_MS: u64 = 1200;
+/// Time whose arrivals are counted, ms.
+pub(super) const WINDOW_MS: Range<u64> = 2000..8000;
+/// Time of the overload, ms. It lasts one deadline longer than the arrivals that are counted, so
+/// that slots which are idle afterwards do not serve them.
+const OVERLOAD_MS: Range<u64> = WINDOW_MS.start..WINDOW_MS.end + DEADLINE_MS;
+const DAEMONS: usize = 123;
+const CENTRES: usize = 3;
+/// Requests that a target queues.
+const MAX_WAITING: usize = 4 * SLOTS as usize;
+/// Shares of the ranks among all requests.
+const RANK_WEIGHTS: [usize; RANKS] = [3, 7, 2];
+/// Load before and after the overload, as a share of the slots.
+const BASE_UTILIZATION: f64 = 0.6;
+/// Load of a workspace within its plan, as a share of the slots, and the factor above it.
+const LARGE_PLAN: f64 = 0.1;
+const LARGE_FACTOR: f64 = 5.0;
+const POLL_MS: u64 = 700;
+/// Time between two checks whether a poll is due, ms.
+const CHECK_MS: u64 = 50;
+const EXCHANGE_MS: u64 = 500;
+/// Time of a message in one direction, ms.
+const DELAY_MS: u64 = 2;
+const MAX_ATTEMPTS: usize = 3;
+const END_MS: u64 = OVERLOAD_MS.end + 1500;
+const RETRY_BUDGET: RetryBudgetConfig = RetryBudgetConfig {
+    answer_ratio: 0.15,
+    request_ratio: 0.0,
+    max_tokens: 1.0,
+    floor_per_s: 0.0,
+};
+
+/// Faults of the network between daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Network {
+    Sound,
+    LossyPolls,
+    CutCentres,
+    /// No poll succeeds in the second half of the overload.
+    PollsLostAfterStart,
+}
+
+/// One run.
+pub(super) struct Load {
+    /// Load during the overload, as a share of the slots.
+    pub(super) utilization: f64,
+    pub(super) admission: bool,
+    /// Whether all requests have one rank.
+    pub(super) single_rank: bool,
+    pub(super) network: Network,
+    /// Share of the requests that targets shed at random.
+    pub(super) shed_share: f64,
+    pub(super) seed: u64,
+}
+
+/// A request within its plan.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Arrival {
+    pub(super) at_ms: u64,
+    pub(super) rank: usize,
+}
+
+/// What happened to the requests within the window.
+#[derive(Default)]
+pub(super) struct Outcomes {
+    pub(super) arrivals: Vec<Arrival>,
+    pub(super) answered: [u64; RANKS],
+    pub(super) rejected: [u64; RANKS],
+    pub(super) failed: [u64; RANKS],
+    /// Rejections in the last 500 ms of the window.
+    pub(super) rejected_at_end: u64,
+    /// Time from the begin of the overload until all daemons reject the least urgent rank.
+    pub(super) converged_ms: u64,
+    /// Admission messages besides the polls that daemons send anyway.
+    pub(super) messages_per_daemon_s: f64,
+    /// Mean running and waiting requests per slot, by half seconds.
+    pub(super) loads: Vec<f64>,
+}
+
+impl std::fmt::Debug for Outcomes {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(
+            f,
+            "answered {:?} rejected {:?} failed {:?} loads {:.1?}",
+            self.answered, self.rejected, self.failed, self.loads
+        )
+    }
+}
+
+#[derive(Clone)]
+struct Request {
+    daemon: usize,
+    rank: usize,
+    arrived: u64,
+    deadline: u64,
+    tried: Vec<chervillug::health::TargetId>,
+}
+
+enum Event {
+    Arrive(Request, Choice, u64),
+    Finish(usize),
+    Respond(Request, Choice, u64, f64, bool),
+}
+
+#[derive(Default)]
+struct SimTarget {
+    running: usize,
+    waiting: VecDeque<(Request, Choice, u64)>,
+    finishing: VecDeque<(Request, Choice, u64)>,
+}
+
+struct Daemon {
+    balancer: Balancer,
+    recorder: LoadRecorder,
+    aggregator: LoadAggregator,
+    gate: AdmissionGate,
+    early_polls: EarlyPolls,
+    polled_at: u64,
+    budget: RetryBudget,
+}
+
+struct Fleet<'a> {
+    load: &'a Load,
+    daemons: Vec<Daemon>,
+    targets: Vec<SimTarget>,
+    events: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
+    service: Rc<str>,
+    rng: fastrand::Rng,
+    outcomes: Outcomes,
+    messages: u64,
+    large_tokens: f64,
+}
+
+pub(super) fn at(ms: u64) -> BootTime {
+    BootTime::from_duration(Duration::from_millis(100_000 + ms))
+}
+
+fn hosts() -> Vec<ListedHost> {
+    let host = |i: usize| ListedHost {
+        name: format!("t{i}"),
+        data_centre: format!("c{}", i % CENTRES),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        service: Some("one".to_owned()),
+        slots: SLOTS,
+        leaving: false,
+        cold: false,
+        born: None,
+    };
+    (0..TARGETS).map(host).collect()
+}
+
+/// Plays one run.
+pub(super) fn run(load: &Load) -> Outcomes {
+    let hosts = hosts();
+    let daemon = |i: usize| {
+        let detector = Box::new(SequentialDetector::new(Profile::default().options()));
+        let seed = load.seed * 1000 + i as u64;
+        let centre = format!("c{}", i % CENTRES);
+        let mut balancer = Balancer::new(detector, 0.7, seed).prefer_data_centre(&centre);
+        balancer.set_targets(&hosts, at(0));
+        let mut recorder = LoadRecorder::default();
+        recorder.set_slots([("one", SLOTS * TARGETS as u32)].into_iter());
+        Daemon {
+            balancer,
+            recorder,
+            aggregator: LoadAggregator::default(),
+            gate: AdmissionGate::new(seed),
+            early_polls: EarlyPolls::default(),
+            polled_at: i as u64 * 277 % POLL_MS,
+            budget: RetryBudget::new(RETRY_BUDGET, at(0)),
+        }
+    };
+    let mut fleet = Fleet {
+        load,
+        daemons: (0..DAEMONS).map(daemon).collect(),
+        targets: (0..TARGETS).map(|_| SimTarget::default()).collect(),
+        events: BTreeMap::new(),
+        sequence: 0,
+        service: Rc::from("one"),
+        rng: fastrand::Rng::with_seed(load.seed),
+        outcomes: Outcomes::default(),
+        messages: 0,
+        large_tokens: 0.0,
+    };
+    fleet.play();
+    fleet.outcomes
+}
+
+impl Fleet<'_> {
+    fn play(&mut self) {
+        let slots = (TARGETS as u32 * SLOTS) as f64;
+        let capacity_per_ms = slots / WORK_MS as f64;
+        let mut next_arrival = 0.0;
+        for now in 0..END_MS {
+            let in_window = OVERLOAD_MS.contains(&now);
+            let utilization = if in_window {
+                self.load.utilization
+            } else {
+                BASE_UTILIZATION.min(self.load.utilization)
+            };
+            let per_ms = utilization * capacity_per_ms;
+            let large_per_ms = LARGE_PLAN * capacity_per_ms;
+            self.large_tokens = (self.large_tokens + large_per_ms).min(20.0 * large_per_ms);
+            let sent_per_ms = if in_window {
+                per_ms - large_per_ms + LARGE_FACTOR * large_per_ms
+            } else {
+                per_ms
+            };
+            while next_arrival < now as f64 + 1.0 {
+                next_arrival += -self.rng.f64().max(1e-9).ln() / sent_per_ms;
+                let is_large =
+                    in_window && self.rng.f64() * sent_per_ms < LARGE_FACTOR * large_per_ms;
+                self.arrive(is_large, now);
+            }
+            self.handle_events(now);
+            if self.load.admission {
+                self.exchange(now);
+            }
+            self.measure(now);
+        }
+        self.outcomes.messages_per_daemon_s =
+            self.messages as f64 * 1000.0 / (END_MS as f64 * DAEMONS as f64);
+    }
+
+    fn draw_rank(&mut self) -> usize {
+        let total: usize = RANK_WEIGHTS.iter().sum();
+        let mut drawn = self.rng.usize(0..total);
+        RANK_WEIGHTS
+            .iter()
+            .position(|w| {
+                let found = drawn < *w;
+                drawn = drawn.wrapping_sub(*w);
+                found
+            })
+            .unwrap_or(0)
+    }
+
+    /// Takes a new request of a client, which the limiter rejects above the plan.
+    fn arrive(&mut self, is_large: bool, now: u64) {
+        if is_large {
+            if self.large_tokens < 1.0 {
+                return;
+            }
+            self.large_tokens -= 1.0;
+        }
+        let rank = if self.load.single_rank {
+            0
+        } else {
+            self.draw_rank()
+        };
+        self.outcomes.arrivals.push(Arrival { at_ms: now, rank });
+        let daemon = self.rng.usize(0..DAEMONS);
+        let sim = &mut self.daemons[daemon];
+        sim.recorder
+            .record_offered(&self.service, rank as u32, at(now));
+        let decision = sim.gate.decide(&self.service, rank as u32, at(now));
+        if decision != GateDecision::Admit {
+            if WINDOW_MS.contains(&now) {
+                self.outcomes.rejected[rank] += 1;
+            }
+            if (WINDOW_MS.end - 500..WINDOW_MS.end).contains(&now) {
+                self.outcomes.rejected_at_end += 1;
+            }
+            return;
+        }
+        sim.recorder.record_start(&self.service);
+        let req = Request {
+            daemon,
+            rank,
+            arrived: now,
+            deadline: now + DEADLINE_MS,
+            tried: Vec::new(),
+        };
+        self.send(req, now);
+    }
+
+    fn send(&mut self, mut req: Request, now: u64) {
+        let sim = &mut self.daemons[req.daemon];
+        let pick = PickRequest {
+            service: "one",
+            avoid: &req.tried,
+            repeatable: true,
+        };
+        match sim.balancer.pick(&pick, at(now)) {
+            Ok(choice) => {
+                req.tried.push(choice.id);
+                self.schedule(now + DELAY_MS, Event::Arrive(req, choice, now));
+            }
+            Err(_) => self.fail(&req),
+        }
+    }
+
+    fn fail(&mut self, req: &Request) {
+        self.daemons[req.daemon].recorder.record_end(&self.service);
+        if WINDOW_MS.contains(&req.arrived) {
+            self.outcomes.failed[req.rank] += 1;
+        }
+    }
+
+    fn schedule(&mut self, at_ms: u64, event: Event) {
+        self.sequence += 1;
+        self.events.insert((at_ms, self.sequence), event);
+    }
+
+    fn handle_events(&mut self, now: u64) {
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > now {
+                return;
+            }
+            match entry.remove() {
+                Event::Arrive(req, choice, sent) => self.arrive_at_target(req, choice, sent, now),
+                Event::Finish(target) => self.finish(target, now),
+                Event::Respond(req, choice, sent, load, shed) => {
+                    self.respond(req, choice, sent, load, shed, now);
+                }
+            }
+        }
+    }
+
+    fn target_load(&self, target: usize) -> f64 {
+        let target = &self.targets[target];
+        (target.running + target.waiting.len()) as f64 / f64::from(SLOTS)
+    }
+
+    fn arrive_at_target(&mut self, req: Request, choice: Choice, sent: u64, now: u64) {
+        let target: usize = choice.name[1..].parse().expect("a number");
+        let sheds = self.rng.f64() < self.load.shed_share;
+        if sheds || self.targets[target].waiting.len() >= MAX_WAITING {
+            let load = self.target_load(target);
+            self.schedule(
+                now + DELAY_MS,
+                Event::Respond(req, choice, sent, load, true),
+            );
+            return;
+        }
+        self.targets[target].waiting.push_back((req, choice, sent));
+        self.start_next(target, now);
+    }
+
+    fn start_next(&mut self, target: usize, now: u64) {
+        let sim = &mut self.targets[target];
+        if sim.running >= SLOTS as usize {
+            return;
+        }
+        // A request whose deadline has passed is not worth its work.
+        while let Some(next) = sim.waiting.pop_front() {
+            if next.0.deadline > now {
+                sim.running += 1;
+                sim.finishing.push_back(next);
+                self.schedule(now + WORK_MS, Event::Finish(target));
+                return;
+            }
+            self.daemons[next.0.daemon]
+                .balancer
+                .release(next.1.id, next.1.attempt);
+            self.fail(&next.0);
+            return self.start_next(target, now);
+        }
+    }
+
+    fn finish(&mut self, target: usize, now: u64) {
+        let load = self.target_load(target);
+        let sim = &mut self.targets[target];
+        sim.running -= 1;
+        if let Some((req, choice, sent)) = sim.finishing.pop_front() {
+            self.schedule(
+                now + DELAY_MS,
+                Event::Respond(req, choice, sent, load, false),
+            );
+        }
+        self.start_next(target, now);
+    }
+
+    fn respond(
+        &mut self,
+        req: Request,
+        choice: Choice,
+        sent: u64,
+        load: f64,
+        shed: bool,
+        now: u64,
+    ) {
+        let sim = &mut self.daemons[req.daemon];
+        let report = TargetReport {
+            load: Some(load),
+            ..TargetReport::default()
+        };
+        sim.balancer.apply_report(choice.id, report, at(now));
+        let observation = Observation {
+            result: if shed {
+                WorkResult::Shed
+            } else {
+                WorkResult::Success
+            },
+            latency: Duration::from_millis(now - sent),
+        };
+        sim.balancer
+            .observe(choice.id, choice.attempt, &observation, at(now));
+        sim.balancer.release(choice.id, choice.attempt);
+        if shed {
+            let rejects = sim.gate.rejects(&self.service, req.rank as u32, at(now));
+            let is_allowed = req.tried.len() < MAX_ATTEMPTS && now < req.deadline && !rejects;
+            if is_allowed && sim.budget.try_withdraw(at(now)) {
+                self.send(req, now);
+            } else {
+                self.fail(&req);
+            }
+            return;
+        }
+        sim.budget.record_answer();
+        sim.recorder
+            .record_answer(&self.service, Some(load), at(now));
+        sim.recorder.record_end(&self.service);
+        let in_window = WINDOW_MS.contains(&req.arrived);
+        if in_window && now > req.deadline {
+            self.outcomes.failed[req.rank] += 1;
+        } else if in_window {
+            self.outcomes.answered[req.rank] += 1;
+        }
+    }
+
+    /// Lets daemons poll the reader of their data centre, and readers exchange their sums.
+    fn exchange(&mut self, now: u64) {
+        for i in 0..DAEMONS {
+            let checks = now % CHECK_MS == i as u64 % CHECK_MS;
+            if i < CENTRES || !checks {
+                continue;
+            }
+            let sim = &mut self.daemons[i];
+            let lacks_level = {
+                let mut full = sim.recorder.services_above(EARLY_POLL_LOAD, at(now));
+                full.any(|s| !sim.gate.has_level(s))
+            };
+            let is_early = lacks_level && sim.early_polls.try_take(at(now));
+            let is_due = now >= sim.polled_at + POLL_MS;
+            if is_early || is_due {
+                sim.polled_at = now;
+                sim.early_polls.record_poll(at(now));
+            }
+            if is_early {
+                self.messages += 2;
+            }
+            if is_early || is_due {
+                self.poll(i, i % CENTRES, now);
+            }
+        }
+        for i in 0..CENTRES {
+            if now % EXCHANGE_MS == (i as u64 * 167) % EXCHANGE_MS {
+                self.exchange_centres(i, now);
+            }
+        }
+    }
+
+    fn poll(&mut self, i: usize, reader: usize, now: u64) {
+        let lost = match self.load.network {
+            Network::LossyPolls => self.rng.usize(0..3) == 0,
+            Network::PollsLostAfterStart => now > WINDOW_MS.start + 2500,
+            _ => false,
+        };
+        if lost {
+            return;
+        }
+        let report = self.daemons[i].recorder.report(at(now));
+        let host = format!("h{i}");
+        let sim = &mut self.daemons[reader];
+        if !report.services.is_empty() {
+            sim.aggregator.apply_daemon(&host, report, at(now));
+        }
+        let levels = self.levels(reader, now);
+        self.daemons[i].gate.apply(&levels, at(now));
+    }
+
+    fn levels(&mut self, reader: usize, now: u64) -> LevelMessage {
+        let sim = &mut self.daemons[reader];
+        let own = sim.recorder.report(at(now));
+        sim.aggregator.levels(&own, at(now))
+    }
+
+    fn exchange_centres(&mut self, i: usize, now: u64) {
+        let sums = |sim: &mut Daemon| {
+            let own = sim.recorder.report(at(now));
+            sim.aggregator.centre_sums(&own, at(now))
+        };
+        let own = sums(&mut self.daemons[i]);
+        if !own.services.is_empty() && self.load.network != Network::CutCentres {
+            for other in (0..CENTRES).filter(|c| *c != i) {
+                let reply = sums(&mut self.daemons[other]);
+                let (name, other_name) = (format!("c{i}"), format!("c{other}"));
+                let aggregator = &mut self.daemons[other].aggregator;
+                aggregator.apply_centre(&name, own.clone(), at(now));
+                let aggregator = &mut self.daemons[i].aggregator;
+                aggregator.apply_centre(&other_name, reply, at(now));
+                self.messages += 2;
+            }
+        }
+        let levels = self.levels(i, now);
+        self.daemons[i].gate.apply(&levels, at(now));
+    }
+
+    fn measure(&mut self, now: u64) {
+        if now < WINDOW_MS.start {
+            return;
+        }
+        let since = now - WINDOW_MS.start;
+        if self.outcomes.converged_ms == 0 && WINDOW_MS.contains(&now) {
+            let service = &self.service;
+            let rejects = |d: &Daemon| d.gate.rejects(service, 2, at(now));
+            if self.daemons.iter().all(rejects) {
+                self.outcomes.converged_ms = since.max(1);
+            }
+        }
+        if since % 500 == 499 {
+            let sum: f64 = (0..TARGETS).map(|t| self.target_load(t)).sum();
+            self.outcomes.loads.push(sum / TARGETS as f64);
+        }
+    }
+}
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chervillug::{
+    admission::AdmissionHandle,
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
     follow::{
@@ -99,11 +100,15 @@
     tables.members.replace(members.to_vec(), 1, now);
     tables.targets.replace(Vec::new(), 1, now);
     let connectivity = StoreConnectivity::default();
+    let role = SharedReaderRole::default();
+    let admission =
+        AdmissionHandle::new(view.clone(), role.clone(), metrics.clone(), clock.clone());
     let mut router = PeerRouter::default();
     let handler = ProofHandler {
         view: view.clone(),
         tables: tables.clone(),
         connectivity: connectivity.clone(),
+        admission: admission.clone(),
         clock: clock.clone(),
     };
     router.register(MessageKind::Proof, Rc::new(handler));
@@ -120,7 +125,8 @@
         view: view.clone(),
         tables: tables.clone(),
         connectivity: connectivity.clone(),
-        role: SharedReaderRole::default(),
+        role,
+        admission,
         metrics: metrics.clone(),
         clock,
     });
