--- a/src/admission/aggregator.rs
+++ b/src/admission/aggregator.rs
@@ -45,13 +45,19 @@
         sum_weighted(reports.chain([(own, 1.0)]))
     }
 
-    /// Returns the levels of the services that do not admit all requests.
-    pub fn levels(&mut self, own: &LoadReport, now: BootTime) -> LevelMessage {
+    /// Returns the sums of the fleet, as far as reports were received.
+    pub fn fleet_sums(&mut self, own: &LoadReport, now: BootTime) -> LoadReport {
         discard_old(&mut self.centres, now);
         let local = self.centre_sums(own, now);
         let centres = self.centres.values().map(|r| (&r.report, 1.0));
-        let sums = sum_weighted(centres.chain([(&local, 1.0)]));
-        let level = |load| Some((load, derive_level(load)?));
+        sum_weighted(centres.chain([(&local, 1.0)]))
+    }
+
+    /// Returns the levels of the services that do not admit all requests.
+    /// `fleet` is the number of daemons of the fleet.
+    pub fn levels(&mut self, own: &LoadReport, fleet: usize, now: BootTime) -> LevelMessage {
+        let sums = self.fleet_sums(own, now);
+        let level = |load| Some((load, derive_level(load, fleet)?));
         let levels = sums.services.iter().filter_map(level);
         let levels = levels.map(|(load, level)| ServiceLevel {
             service: load.service.clone(),
--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -121,11 +121,6 @@
         }
     }
 
-    /// Returns whether a level for the service was received.
-    pub fn has_level(&self, service: &str) -> bool {
-        self.services.contains_key(service)
-    }
-
     /// Returns whether requests of a rank are being rejected, so that none is sent again.
     pub fn rejects(&self, service: &str, rank: u32, now: BootTime) -> bool {
         let gate = self.services.get(service);
--- a/src/admission/handle.rs
+++ b/src/admission/handle.rs
@@ -6,20 +6,20 @@
     clock::Clock,
     follow::{ReaderRole, SharedReaderRole},
     metrics::{Counter, Metrics},
+    peer::PeerDirectory,
     routing::ConfigurationView,
     store::ListedHost,
 };
 
 use super::{
-    AdmissionGate, EarlyPolls, GateDecision, LevelMessage, LoadAggregator, LoadRecorder,
-    LoadReport, EARLY_POLL_LOAD,
+    AdmissionGate, GateDecision, LevelMessage, LoadAggregator, LoadRecorder, LoadReport, PushPacer,
 };
 
 struct State {
     recorder: LoadRecorder,
     aggregator: LoadAggregator,
     gate: AdmissionGate,
-    early_polls: EarlyPolls,
+    pacer: PushPacer,
 }
 
 /// The admission state of a daemon, shared by the tasks that use it.
@@ -28,6 +28,7 @@
     state: Rc<RefCell<State>>,
     view: ConfigurationView,
     role: SharedReaderRole,
+    directory: PeerDirectory,
     metrics: Rc<Metrics>,
     clock: Rc<dyn Clock>,
 }
@@ -38,6 +39,7 @@
     pub fn new(
         view: ConfigurationView,
         role: SharedReaderRole,
+        directory: PeerDirectory,
         metrics: Rc<Metrics>,
         clock: Rc<dyn Clock>,
     ) -> Self {
@@ -46,10 +48,11 @@
                 recorder: LoadRecorder::default(),
                 aggregator: LoadAggregator::default(),
                 gate: AdmissionGate::new(fastrand::u64(..)),
-                early_polls: EarlyPolls::default(),
+                pacer: PushPacer::default(),
             })),
             view,
             role,
+            directory,
             metrics,
             clock,
         }
@@ -114,30 +117,6 @@
         (!report.services.is_empty()).then_some(report)
     }
 
-    /// Records a poll of a reader, early or not.
-    pub fn record_poll(&self) {
-        let now = self.clock.now();
-        self.state.borrow_mut().early_polls.record_poll(now);
-    }
-
-    /// Returns whether a reader should be polled ahead of time, as the targets of a service fill up
-    /// and this daemon has no level for it.
-    pub fn takes_early_poll(&self) -> bool {
-        if !self.is_active() {
-            return false;
-        }
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        let State {
-            recorder,
-            gate,
-            early_polls,
-            ..
-        } = &mut *state;
-        let mut full = recorder.services_above(EARLY_POLL_LOAD, now);
-        full.any(|service| !gate.has_level(service)) && early_polls.try_take(now)
-    }
-
     /// Records the report of a daemon of the data centre.
     pub fn record_daemon(&self, host: &str, report: LoadReport) {
         let now = self.clock.now();
@@ -173,7 +152,20 @@
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let own = state.recorder.report(now);
-        state.aggregator.levels(&own, now)
+        let fleet = self.directory.peers().len() + 1;
+        state.aggregator.levels(&own, fleet, now)
+    }
+
+    /// Returns the levels if this daemon reads the store for the others and should send them to the
+    /// others now, without waiting for their polls.
+    pub fn levels_to_push(&self) -> Option<LevelMessage> {
+        if self.role.get() != ReaderRole::ForOthers {
+            return None;
+        }
+        let levels = self.levels();
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        state.pacer.should_push(&levels, now).then_some(levels)
     }
 
     /// Puts the levels of a reader into force.
--- a/src/admission/level.rs
+++ b/src/admission/level.rs
@@ -16,8 +16,6 @@
 /// Factor between offered and answered requests that shows overload. At 0.95 of full load the
 /// fleet's rates differ by 5% at random.
 const MIN_EXCESS: f64 = 1.25;
-/// Load at a single daemon from which it polls its reader ahead of time.
-pub const EARLY_POLL_LOAD: f64 = 1.5;
 /// Load that the admitted requests are meant to cause: enough waiting requests to keep the slots of
 /// all targets busy although daemons place requests independently.
 const LOAD_SETPOINT: f64 = 2.6;
@@ -28,6 +26,8 @@
 const GAIN_ABOVE: f64 = 0.2;
 /// Requests in flight per slot below which some slots are idle, whatever the targets report.
 const MIN_IN_FLIGHT: f64 = 0.95;
+/// Largest factor by which requests in flight are extrapolated.
+const MAX_EXTRAPOLATION: f64 = 4.0;
 /// Share of the mean admitted share that every rank keeps; above the required quarter, so that the
 /// quarter is kept despite late levels.
 const FLOOR_RATIO: f64 = 0.26;
@@ -60,13 +60,19 @@
     }
 }
 
-/// Derives the level of a service from the sums over the fleet; `None` admits all requests.
+/// Derives the level of a service from the sums over those of the `fleet` daemons that report;
+/// `None` admits all requests.
+///
+/// The load is what targets report, or what the daemons have in flight there if that is less, since
+/// idle targets report nothing. Requests in flight at the other daemons are extrapolated.
 ///
 /// The rate of answers of a service whose slots are all busy is its capacity. The admitted rate is
 /// that capacity, corrected in proportion to the distance of the load from its setpoint.
-pub fn derive_level(sums: &ServiceLoad) -> Option<AdmissionLevel> {
-    let load = sums.mean_load()?.min(MAX_LOAD);
-    let is_busy = sums.in_flight >= MIN_IN_FLIGHT * f64::from(sums.slots);
+pub fn derive_level(sums: &ServiceLoad, fleet: usize) -> Option<AdmissionLevel> {
+    let missing = (fleet as f64 / f64::from(sums.daemons)).clamp(1.0, MAX_EXTRAPOLATION);
+    let in_flight = missing * sums.in_flight / f64::from(sums.slots.max(1));
+    let load = sums.mean_load()?.min(in_flight);
+    let is_busy = in_flight >= MIN_IN_FLIGHT;
     let offered: f64 = sums.offered.iter().map(|(_, rate)| rate).sum();
     let grows = load >= MIN_GROWING_LOAD && offered >= MIN_EXCESS * sums.answered_per_s;
     let is_full = is_busy && sums.slots > 0 && (grows || load >= MIN_LOAD);
--- a/src/admission/messages.rs
+++ b/src/admission/messages.rs
@@ -122,3 +122,21 @@
     /// Its sums, empty if no service is busy.
     pub sums: LoadReport,
 }
+
+/// A message of a reader.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum AdmissionMessage {
+    /// The sums of its data centre, for the reader of another one.
+    Sums(CentreReport),
+    /// The levels, for a daemon of its data centre.
+    Levels(LevelMessage),
+}
+
+/// The reply to an [`AdmissionMessage`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum AdmissionReply {
+    /// The sums of the responding reader's data centre.
+    Sums(CentreReport),
+    /// The load of the responding daemon.
+    Load(LoadReport),
+}
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -5,23 +5,24 @@
 //! The design is described in `docs/design/admission.md`.
 
 mod aggregator;
-mod early_polls;
 mod gate;
 mod handle;
 mod handler;
 mod level;
 mod messages;
+mod push_pacer;
 mod recorder;
 mod task;
 
 pub use aggregator::LoadAggregator;
-pub use early_polls::EarlyPolls;
 pub use gate::{AdmissionGate, GateDecision};
 pub use handle::{AdmissionHandle, InFlightGuard};
 pub use handler::AdmissionHandler;
-pub use level::{derive_level, AdmissionLevel, EARLY_POLL_LOAD, MAX_LOAD};
+pub use level::{derive_level, AdmissionLevel, MAX_LOAD};
 pub use messages::{
-    CentreReport, LevelMessage, LoadReport, ServiceLevel, ServiceLoad, MAX_RANKS, MAX_SERVICES,
+    AdmissionMessage, AdmissionReply, CentreReport, LevelMessage, LoadReport, ServiceLevel,
+    ServiceLoad, MAX_RANKS, MAX_SERVICES,
 };
+pub use push_pacer::PushPacer;
 pub use recorder::LoadRecorder;
 pub use task::{AdmissionTask, AdmissionTaskParts};
--- a/src/admission/recorder.rs
+++ b/src/admission/recorder.rs
@@ -106,13 +106,6 @@
         }
     }
 
-    /// Returns the services whose reported load is at least `load`.
-    pub fn services_above(&self, load: f64, now: BootTime) -> impl Iterator<Item = &str> {
-        let services = self.services.iter();
-        services
-            .filter_map(move |(name, record)| (record.mean_load(now)? >= load).then_some(&**name))
-    }
-
     /// Returns the demand and load of the services that are busy.
     pub fn report(&self, now: BootTime) -> LoadReport {
         let loads = self.services.iter().map(|(name, r)| r.report(name, now));
--- a/src/admission/task.rs
+++ b/src/admission/task.rs
@@ -10,12 +10,14 @@
     peer::{MessageKind, PeerClient},
 };
 
-use super::{AdmissionHandle, CentreReport};
+use super::{AdmissionHandle, AdmissionMessage, AdmissionReply, CentreReport, LevelMessage};
 
 /// Time between two exchanges. With four data centres a reader sends and answers six messages in
 /// it, and its daemons see loads of other data centres half an interval late on average.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
-/// Timeout of one exchange.
+/// Time between two checks whether levels are pushed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Timeout of one message.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Dependencies of an [`AdmissionTask`].
@@ -48,9 +50,39 @@
 
     /// Runs until the daemon exits.
     pub async fn run(mut self) {
+        let mut exchanged = self.parts.clock.now();
         loop {
-            sleep(EXCHANGE_INTERVAL).await;
-            self.step().await;
+            sleep(CHECK_INTERVAL).await;
+            if let Some(levels) = self.parts.admission.levels_to_push() {
+                self.push(levels);
+            }
+            let now = self.parts.clock.now();
+            if now.since(exchanged) >= EXCHANGE_INTERVAL {
+                exchanged = now;
+                self.step().await;
+            }
+        }
+    }
+
+    /// Sends levels to the other daemons of the data centre, and records the loads that they
+    /// respond with.
+    fn push(&self, levels: LevelMessage) {
+        self.parts.admission.apply_levels(&levels);
+        let peers = self.parts.peers.directory().peers();
+        let local = peers
+            .iter()
+            .filter(|p| *p.data_centre == *self.parts.data_centre && !p.leaving);
+        let msg = Rc::new(AdmissionMessage::Levels(levels));
+        for host in local.map(|p| p.host.clone()) {
+            let (peers, admission) = (self.parts.peers.clone(), self.parts.admission.clone());
+            let msg = msg.clone();
+            monoio::spawn(async move {
+                let kind = MessageKind::Admission;
+                let reply = peers.call(&host, kind, &*msg, EXCHANGE_TIMEOUT).await;
+                if let Ok(AdmissionReply::Load(report)) = reply {
+                    admission.record_daemon(&host, report);
+                }
+            });
         }
     }
 
@@ -88,9 +120,10 @@
 
     async fn exchange(&mut self, reader: &Rc<str>, report: &CentreReport) {
         let (peers, kind) = (&self.parts.peers, MessageKind::Admission);
-        let res: Result<CentreReport, _> = peers.call(reader, kind, report, EXCHANGE_TIMEOUT).await;
-        match res {
-            Ok(res) => {
+        let msg = AdmissionMessage::Sums(report.clone());
+        match peers.call(reader, kind, &msg, EXCHANGE_TIMEOUT).await {
+            Ok(AdmissionReply::Load(_)) => {}
+            Ok(AdmissionReply::Sums(res)) => {
                 let admission = &self.parts.admission;
                 admission.record_centre(&res.data_centre, res.sums);
             }
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -100,7 +100,7 @@
     let directory = PeerDirectory::new(&base.settings.host, &Default::default());
     let peers = PeerClient::new(secrets.clone(), directory, base.metrics.clone());
     let role = SharedReaderRole::default();
-    let admission = base.admission(&role);
+    let admission = base.admission(&role, peers.directory());
     let front = FrontDaemon {
         base,
         peers,
@@ -194,9 +194,14 @@
         monoio::spawn(readiness_server_task(Rc::new(server), listener));
     }
 
-    fn admission(&self, role: &SharedReaderRole) -> AdmissionHandle {
-        let (metrics, clock) = (self.metrics.clone(), self.clock.clone());
-        AdmissionHandle::new(self.view.clone(), role.clone(), metrics, clock)
+    fn admission(&self, role: &SharedReaderRole, directory: &PeerDirectory) -> AdmissionHandle {
+        AdmissionHandle::new(
+            self.view.clone(),
+            role.clone(),
+            directory.clone(),
+            self.metrics.clone(),
+            self.clock.clone(),
+        )
     }
 
     /// Registers this daemon in the fleet.
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -41,8 +41,6 @@
 const STARTUP_RETRY_PER_DAEMON: Duration = Duration::from_millis(4);
 /// Time within which all daemons of a starting fleet have joined it.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
-/// Time between two checks whether a poll is due ahead of time.
-const EARLY_POLL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of one poll; four timeouts in a row stay below the operator's limits.
 const POLL_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -115,19 +113,7 @@
         self.last_direct = self.started;
         loop {
             let pause = self.step().await;
-            self.pause(pause).await;
-        }
-    }
-
-    /// Waits for `pause`, or until the load of a service must be reported before.
-    async fn pause(&self, pause: Duration) {
-        let end = self.parts.clock.now() + pause;
-        loop {
-            let left = end.since(self.parts.clock.now());
-            sleep(left.min(EARLY_POLL_CHECK_INTERVAL)).await;
-            if left <= EARLY_POLL_CHECK_INTERVAL || self.parts.admission.takes_early_poll() {
-                return;
-            }
+            sleep(pause).await;
         }
     }
 
@@ -268,7 +254,6 @@
         req: &ProofRequest,
     ) -> Result<ProofResponse, PeerError> {
         let admission = &self.parts.admission;
-        admission.record_poll();
         let body = encode_extended(req, admission.own_report().as_ref());
         let call = self
             .parts
