--- a/src/admission/aggregator.rs
+++ b/src/admission/aggregator.rs
@@ -12,7 +12,7 @@
 const REPORT_TTL: Duration = Duration::from_millis(1650);
 /// Age at which a report weighs half of a new one, so that sums follow a sudden overload before
 /// every daemon has reported it.
-const WEIGHT_HALF_LIFE: Duration = Duration::from_millis(300);
+const WEIGHT_HALF_LIFE: Duration = Duration::from_millis(250);
 
 #[derive(Debug)]
 struct Received {
@@ -25,6 +25,8 @@
 pub struct LoadAggregator {
     daemons: FxHashMap<Rc<str>, Received>,
     centres: FxHashMap<Rc<str>, Received>,
+    /// Services that had a level when the levels were last derived.
+    full: Vec<String>,
 }
 
 impl LoadAggregator {
@@ -57,15 +59,20 @@
     /// `fleet` is the number of daemons of the fleet.
     pub fn levels(&mut self, own: &LoadReport, fleet: usize, now: BootTime) -> LevelMessage {
         let sums = self.fleet_sums(own, now);
-        let level = |load| Some((load, derive_level(load, fleet)?));
+        let level = |load| {
+            Some((
+                load,
+                derive_level(load, fleet, self.full.contains(&load.service))?,
+            ))
+        };
         let levels = sums.services.iter().filter_map(level);
         let levels = levels.map(|(load, level)| ServiceLevel {
             service: load.service.clone(),
             level,
         });
-        LevelMessage {
-            levels: levels.collect(),
-        }
+        let levels: Vec<ServiceLevel> = levels.collect();
+        self.full = levels.iter().map(|l| l.service.clone()).collect();
+        LevelMessage { levels }
     }
 }
 
--- a/src/admission/handle.rs
+++ b/src/admission/handle.rs
@@ -1,6 +1,6 @@
 //! The admission state of a daemon, shared by the tasks that use it.
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use crate::{
     clock::Clock,
@@ -92,12 +92,13 @@
         }
     }
 
-    /// Records an answer of a target, with the load that the target reported.
-    pub fn record_answer(&self, service: &Rc<str>, load: Option<f64>) {
+    /// Records an answer of a target, with the time that it took and the load that the target
+    /// reported.
+    pub fn record_answer(&self, service: &Rc<str>, latency: Duration, load: Option<f64>) {
         if self.is_active() {
             let now = self.clock.now();
             let mut state = self.state.borrow_mut();
-            state.recorder.record_answer(service, load, now);
+            state.recorder.record_answer(service, latency, load, now);
         }
     }
 
--- a/src/admission/level.rs
+++ b/src/admission/level.rs
@@ -10,20 +10,23 @@
 /// Load from which a level is derived at any rate of requests. At 0.95 of full load, requests that
 /// daemons place independently already cause a load of 2.3.
 const MIN_LOAD: f64 = 3.2;
-/// Load from which a level is derived if more requests are offered than answered by the factor
-/// [`MIN_EXCESS`], so that the queues of the targets grow.
-const MIN_GROWING_LOAD: f64 = 1.3;
-/// Factor between offered and answered requests that shows overload. At 0.95 of full load the
-/// fleet's rates differ by 5% at random.
-const MIN_EXCESS: f64 = 1.25;
+/// Load from which a level is derived if [`MIN_EXCESS`] is offered, too. It shows that all slots
+/// are busy, before the queues of the targets are full.
+const MIN_EXCESS_LOAD: f64 = 1.1;
+/// Offered requests, as a multiple of the answered ones, that show overload. At 0.95 of full load
+/// the fleet's measured rates differ by some 5% at random.
+const MIN_EXCESS: f64 = 1.22;
+/// Offered requests, as a multiple of the capacity, that are needed, too. After a sudden rise of
+/// the load, fewer requests are answered than offered also below full load.
+const MIN_CAPACITY_EXCESS: f64 = 1.25;
 /// Load that the admitted requests are meant to cause: enough waiting requests to keep the slots of
 /// all targets busy although daemons place requests independently.
-const LOAD_SETPOINT: f64 = 2.6;
+const LOAD_SETPOINT: f64 = 2.7;
 /// Relative increase of the admitted rate per unit of load below the setpoint.
 const GAIN_BELOW: f64 = 0.2;
 /// Relative decrease of the admitted rate per unit of load above the setpoint. It is larger, as
 /// targets with full queues shed urgent requests, too.
-const GAIN_ABOVE: f64 = 0.2;
+const GAIN_ABOVE: f64 = 0.15;
 /// Requests in flight per slot below which some slots are idle, whatever the targets report.
 const MIN_IN_FLIGHT: f64 = 0.95;
 /// Largest factor by which requests in flight are extrapolated.
@@ -64,18 +67,26 @@
 /// `None` admits all requests.
 ///
 /// The load is what targets report, or what the daemons have in flight there if that is less, since
-/// idle targets report nothing. Requests in flight at the other daemons are extrapolated.
+/// idle targets report nothing. Requests in flight at the other daemons are extrapolated. A service
+/// that had a level (`was_full`) keeps one until the rate admits all requests.
 ///
 /// The rate of answers of a service whose slots are all busy is its capacity. The admitted rate is
 /// that capacity, corrected in proportion to the distance of the load from its setpoint.
-pub fn derive_level(sums: &ServiceLoad, fleet: usize) -> Option<AdmissionLevel> {
+pub fn derive_level(sums: &ServiceLoad, fleet: usize, was_full: bool) -> Option<AdmissionLevel> {
     let missing = (fleet as f64 / f64::from(sums.daemons)).clamp(1.0, MAX_EXTRAPOLATION);
     let in_flight = missing * sums.in_flight / f64::from(sums.slots.max(1));
     let load = sums.mean_load()?.min(in_flight);
     let is_busy = in_flight >= MIN_IN_FLIGHT;
     let offered: f64 = sums.offered.iter().map(|(_, rate)| rate).sum();
-    let grows = load >= MIN_GROWING_LOAD && offered >= MIN_EXCESS * sums.answered_per_s;
-    let is_full = is_busy && sums.slots > 0 && (grows || load >= MIN_LOAD);
+    let capacity = sums.capacity_per_s();
+    let exceeds = offered >= MIN_EXCESS * sums.answered_per_s
+        && capacity.is_some_and(|capacity| offered >= MIN_CAPACITY_EXCESS * capacity);
+    let min_load = if exceeds || was_full {
+        MIN_EXCESS_LOAD
+    } else {
+        MIN_LOAD
+    };
+    let is_full = is_busy && sums.slots > 0 && load >= min_load;
     if !is_full || sums.offered.len() < 2 {
         return None;
     }
@@ -85,7 +96,9 @@
     } else {
         GAIN_BELOW
     };
-    let rate = sums.answered_per_s * (1.0 + gain * distance);
+    // Right after the load rose, the rate of answers is still the one before.
+    let least = capacity.filter(|_| distance > 0.0).unwrap_or(0.0);
+    let rate = sums.answered_per_s.max(least) * (1.0 + gain * distance);
     if rate >= offered {
         return None;
     }
--- a/src/admission/messages.rs
+++ b/src/admission/messages.rs
@@ -22,6 +22,10 @@
     pub load_sum: f64,
     /// Number of daemons in `load_sum`.
     pub daemons: u32,
+    /// Sum over daemons of the mean time in seconds that targets without waiting requests took.
+    pub work_sum_s: f64,
+    /// Number of daemons in `work_sum_s`.
+    pub timed: u32,
     /// Requests in flight.
     pub in_flight: f64,
     /// Slots of all targets of the service.
@@ -41,6 +45,8 @@
         self.answered_per_s += other.answered_per_s;
         self.load_sum += other.load_sum;
         self.daemons = self.daemons.saturating_add(other.daemons);
+        self.work_sum_s += other.work_sum_s;
+        self.timed = self.timed.saturating_add(other.timed);
         self.in_flight += other.in_flight;
         self.slots = self.slots.max(other.slots);
     }
@@ -52,6 +58,7 @@
         }
         self.answered_per_s *= factor;
         self.load_sum *= factor;
+        self.work_sum_s *= factor;
         self.in_flight *= factor;
     }
 
@@ -60,12 +67,24 @@
         (self.daemons > 0).then(|| self.load_sum / f64::from(self.daemons))
     }
 
+    /// Returns the rate of requests that keeps all slots busy, 1/s; `None` if no target without
+    /// waiting requests has answered recently. Targets that slow down under load serve fewer.
+    pub fn capacity_per_s(&self) -> Option<f64> {
+        let is_known = self.timed > 0 && self.work_sum_s > 0.0;
+        is_known.then(|| f64::from(self.slots) * f64::from(self.timed) / self.work_sum_s)
+    }
+
     /// Returns whether all numbers can be used.
     pub fn is_valid(&self) -> bool {
         let is_valid = |n: f64| n.is_finite() && n >= 0.0;
         let ascends = self.offered.windows(2).all(|w| w[0].0 < w[1].0);
         let offered_valid = self.offered.iter().all(|(_, rate)| is_valid(*rate));
-        let others = [self.answered_per_s, self.load_sum, self.in_flight];
+        let others = [
+            self.answered_per_s,
+            self.load_sum,
+            self.work_sum_s,
+            self.in_flight,
+        ];
         let others_valid = others.into_iter().all(is_valid);
         ascends && offered_valid && others_valid && self.offered.len() <= MAX_RANKS
     }
--- a/src/admission/push_pacer.rs
+++ b/src/admission/push_pacer.rs
@@ -11,11 +11,11 @@
 const MAX_TOKENS: f64 = 2.0;
 /// Pushes per second. Each is a message and a response of every daemon, which stays below the limit
 /// of two messages a second.
-const TOKENS_PER_S: f64 = 0.8;
+const TOKENS_PER_S: f64 = 0.6;
 /// Shortest time between two pushes.
 const MIN_INTERVAL: Duration = Duration::from_millis(200);
 /// Change of the share of the marginal rank that is worth a push.
-const MIN_CHANGE: f64 = 0.15;
+const MIN_CHANGE: f64 = 0.2;
 
 /// Decides when a reader pushes levels. Without pushes a level reaches the last daemons only two
 /// poll intervals after the load rose.
--- a/src/admission/recorder.rs
+++ b/src/admission/recorder.rs
@@ -8,11 +8,21 @@
 
 use super::{level::MAX_LOAD, messages::merge_excess_ranks, LoadReport, ServiceLoad, MAX_SERVICES};
 
-/// Half-life of the counts. A shorter one makes the rates of a daemon with some ten requests per
-/// second too noisy, a longer one delays levels by more than a poll of the reader.
-const HALF_LIFE: Duration = Duration::from_millis(250);
+/// Half-life of the offered requests. The sum over the fleet is exact enough, and a longer one
+/// delays the detection of an overload.
+const OFFERED_HALF_LIFE: Duration = Duration::from_millis(120);
+/// Half-life of the answers. At 150 ms the admitted rate follows random changes of the load.
+const ANSWERED_HALF_LIFE: Duration = Duration::from_millis(250);
 /// Half-life of the reported loads, which rise within tenths of a second in an overload.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(120);
+/// Half-life of the times that targets without waiting requests take, which are only measured
+/// below full load but used above it.
+const WORK_HALF_LIFE: Duration = Duration::from_secs(10);
+/// Multiple of the mean above which a time is left out, as the request probably had to wait before
+/// the target reported that none does.
+const MAX_WORK_FACTOR: f64 = 1.3;
+/// Weight of the measured times below which they are too old to be reported.
+const MIN_WORK_SAMPLES: f64 = 0.01;
 /// Reported load below which a service is left out of reports.
 const MIN_REPORTED_LOAD: f64 = 0.5;
 /// Weight of recent answers below which their load is not reported.
@@ -30,6 +40,8 @@
     answered: DecayingSum,
     load_samples: DecayingSum,
     load: DecayingSum,
+    work_samples: DecayingSum,
+    work_s: DecayingSum,
     in_flight: u32,
     slots: u32,
 }
@@ -56,7 +68,7 @@
         if record.offered.len() >= MAX_TRACKED_RANKS {
             record
                 .offered
-                .retain(|_, sum| rate(sum, now) >= MIN_OFFERED_PER_S);
+                .retain(|_, sum| rate(sum, OFFERED_HALF_LIFE, now) >= MIN_OFFERED_PER_S);
         }
         let is_full = record.offered.len() >= MAX_TRACKED_RANKS;
         let last = record.offered.keys().next_back().copied();
@@ -65,7 +77,7 @@
             _ => rank,
         };
         let sum = record.offered.entry(rank).or_default();
-        sum.add(1.0, now, HALF_LIFE);
+        sum.add(1.0, now, OFFERED_HALF_LIFE);
     }
 
     /// Records the begin of an admitted request.
@@ -82,15 +94,29 @@
         }
     }
 
-    /// Records an answer of a target, with the load that the target reported.
-    pub fn record_answer(&mut self, service: &Rc<str>, load: Option<f64>, now: BootTime) {
+    /// Records an answer of a target, with the time that it took and the load that the target
+    /// reported.
+    pub fn record_answer(
+        &mut self,
+        service: &Rc<str>,
+        latency: Duration,
+        load: Option<f64>,
+        now: BootTime,
+    ) {
         let Some(record) = self.record(service) else {
             return;
         };
-        record.answered.add(1.0, now, HALF_LIFE);
+        record.answered.add(1.0, now, ANSWERED_HALF_LIFE);
         if let Some(load) = load.filter(|load| load.is_finite() && *load >= 0.0) {
             record.load.add(load.min(MAX_LOAD), now, LOAD_HALF_LIFE);
             record.load_samples.add(1.0, now, LOAD_HALF_LIFE);
+            let mean_s = record.mean_work_s(now).unwrap_or(f64::MAX);
+            if load <= 1.0 && latency.as_secs_f64() <= MAX_WORK_FACTOR * mean_s {
+                record
+                    .work_s
+                    .add(latency.as_secs_f64(), now, WORK_HALF_LIFE);
+                record.work_samples.add(1.0, now, WORK_HALF_LIFE);
+            }
         }
     }
 
@@ -123,17 +149,30 @@
         (samples >= MIN_ANSWERS).then(|| self.load.get(now, LOAD_HALF_LIFE) / samples)
     }
 
+    /// Returns the mean time that targets without waiting requests took; `None` if it was measured
+    /// too long ago.
+    fn mean_work_s(&self, now: BootTime) -> Option<f64> {
+        let samples = self.work_samples.get(now, WORK_HALF_LIFE);
+        (samples >= MIN_WORK_SAMPLES).then(|| self.work_s.get(now, WORK_HALF_LIFE) / samples)
+    }
+
     fn report(&self, service: &str, now: BootTime) -> ServiceLoad {
-        let rates = self.offered.iter().map(|(k, v)| (*k, rate(v, now)));
+        let rates = self
+            .offered
+            .iter()
+            .map(|(k, v)| (*k, rate(v, OFFERED_HALF_LIFE, now)));
         let mut offered: Vec<(u32, f64)> = rates.filter(|(_, n)| *n >= MIN_OFFERED_PER_S).collect();
         merge_excess_ranks(&mut offered);
         let load = self.mean_load(now);
+        let work_s = self.mean_work_s(now);
         ServiceLoad {
             service: service.to_owned(),
             offered,
-            answered_per_s: rate(&self.answered, now),
+            answered_per_s: rate(&self.answered, ANSWERED_HALF_LIFE, now),
             load_sum: load.unwrap_or(0.0),
             daemons: u32::from(load.is_some()),
+            work_sum_s: work_s.unwrap_or(0.0),
+            timed: u32::from(work_s.is_some()),
             in_flight: f64::from(self.in_flight),
             slots: self.slots,
         }
@@ -141,8 +180,8 @@
 }
 
 /// Returns the rate of the recently counted events, in 1/s.
-fn rate(sum: &DecayingSum, now: BootTime) -> f64 {
-    sum.get(now, HALF_LIFE) * std::f64::consts::LN_2 / HALF_LIFE.as_secs_f64()
+fn rate(sum: &DecayingSum, half_life: Duration, now: BootTime) -> f64 {
+    sum.get(now, half_life) * std::f64::consts::LN_2 / half_life.as_secs_f64()
 }
 
 /// Returns whether a service is reported. One without recent answers is reported while it has
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -90,7 +90,7 @@
         let service = self.dispatch.service();
         self.cx.retry_states.record_answer(service, latency, now);
         if let Some(admission) = &self.cx.admission {
-            admission.record_answer(service, load);
+            admission.record_answer(service, latency, load);
         }
         self.observe(if head.status.is_server_error() {
             WorkResult::ServerError
