admission: send reports while a level is in force, and split the simulation

A daemon whose service is no longer busy sent no report, so that a response never lifted its level, which then only decayed within 3 s. It now reports while it has a level.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// Returns whether any service has a level.
+    pub fn has_levels(&self) -> bool {
+        !self.services.is_empty()
+    }
+
     /// Returns whether requests of a rank are being rejected, so that none is sent again.
     pub fn rejects(&self, service: &str, rank: u32, now: BootTime) -> bool {
         let gate = self.services.get(service);
--- a/src/admission/handle.rs
+++ b/src/admission/handle.rs
@@ -109,13 +109,15 @@
         self.state.borrow_mut().recorder.set_slots(slots);
     }
 
-    /// Returns the report of this daemon; `None` if no service is busy.
+    /// Returns the report of this daemon; `None` if no service is busy or has a level.
     pub fn own_report(&self) -> Option<LoadReport> {
         if !self.is_active() {
             return None;
         }
-        let report = self.state.borrow().recorder.report(self.clock.now());
-        (!report.services.is_empty()).then_some(report)
+        let state = self.state.borrow();
+        let report = state.recorder.report(self.clock.now());
+        let is_needed = !report.services.is_empty() || state.gate.has_levels();
+        is_needed.then_some(report)
     }
 
     /// Records the report of a daemon of the data centre.
--- a/tests/admission/fleet.rs
+++ b/tests/admission/fleet.rs
@@ -3,9 +3,7 @@
 use std::{collections::BTreeMap, collections::VecDeque, ops::Range, rc::Rc, time::Duration};
 
 use chervillug::{
-    admission::{
-        AdmissionGate, GateDecision, LevelMessage, LoadAggregator, LoadRecorder, PushPacer,
-    },
+    admission::{AdmissionGate, GateDecision, LoadAggregator, LoadRecorder, PushPacer},
     clock::BootTime,
     health::{Balancer, Choice, Observation, PickRequest, Profile, SequentialDetector, WorkResult},
     proxy::TargetReport,
@@ -13,6 +11,8 @@
     store::ListedHost,
 };
 
+use super::outcomes::{Arrival, Load, Outcomes};
+
 pub(super) const RANKS: usize = 3;
 pub(super) const TARGETS: usize = 206;
 pub(super) const SLOTS: u32 = 2;
@@ -25,8 +25,8 @@
 /// Time of the overload, ms. It lasts one deadline longer than the arrivals that are counted, so
 /// that slots which are idle afterwards do not serve them.
 const OVERLOAD_MS: Range<u64> = WINDOW_MS.start..WINDOW_MS.end + DEADLINE_MS;
-const DAEMONS: usize = 123;
-const CENTRES: usize = 3;
+pub(super) const DAEMONS: usize = 123;
+pub(super) const CENTRES: usize = 3;
 /// Requests that a target queues.
 const MAX_WAITING: usize = 4 * SLOTS as usize;
 /// Shares of the ranks among all requests.
@@ -34,10 +34,6 @@
 /// Load of a workspace within its plan, as a share of the slots, and the factor above it.
 const LARGE_PLAN: f64 = 0.1;
 const LARGE_FACTOR: f64 = 5.0;
-const POLL_MS: u64 = 700;
-/// Time between two checks whether levels are pushed, ms.
-const CHECK_MS: u64 = 100;
-const EXCHANGE_MS: u64 = 500;
 /// Time of a message in one direction, ms.
 const DELAY_MS: u64 = 2;
 const MAX_ATTEMPTS: usize = 3;
@@ -49,66 +45,6 @@
     floor_per_s: 0.0,
 };
 
-/// Faults of the network between daemons.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Network {
-    Sound,
-    LossyPolls,
-    CutCentres,
-    /// No poll succeeds in the second half of the overload.
-    PollsLostAfterStart,
-}
-
-/// One run.
-#[derive(Clone, Copy)]
-pub(super) struct Load {
-    /// Load before and after the overload, as a share of the slots.
-    pub(super) base: f64,
-    /// Load during the overload.
-    pub(super) utilization: f64,
-    pub(super) admission: bool,
-    /// Whether all requests have one rank.
-    pub(super) single_rank: bool,
-    pub(super) network: Network,
-    /// Share of the requests that targets shed at random.
-    pub(super) shed_share: f64,
-    pub(super) seed: u64,
-}
-
-/// A request within its plan.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Arrival {
-    pub(super) at_ms: u64,
-    pub(super) rank: usize,
-}
-
-/// What happened to the requests within the window.
-#[derive(Default)]
-pub(super) struct Outcomes {
-    pub(super) arrivals: Vec<Arrival>,
-    pub(super) answered: [u64; RANKS],
-    pub(super) rejected: [u64; RANKS],
-    pub(super) failed: [u64; RANKS],
-    /// Rejections in the last 500 ms of the window.
-    pub(super) rejected_at_end: u64,
-    /// Time from the begin of the overload until all daemons reject the least urgent rank, ms.
-    pub(super) converged_ms: u64,
-    /// Messages and responses besides the polls that daemons send anyway, during the overload.
-    pub(super) messages_per_daemon_s: f64,
-    /// Mean running and waiting requests per slot, by half seconds.
-    pub(super) loads: Vec<f64>,
-}
-
-impl std::fmt::Debug for Outcomes {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(
-            f,
-            "answered {:?} rejected {:?} failed {:?} loads {:.1?}",
-            self.answered, self.rejected, self.failed, self.loads
-        )
-    }
-}
-
 #[derive(Clone)]
 struct Request {
     daemon: usize,
@@ -131,27 +67,27 @@
     finishing: VecDeque<(Request, Choice, u64)>,
 }
 
-struct Daemon {
+pub(super) struct Daemon {
     balancer: Balancer,
-    recorder: LoadRecorder,
-    aggregator: LoadAggregator,
-    gate: AdmissionGate,
-    pacer: PushPacer,
+    pub(super) recorder: LoadRecorder,
+    pub(super) aggregator: LoadAggregator,
+    pub(super) gate: AdmissionGate,
+    pub(super) pacer: PushPacer,
     budget: RetryBudget,
 }
 
-struct Fleet<'a> {
-    load: &'a Load,
-    daemons: Vec<Daemon>,
+pub(super) struct Fleet<'a> {
+    pub(super) load: &'a Load,
+    pub(super) daemons: Vec<Daemon>,
     targets: Vec<SimTarget>,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     service: Rc<str>,
     /// Draws the requests of clients, which are the same with and without admission.
     clients: fastrand::Rng,
-    rng: fastrand::Rng,
+    pub(super) rng: fastrand::Rng,
     outcomes: Outcomes,
-    messages: u64,
+    pub(super) messages: u64,
     large_tokens: f64,
 }
 
@@ -443,91 +379,6 @@
         }
     }
 
-    /// Lets daemons poll the reader of their data centre, and readers exchange their sums.
-    fn exchange(&mut self, now: u64) {
-        for i in 0..DAEMONS {
-            let is_due = now % POLL_MS == (i as u64 * 277) % POLL_MS;
-            if is_due && i >= CENTRES {
-                self.poll(i, i % CENTRES, now);
-            }
-        }
-        for i in 0..CENTRES {
-            if now % EXCHANGE_MS == (i as u64 * 167) % EXCHANGE_MS {
-                self.exchange_centres(i, now);
-            }
-            if now % CHECK_MS == 0 {
-                self.push(i, now);
-            }
-        }
-    }
-
-    fn poll(&mut self, i: usize, reader: usize, now: u64) {
-        if self.is_lost(now) {
-            return;
-        }
-        let report = self.daemons[i].recorder.report(at(now));
-        let host = format!("h{i}");
-        let sim = &mut self.daemons[reader];
-        if !report.services.is_empty() {
-            sim.aggregator.apply_daemon(&host, report, at(now));
-        }
-        let levels = self.levels(reader, now);
-        self.daemons[i].gate.apply(&levels, at(now));
-    }
-
-    /// Lets a reader push levels to the daemons of its data centre.
-    fn push(&mut self, reader: usize, now: u64) {
-        let levels = self.levels(reader, now);
-        if self.is_lost(now) || !self.daemons[reader].pacer.should_push(&levels, at(now)) {
-            return;
-        }
-        for i in (reader..DAEMONS).step_by(CENTRES) {
-            let sim = &mut self.daemons[i];
-            sim.gate.apply(&levels, at(now));
-            let report = sim.recorder.report(at(now));
-            if i != reader {
-                self.messages += 2;
-                let aggregator = &mut self.daemons[reader].aggregator;
-                aggregator.apply_daemon(&format!("h{i}"), report, at(now));
-            }
-        }
-    }
-
-    fn is_lost(&mut self, now: u64) -> bool {
-        match self.load.network {
-            Network::LossyPolls => self.rng.usize(0..3) == 0,
-            Network::PollsLostAfterStart => now > WINDOW_MS.start + 2500,
-            _ => false,
-        }
-    }
-
-    fn levels(&mut self, reader: usize, now: u64) -> LevelMessage {
-        let sim = &mut self.daemons[reader];
-        let own = sim.recorder.report(at(now));
-        sim.aggregator.levels(&own, DAEMONS, at(now))
-    }
-
-    fn exchange_centres(&mut self, i: usize, now: u64) {
-        let sums = |sim: &mut Daemon| {
-            let own = sim.recorder.report(at(now));
-            sim.aggregator.centre_sums(&own, at(now))
-        };
-        let own = sums(&mut self.daemons[i]);
-        if !own.services.is_empty() && self.load.network != Network::CutCentres {
-            for other in (0..CENTRES).filter(|c| *c != i) {
-                let reply = sums(&mut self.daemons[other]);
-                let (name, other_name) = (format!("c{i}"), format!("c{other}"));
-                let aggregator = &mut self.daemons[other].aggregator;
-                aggregator.apply_centre(&name, own.clone(), at(now));
-                let aggregator = &mut self.daemons[i].aggregator;
-                aggregator.apply_centre(&other_name, reply, at(now));
-                self.messages += 2;
-            }
-        }
-        let levels = self.levels(i, now);
-        self.daemons[i].gate.apply(&levels, at(now));
-    }
-
     fn measure(&mut self, now: u64) {
         if now < WINDOW_MS.start {
             return;
--- a/tests/admission/reference.rs
+++ b/tests/admission/reference.rs
@@ -2,7 +2,8 @@
 
 use std::collections::VecDeque;
 
-use super::fleet::{Arrival, RANKS, SLOTS, TARGETS, WINDOW_MS, WORK_MS};
+use super::fleet::{RANKS, SLOTS, TARGETS, WINDOW_MS, WORK_MS};
+use super::outcomes::Arrival;
 
 /// Share of the mean served share that every rank keeps.
 const FLOOR_RATIO: f64 = 0.25;
--- a/tests/admission_fleet.rs
+++ b/tests/admission_fleet.rs
@@ -3,12 +3,17 @@
 //! Compares the goodput of each rank with that of the same fleet without admission, and with one
 //! queue that knows all requests.
 
+#[path = "admission/exchange.rs"]
+mod exchange;
 #[path = "admission/fleet.rs"]
 mod fleet;
+#[path = "admission/outcomes.rs"]
+mod outcomes;
 #[path = "admission/reference.rs"]
 mod reference;
 
-use fleet::{run, Load, Network, Outcomes, RANKS};
+use fleet::{run, RANKS};
+use outcomes::{Load, Network, Outcomes};
 
 /// Overload of the requirement: 1.7 times the load of the slots.
 const OVERLOAD: f64 = 1.7;
