admission: test the exchange of levels between real daemons

The simulated fleet calls the decisions directly; nothing showed that reports, sums and levels pass between processes, or that the proxy answers with Retry-After. Four daemons now face targets that report full queues, whose load the stand-in lets a test set.

--- a/standins/src/entry_target.rs
+++ b/standins/src/entry_target.rs
@@ -79,6 +79,8 @@
     script: Mutex<Option<Script>>,
     /// Headers that are added to each response to a request.
     extra_headers: Mutex<Vec<(String, String)>>,
+    /// Running requests, waiting requests and slots that answers report.
+    load: Mutex<&'static str>,
     runs: Mutex<Vec<EntryRun>>,
     /// Ids and times of the requests that were refused.
     refusals: Mutex<Vec<(String, Instant)>>,
@@ -107,6 +109,7 @@
             behaviour: Mutex::default(),
             script: Mutex::default(),
             extra_headers: Mutex::default(),
+            load: Mutex::new("1,0,2"),
             runs: Mutex::default(),
             refusals: Mutex::default(),
             work,
@@ -156,6 +159,11 @@
         *lock(&self.shared.extra_headers) = headers.iter().map(owned).collect();
     }
 
+    /// Changes the running requests, waiting requests and slots that answers report.
+    pub fn set_load(&self, load: &'static str) {
+        *lock(&self.shared.load) = load;
+    }
+
     /// Returns the ids of the requests refused so far, with the times at which they arrived.
     pub fn refusals(&self) -> Vec<(String, Instant)> {
         lock(&self.shared.refusals).clone()
@@ -209,7 +217,7 @@
         let headers = [
             ("x-request-id", id),
             ("x-server-signature", signature.as_str()),
-            ("x-server-load", "1,0,2"),
+            ("x-server-load", *lock(&self.load)),
         ];
         self.respond(stream, status, &headers, id.as_bytes())
     }
