--- a/src/daemon/front_tables.rs
+++ b/src/daemon/front_tables.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use crate::{
+    admission::{AdmissionHandler, AdmissionTask, AdmissionTaskParts},
     follow::{
         follow_table, ChangesHandler, ConfigurationSink, EvacuationFormat, EvacuationSink,
         FollowOptions, FollowParts, FollowedTable, LeavingReaders, MemberSink, ProofHandler,
@@ -40,6 +41,7 @@
     reader: ReaderTask,
     /// Channel for the names of readers that leave.
     pub(super) leaving_readers: LeavingReaders,
+    admission: AdmissionTask,
 }
 
 impl Following {
@@ -54,6 +56,7 @@
             monoio::spawn(follow_table(self.parts.clone(), table, opts));
         }
         monoio::spawn(self.reader.run());
+        monoio::spawn(self.admission.run());
     }
 }
 
@@ -69,11 +72,17 @@
             view: base.view.clone(),
             tables: tables.clone(),
             connectivity: base.connectivity.clone(),
+            admission: self.admission.clone(),
             clock: base.clock.clone(),
         };
         router.register(MessageKind::Proof, Rc::new(handler));
         router.register(MessageKind::Changes, Rc::new(ChangesHandler::new(tables)));
-        let role = SharedReaderRole::default();
+        let handler = AdmissionHandler {
+            admission: self.admission.clone(),
+            data_centre: base.settings.data_centre.clone(),
+        };
+        router.register(MessageKind::Admission, Rc::new(handler));
+        let role = self.role.clone();
         let parts = FollowParts {
             store: base.store.clone(),
             clock: base.clock.clone(),
@@ -113,14 +122,22 @@
             connectivity: base.connectivity.clone(),
             role,
             leaving,
+            admission: self.admission.clone(),
             metrics: base.metrics.clone(),
             clock: base.clock.clone(),
         });
+        let admission = AdmissionTask::new(AdmissionTaskParts {
+            admission: self.admission.clone(),
+            peers: self.peers.clone(),
+            data_centre: base.settings.data_centre.clone(),
+            clock: base.clock.clone(),
+        });
         Following {
             parts,
             followed,
             reader,
             leaving_readers,
+            admission,
         }
     }
 
@@ -158,6 +175,7 @@
             platform::decode_target,
             platform::decode_entry_warmup,
             base.view.clone(),
+            self.admission.clone(),
             base.clock.clone(),
         );
         let members = MemberSink::new(self.peers.directory().clone(), holders.clone());
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -6,16 +6,17 @@
 use monoio::time::sleep;
 
 use crate::{
+    admission::AdmissionHandle,
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
-    peer::{MessageKind, PeerClient},
+    peer::{decode_extended, encode_extended, MessageKind, PeerClient, PeerError},
     routing::ConfigurationView,
 };
 
 use super::{
     change_fetcher::{ChangeFetcher, PeerProof},
-    FollowedTable, ProofResponse, ReaderRole, ReaderSelector, RowChange, SharedReaderRole,
-    SharedTables, StoreConnectivity, TableDelta,
+    FollowedTable, ProofRequest, ProofResponse, ReaderRole, ReaderSelector, RowChange,
+    SharedReaderRole, SharedTables, StoreConnectivity, TableDelta,
 };
 
 /// Time between two polls of the readers. Added to [`MAX_PROOF_AGE`] it stays below the operator's
@@ -60,6 +61,8 @@
     pub role: SharedReaderRole,
     /// Names of readers that leave.
     pub leaving: mpsc::unbounded::Rx<Rc<str>>,
+    /// Reports load with the polls, and applies the admission levels in the responses.
+    pub admission: AdmissionHandle,
     /// The counters.
     pub metrics: Rc<Metrics>,
     /// Source of time.
@@ -249,11 +252,7 @@
     async fn poll(&mut self, reader: &Rc<str>) -> PollResult {
         let sent = self.parts.clock.now();
         let req = self.parts.tables.versions();
-        let (peers, kind) = (&self.parts.peers, MessageKind::Proof);
-        match peers
-            .call_repeatable(reader, kind, &req, POLL_TIMEOUT)
-            .await
-        {
+        match self.call_reader(reader, &req).await {
             Ok(res) => self.handle_response(reader, res, sent),
             Err(e) => {
                 let waited_ms = self.elapsed_ms(sent);
@@ -270,6 +269,26 @@
         }
     }
 
+    /// Sends `req` with the load report of this daemon, if a service is busy, and applies the
+    /// admission levels in the response.
+    async fn call_reader(
+        &self,
+        reader: &Rc<str>,
+        req: &ProofRequest,
+    ) -> Result<ProofResponse, PeerError> {
+        let admission = &self.parts.admission;
+        let body = encode_extended(req, admission.own_report().as_ref());
+        let call = self
+            .parts
+            .peers
+            .call_encoded(reader, MessageKind::Proof, body, POLL_TIMEOUT);
+        let (res, levels) = decode_extended(&call.await?).ok_or(PeerError::BadAnswer)?;
+        if let Some(levels) = levels {
+            admission.apply_levels(&levels);
+        }
+        Ok(res)
+    }
+
     /// Returns whether the fleet may be starting together with this daemon, so that a reader that
     /// does not respond may only have to join first.
     fn is_starting(&self, now: BootTime) -> bool {
--- a/src/follow/target_sink.rs
+++ b/src/follow/target_sink.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use crate::{
+    admission::AdmissionHandle,
     clock::{BootTime, Clock},
     health::{BalancerHandle, BalancerMessage, EntryWarmup},
     routing::ConfigurationView,
@@ -26,16 +27,18 @@
     decode: DecodeTarget,
     decode_warmup: DecodeWarmup,
     view: ConfigurationView,
+    admission: AdmissionHandle,
     clock: Rc<dyn Clock>,
 }
 
 impl TargetSink {
-    /// Creates a sink that sends changes to `balancer`.
+    /// Creates a sink that sends changes to `balancer` and `admission`.
     pub fn new(
         balancer: BalancerHandle,
         decode: DecodeTarget,
         decode_warmup: DecodeWarmup,
         view: ConfigurationView,
+        admission: AdmissionHandle,
         clock: Rc<dyn Clock>,
     ) -> Self {
         Self {
@@ -44,6 +47,7 @@
             decode,
             decode_warmup,
             view,
+            admission,
             clock,
         }
     }
@@ -62,6 +66,7 @@
 
     fn publish(&self) {
         let hosts = self.list.borrow().hosts();
+        self.admission.set_targets(&hosts);
         self.balancer
             .send(BalancerMessage::SetTargets(Rc::new(hosts)));
         if self.list.borrow().has_expiring() {
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -112,6 +112,12 @@
     QueueOutOfTurn,
     /// Requests that clients sent again too early, and that found no free target.
     QueueResentEarly,
+    /// Requests rejected by the admission level of their service.
+    AdmissionRejected,
+    /// Retries not sent as their rank is being rejected.
+    AdmissionRetriesDropped,
+    /// Services that began to reject requests by rank.
+    AdmissionLevels,
 }
 
 impl Counter {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -109,13 +109,32 @@
         msg: &Req,
         limit: Duration,
     ) -> Result<Res, PeerError> {
+        let res = self.call_encoded(host, kind, encode(msg), limit).await?;
+        decode(&res).ok_or(PeerError::BadAnswer)
+    }
+
+    /// Sends the encoded body of a message to the daemon on `host`, again if the connection fails,
+    /// and returns the body of the reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no reply arrives within `limit`.
+    pub async fn call_encoded(
+        &self,
+        host: &str,
+        kind: MessageKind,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<Vec<u8>, PeerError> {
+        let peer = self.shared.directory.find(host);
+        let address = peer.ok_or(PeerError::UnknownPeer)?.address;
         let end = Instant::now() + limit;
-        let res = self.call(host, kind, msg, limit).await;
+        let res = self.exchange(address, kind, body.clone(), limit).await;
         let left = end.saturating_duration_since(Instant::now());
         if !matches!(res, Err(PeerError::NoAnswer)) || left.is_zero() {
             return res;
         }
-        self.call(host, kind, msg, left).await
+        self.exchange(address, kind, body, left).await
     }
 
     /// Sends `msg` to the daemon at `address` and returns its reply.
@@ -130,12 +149,20 @@
         msg: &Req,
         limit: Duration,
     ) -> Result<Res, PeerError> {
+        let body = self.exchange(address, kind, encode(msg), limit).await?;
+        decode(&body).ok_or(PeerError::BadAnswer)
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        kind: MessageKind,
+        body: Option<Vec<u8>>,
+        limit: Duration,
+    ) -> Result<Vec<u8>, PeerError> {
         let (reply, rx) = oneshot::channel();
         let call = Call {
-            msg: Envelope {
-                kind,
-                body: encode(msg),
-            },
+            msg: Envelope { kind, body },
             deadline: Instant::now() + limit,
             reply,
         };
@@ -145,8 +172,7 @@
             Ok(Ok(reply)) => reply?,
             _ => return Err(PeerError::NoAnswer),
         };
-        let body = reply.body.ok_or(PeerError::Refused)?;
-        decode(&body).ok_or(PeerError::BadAnswer)
+        reply.body.ok_or(PeerError::Refused)
     }
 
     fn enqueue(&self, key: LaneKey, call: Call) {
