admission: derive no levels at a reader without reports

A reader checked every 100 ms whether to push levels, for which it made its own report over all services, also while no daemon reported a busy one. It now returns before that.

--- a/src/admission/aggregator.rs
+++ b/src/admission/aggregator.rs
@@ -40,6 +40,11 @@
         apply(&mut self.centres, centre, report, now);
     }
 
+    /// Returns whether no report was received, or all were discarded since.
+    pub fn is_empty(&self) -> bool {
+        self.daemons.is_empty() && self.centres.is_empty()
+    }
+
     /// Returns the sums of the data centre, in which `own` is this daemon's report.
     pub fn centre_sums(&mut self, own: &LoadReport, now: BootTime) -> LoadReport {
         discard_old(&mut self.daemons, now);
--- a/src/admission/handle.rs
+++ b/src/admission/handle.rs
@@ -162,7 +162,9 @@
     /// Returns the levels if this daemon reads the store for the others and should send them to the
     /// others now, without waiting for their polls.
     pub fn levels_to_push(&self) -> Option<LevelMessage> {
-        if self.role.get() != ReaderRole::ForOthers {
+        // Without reports no service is busy, and the own report of all services need not be made.
+        let is_idle = self.state.borrow().aggregator.is_empty();
+        if is_idle || self.role.get() != ReaderRole::ForOthers {
             return None;
         }
         let levels = self.levels();
