admission: count the rank of a route for workspaces without one

Cause: the queue's rule that a request without a workspace rank counts with the rank of its route came in beside admission, which still took rank 0 for it when it decided whether ranks differ; its process test relied on that. Change: both use the same rule; the test gives its public route rank 0. Result: entry_admission (1) and admission_level (12) pass.

--- a/src/routing/route_table.rs
+++ b/src/routing/route_table.rs
@@ -124,8 +124,13 @@
         let first = ranks.next();
         ranks.any(|rank| Some(rank) != first)
     };
+    let Some(route_rank) = cfg.routes.first().map(|r| r.rank) else {
+        return false;
+    };
+    // The rank of the route stands in for that of a workspace without one.
     let workspaces = cfg.workspaces.iter().flatten();
-    let public = cfg.routes.iter().filter(|r| r.public).map(|_| 0);
-    let workspace_ranks = workspaces.map(|w| w.rank.unwrap_or(0)).chain(public);
-    differ(Box::new(cfg.routes.iter().map(|r| r.rank))) || differ(Box::new(workspace_ranks))
+    let public = cfg.routes.iter().filter(|r| r.public).map(|_| route_rank);
+    let workspace_ranks = workspaces.map(|w| w.rank.unwrap_or(route_rank));
+    differ(Box::new(cfg.routes.iter().map(|r| r.rank)))
+        || differ(Box::new(workspace_ranks.chain(public)))
 }
--- a/tests/entry_admission.rs
+++ b/tests/entry_admission.rs
@@ -7,7 +7,8 @@
     time::{Duration, Instant},
 };
 
-use standins::{Client, EntryFleet, TargetBehaviour};
+use serde_json::json;
+use standins::{configuration, Client, EntryFleet, TargetBehaviour};
 
 /// Daemons of the fleet.
 const DAEMONS: usize = 4;
@@ -90,6 +91,9 @@
 fn less_urgent_requests_are_rejected_while_targets_are_full() {
     let program = Path::new(env!("CARGO_BIN_EXE_chervillug"));
     let fleet = EntryFleet::start(program, DAEMONS).expect("the fleet starts");
+    let mut cfg = configuration(2);
+    cfg["routes"]["open"]["priority"] = json!(0);
+    fleet.publish_configuration(&cfg);
     for target in &fleet.targets {
         target.set_behaviour(TargetBehaviour::AnswersAfter(WORK));
         target.set_load("2,8,2");
