store: tell versions of different eras apart

Cause: a store that comes back from an older copy assigns versions again, so that equal numbers name different contents. Copies of tables, deltas and compression bases compared the numbers alone.

Change: StoreVersion pairs a version with the era that the store states. It is part of copies, deltas and requests between daemons; without an era it is encoded as the plain number, so messages keep their bytes. The client fails calls whose era is lower, missing or malformed, and counts them; a late response of an earlier era fails its call. Copies ignore rows of earlier eras and are read again in a new one. The stand-in of the store states eras and can be rolled back to a copy.

Tests: constructors of versions in decoders, delta_codec and large_configuration take StoreVersion; followed_table passes the version that changes were requested from.

--- a/src/follow/change_fetcher.rs
+++ b/src/follow/change_fetcher.rs
@@ -9,6 +9,7 @@
     metrics::{Counter, Metrics},
     peer::{MessageKind, PeerClient},
     routing::ConfigurationView,
+    store::StoreVersion,
 };
 
 use super::{
@@ -78,7 +79,7 @@
             version: table.version(),
             base: row.as_ref().map(|row| RowVersion {
                 key: row.key.clone(),
-                version: row.version,
+                version: StoreVersion::new(table.era(), row.version),
             }),
         };
         let base = row.and_then(|row| row.value).unwrap_or_default();
--- a/src/follow/change_message.rs
+++ b/src/follow/change_message.rs
@@ -3,20 +3,22 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, Bytes};
 
+use crate::store::StoreVersion;
+
 /// One row at one version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowVersion {
     /// Its key.
     pub key: String,
     /// Its version.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// What the sender of a request holds of a table.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldCopy {
     /// Version of the copy; `None` if it needs all rows.
-    pub version: Option<u64>,
+    pub version: Option<StoreVersion>,
     /// A large row of the copy, against which the response may be compressed.
     pub base: Option<RowVersion>,
 }
--- a/src/follow/delta_encoder.rs
+++ b/src/follow/delta_encoder.rs
@@ -2,6 +2,8 @@
 
 use std::{cell::RefCell, collections::VecDeque, rc::Rc};
 
+use crate::store::StoreVersion;
+
 use super::{change_message::HeldCopy, delta_codec::encode_delta, EncodedDelta, FollowedTable};
 
 /// Encoded deltas kept; many daemons hold the same version and ask for the same delta.
@@ -10,7 +12,7 @@
 struct CachedDelta {
     held: HeldCopy,
     /// Version of the local copy from which the delta was made.
-    version: Option<u64>,
+    version: Option<StoreVersion>,
     delta: EncodedDelta,
 }
 
--- a/src/follow/followed_table.rs
+++ b/src/follow/followed_table.rs
@@ -8,7 +8,10 @@
 
 use bytes::Bytes;
 
-use crate::{clock::BootTime, store::StoredRow};
+use crate::{
+    clock::BootTime,
+    store::{Era, StoreVersion, StoredRow},
+};
 
 use super::{table_delta::RowChange, table_follower::TableSink, RowVersion, TableDelta};
 
@@ -30,6 +33,8 @@
 
 #[derive(Default)]
 struct State {
+    /// Era of the store to which all versions of the copy belong.
+    era: Era,
     /// Version of the store that the copy reflects; `None` before the first read and while a full
     /// read is needed.
     version: Option<u64>,
@@ -87,6 +92,18 @@
         Some(row.version) > self.version.max(held)
     }
 
+    /// Starts an empty copy in a later era, whose versions say nothing about those of this one.
+    fn start_era(&mut self, era: Era) {
+        *self = Self {
+            era,
+            ..Self::default()
+        };
+    }
+
+    fn store_version(&self) -> Option<StoreVersion> {
+        Some(StoreVersion::new(self.era, self.version?))
+    }
+
     /// Replaces all rows by those of a full read as of `version`.
     fn replace(&mut self, rows: &[StoredRow], version: u64) {
         let kept: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
@@ -159,8 +176,13 @@
     }
 
     /// Returns the version of the store that the copy reflects; `None` if a full read is needed.
-    pub fn version(&self) -> Option<u64> {
-        self.state.borrow().version
+    pub fn version(&self) -> Option<StoreVersion> {
+        self.state.borrow().store_version()
+    }
+
+    /// Returns the era of the copy.
+    pub fn era(&self) -> Era {
+        self.state.borrow().era
     }
 
     /// Marks the copy as needing a full read, as the changes after its version are unavailable.
@@ -168,24 +190,54 @@
         self.state.borrow_mut().version = None;
     }
 
-    /// Replaces all rows by those of a full read as of `version`. Ignores the rows if the copy is
-    /// newer, as another daemon's changes may have been merged while the read was under way.
-    pub fn replace(&self, rows: Vec<StoredRow>, version: u64, now: BootTime) {
+    /// Replaces all rows by those of a full read as of `version`; returns whether the read is of the
+    /// copy's era. Ignores the rows if the copy is
+    /// newer or of a later era, as another daemon's changes may have been merged while the read was
+    /// under way.
+    pub fn replace(&self, rows: Vec<StoredRow>, version: StoreVersion, now: BootTime) -> bool {
         let held = self.version();
-        if held > Some(version) {
-            log::info!(table = self.name, held:? = held, row = version;
+        if held > Some(version) || self.era() > version.era {
+            log::info!(table = self.name, held:? = held, row:? = version;
                 "full read is older than the copy, ignored");
             self.sink.apply(Vec::new(), now);
-            return;
+            return self.era() == version.era;
+        }
+        if self.era() < version.era {
+            log::info!(table = self.name, held:? = held, row:? = version, rows = rows.len();
+                "all rows read in a new era of the store");
+            self.state.borrow_mut().start_era(version.era);
         }
-        self.state.borrow_mut().replace(&rows, version);
+        self.state.borrow_mut().replace(&rows, version.number);
         self.sink.replace(rows, now);
+        true
     }
 
-    /// Applies the rows that changed up to `version`; there may be none. Ignores those that the copy
-    /// already reflects, as another daemon's changes may have been merged while the response that
-    /// holds the rows was under way.
-    pub fn apply(&self, rows: Vec<StoredRow>, version: u64, now: BootTime) {
+    /// Applies the rows that changed after `since` up to `version`; there may be none. Ignores them
+    /// unless both versions and the copy are of one era, and makes a full read necessary if they are
+    /// of a later one than the copy. Returns whether the copy reflects them.
+    pub fn apply(
+        &self,
+        rows: Vec<StoredRow>,
+        since: StoreVersion,
+        version: StoreVersion,
+        now: BootTime,
+    ) -> bool {
+        let era = self.era();
+        if era == version.era && since.era == era {
+            self.apply_newer(rows, version.number, now);
+            return true;
+        }
+        log::info!(table = self.name, held:? = self.version(), row:? = version, rows = rows.len();
+            "changes of another era of the store ignored");
+        if era < version.era {
+            self.invalidate();
+        }
+        false
+    }
+
+    /// Applies rows of the copy's era without those that the copy already reflects, as another
+    /// daemon's changes may have been merged while the response that holds the rows was under way.
+    fn apply_newer(&self, rows: Vec<StoredRow>, version: u64, now: BootTime) {
         let received = rows.len();
         let newer = {
             let mut state = self.state.borrow_mut();
@@ -213,7 +265,11 @@
     /// Returns the value that a large row has or recently had at a version.
     pub fn value_at(&self, at: &RowVersion) -> Option<Bytes> {
         let state = self.state.borrow();
-        let is_same = |row: &&StoredRow| row.key == at.key && row.version == at.version;
+        if state.era != at.version.era {
+            return None;
+        }
+        let number = at.version.number;
+        let is_same = |row: &&StoredRow| row.key == at.key && row.version == number;
         let mut candidates = state.rows.get(&at.key).into_iter().chain(&state.replaced);
         candidates.find(is_same)?.value.clone()
     }
@@ -221,10 +277,15 @@
     /// Returns the changes since the version `held` by another daemon, or the first part of them;
     /// `None` if this copy needs a full read or is older than the other one.
     ///
-    /// The delta holds all rows if `held` is `None` or the tombstones since then are incomplete.
-    pub fn delta_since(&self, held: Option<u64>) -> Option<TableDelta> {
+    /// The delta holds all rows if `held` is `None` or of an earlier era, or the tombstones since then
+    /// are incomplete.
+    pub fn delta_since(&self, held: Option<StoreVersion>) -> Option<TableDelta> {
         let state = self.state.borrow();
         let known = state.version?;
+        if held.is_some_and(|held| held.era > state.era) {
+            return None;
+        }
+        let held = held.filter(|held| held.era == state.era).map(|h| h.number);
         let held = held.filter(|held| state.has_tombstones_since(*held));
         let whole = held.is_none();
         let from = held.unwrap_or_default();
@@ -242,7 +303,7 @@
         }
         Some(TableDelta {
             whole,
-            version,
+            version: StoreVersion::new(state.era, version),
             has_gap: state.gap.is_some_and(|(_, end)| end > from),
             more: version < known,
             rows: rows.into_iter().map(RowChange::from).collect(),
@@ -250,10 +311,14 @@
     }
 
     /// Applies another daemon's delta, without the rows that this copy already reflects. A copy that
-    /// needs a full read takes no rows that are older than those it had before.
+    /// needs a full read takes no rows that are older than those it had before. Changes within another
+    /// era are ignored; all rows of a later era replace the copy.
     pub fn merge(&self, delta: TableDelta, now: BootTime) {
         let held = self.version();
-        let last_version = self.state.borrow().last_version;
+        let last_version = {
+            let state = self.state.borrow();
+            StoreVersion::new(state.era, state.last_version)
+        };
         let rows = delta.rows.into_iter().map(StoredRow::from);
         if delta.whole {
             if held < Some(delta.version) && last_version <= delta.version {
@@ -261,12 +326,12 @@
             }
             return;
         }
-        if held.is_none() {
+        if held.is_none_or(|held| held.era != delta.version.era) {
             return;
         }
         if delta.has_gap && held < Some(delta.version) {
-            self.state.borrow_mut().record_gap(delta.version);
+            self.state.borrow_mut().record_gap(delta.version.number);
         }
-        self.apply(rows.collect(), delta.version, now);
+        self.apply_newer(rows.collect(), delta.version.number, now);
     }
 }
--- a/src/follow/proof_message.rs
+++ b/src/follow/proof_message.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMicroSeconds};
 
+use crate::store::StoreVersion;
+
 use super::TableDelta;
 
 /// Asks a reader for a freshness proof and for table changes.
@@ -13,11 +15,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProofRequest {
     /// Version of the configuration.
-    pub configuration: Option<u64>,
+    pub configuration: Option<StoreVersion>,
     /// Version of the targets.
-    pub targets: Option<u64>,
+    pub targets: Option<StoreVersion>,
     /// Version of the fleet's members.
-    pub members: Option<u64>,
+    pub members: Option<StoreVersion>,
 }
 
 /// The tables whose changes are too large for a [`ProofResponse`] and must be fetched.
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -263,7 +263,7 @@
         let (rows, took_ms) = (delta.rows.len(), self.elapsed_ms(sent));
         self.parts.metrics.add(Counter::ChangeBytes, bytes as u64);
         log::info!(reader = reader, table = table.name(), held:? = table.version(),
-            row = delta.version, rows = rows, bytes = bytes, took_ms = took_ms;
+            row:? = delta.version, rows = rows, bytes = bytes, took_ms = took_ms;
             "changes received");
     }
 
--- a/src/follow/table_delta.rs
+++ b/src/follow/table_delta.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
-use crate::store::StoredRow;
+use crate::store::{StoreVersion, StoredRow};
 
 /// One row of a table.
 #[serde_as]
@@ -52,8 +52,8 @@
 pub struct TableDelta {
     /// Whether these are all rows of the table rather than only the changed ones.
     pub whole: bool,
-    /// Version of the store up to which the rows are complete.
-    pub version: u64,
+    /// Version of the store up to which the rows are complete; those of the rows are of its era.
+    pub version: StoreVersion,
     /// Whether tombstones of rows that were inserted and removed after the version held by the
     /// receiver may be missing.
     pub has_gap: bool,
--- a/src/follow/table_follower.rs
+++ b/src/follow/table_follower.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::{BootTime, Clock},
-    store::{read_part, FeedResponse, RowStore, StoreError, StoredRow},
+    store::{read_part, Era, FeedResponse, RowStore, StoreError, StoreVersion, StoredRow},
 };
 
 use super::{FollowedTable, ReaderRole, SharedReaderRole, StoreConnectivity};
@@ -42,6 +42,8 @@
     pub received: BootTime,
     /// The store's steady clock as stated in the response.
     pub store_time: Duration,
+    /// Era of the store in which the response was made.
+    pub era: Era,
 }
 
 /// Receives the contents of a followed table.
@@ -90,7 +92,7 @@
     };
     loop {
         let waited = follower.wait_until_needed().await;
-        let res = match follower.table.version() {
+        let res = match follower.followed_version() {
             Some(version) => follower.poll_changes(version, waited).await,
             None => follower.read_all().await,
         };
@@ -106,13 +108,24 @@
         self.parts.role.wait_until_needed().await
     }
 
+    /// Returns the version from which to poll for changes; `None` if a full read is needed, as after
+    /// another task has learned of a new era of the store.
+    fn followed_version(&self) -> Option<StoreVersion> {
+        let is_current = self.table.era() >= self.parts.store.era();
+        self.table.version().filter(|_| is_current)
+    }
+
     async fn read_all(&mut self) -> Result<(), StoreError> {
         let mut all: Vec<StoredRow> = Vec::new();
-        let mut first: Option<(u64, ResponseTiming)> = None;
+        let mut first: Option<(StoreVersion, ResponseTiming)> = None;
         for part in &self.opts.parts {
             let sent = self.parts.clock.now();
             let read = read_part(&*self.parts.store, self.table.name(), part).await?;
-            let timing = self.timing(sent, read.store_time);
+            if first.is_some_and(|(version, _)| version.era != read.version.era) {
+                // The next attempt reads all parts in the new era.
+                return Err(StoreError::BadAnswer);
+            }
+            let timing = self.timing(sent, read.store_time, read.version.era);
             // Following starts at the version of the first page, so that changes made between two
             // pages are not missed.
             first.get_or_insert((read.version, timing));
@@ -122,34 +135,41 @@
             return Ok(());
         };
         self.on_success();
-        self.table.replace(all, version, timing.received);
-        self.table.sink().on_response(&timing);
+        if self.table.replace(all, version, timing.received) {
+            self.table.sink().on_response(&timing);
+        }
         Ok(())
     }
 
     /// Polls once for changes; if the store has compacted them, the next read fetches all rows.
-    async fn poll_changes(&mut self, version: u64, waited: bool) -> Result<(), StoreError> {
+    async fn poll_changes(
+        &mut self,
+        version: StoreVersion,
+        waited: bool,
+    ) -> Result<(), StoreError> {
         let wait = self.next_wait(waited);
         let sent = self.parts.clock.now();
         let seen = self.parts.connectivity.reconnects();
         let name = self.table.name();
         let res = monoio::select! {
-            res = self.parts.store.poll_changes(name, version, wait) => res?,
+            res = self.parts.store.poll_changes(name, version.number, wait) => res?,
             () = self.reconnect_by_other(seen) => return Ok(()),
         };
         let page = match res {
             FeedResponse::Changed(page) => page,
             FeedResponse::HistoryCompacted => {
-                log::info!(table = name, version = version; "history compacted, reading all rows");
+                log::info!(table = name, version:? = version; "history compacted, reading all rows");
                 self.table.invalidate();
                 return Ok(());
             }
         };
         self.on_success();
-        let timing = self.timing(sent, page.store_time);
+        let timing = self.timing(sent, page.store_time, page.version.era);
         let changed = !page.rows.is_empty();
-        self.table.apply(page.rows, page.version, timing.received);
-        self.table.sink().on_response(&timing);
+        let applied = (self.table).apply(page.rows, version, page.version, timing.received);
+        if applied {
+            self.table.sink().on_response(&timing);
+        }
         self.pause(changed).await;
         Ok(())
     }
@@ -181,11 +201,12 @@
         self.parts.connectivity.wait_for_reconnect(seen).await;
     }
 
-    fn timing(&self, sent: BootTime, store_time: Duration) -> ResponseTiming {
+    fn timing(&self, sent: BootTime, store_time: Duration, era: Era) -> ResponseTiming {
         ResponseTiming {
             sent,
             received: self.parts.clock.now(),
             store_time,
+            era,
         }
     }
 
@@ -194,6 +215,10 @@
             self.parts
                 .connectivity
                 .record_response(self.parts.clock.now());
+            // The other tasks may wait for changes of an earlier era.
+            if self.table.era() < self.parts.store.era() {
+                self.parts.connectivity.record_reconnect();
+            }
         }
         if self.failures > 0 {
             let (table, failures) = (self.table.name(), self.failures);
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -26,6 +26,10 @@
     StoreCalls,
     /// Failed calls to the store.
     StoreErrors,
+    /// New eras of the store, including the first one that it stated.
+    StoreEras,
+    /// Responses of the store whose era was invalid.
+    StoreErasInvalid,
     /// Unauthenticated or replayed messages on the peer port.
     PeerUnauthenticated,
     /// Messages above the size limit on the peer port.
--- a/src/platform/row_client.rs
+++ b/src/platform/row_client.rs
@@ -1,9 +1,9 @@
 //! The client of the platform's store.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use percent_encoding::{utf8_percent_encode, AsciiSet, PercentEncode, NON_ALPHANUMERIC};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use serde_with::{base64::Base64, serde_as, DurationSecondsWithFrac};
@@ -12,7 +12,8 @@
     http::{call, CallRequest, TransferLimits},
     metrics::{Counter, Metrics},
     store::{
-        BoxFuture, FeedResponse, RowPage, RowPut, RowStore, StoreError, StoredRow, WriteOutcome,
+        BoxFuture, Era, EraCheck, EraTracker, FeedResponse, RowPage, RowPut, RowStore, StoreError,
+        StoreVersion, StoredRow, WriteOutcome,
     },
 };
 
@@ -31,6 +32,8 @@
 /// Largest response: a configuration of 25,000 routes in base64 takes a quarter of it.
 const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
+/// Number that grows when the store comes back from an older copy; earlier stores do not send it.
+const ERA_HEADER: &str = "store-era";
 /// Bytes of a query value that are percent-encoded.
 const QUERY_ESCAPES: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
@@ -47,6 +50,14 @@
 pub struct RowClient {
     address: SocketAddr,
     metrics: Rc<Metrics>,
+    eras: RefCell<EraTracker>,
+}
+
+/// A response whose era is valid.
+struct EraResponse {
+    status: StatusCode,
+    era: Era,
+    body: Bytes,
 }
 
 #[serde_as]
@@ -113,7 +124,11 @@
 impl RowClient {
     /// Creates a client of the store at `address`.
     pub fn new(address: SocketAddr, metrics: Rc<Metrics>) -> Self {
-        Self { address, metrics }
+        Self {
+            address,
+            metrics,
+            eras: RefCell::default(),
+        }
     }
 
     async fn send(
@@ -122,7 +137,8 @@
         path: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<EraResponse, StoreError> {
+        let sent_in = self.era();
         let json = [("content-type", "application/json")];
         let headers: &[(&str, &str)] = if body.is_empty() { &[] } else { &json };
         let req = CallRequest {
@@ -139,7 +155,12 @@
             Ok(res) => {
                 self.metrics
                     .add(Counter::PlatformBytes, res.bytes_transferred);
-                Ok((res.status, res.body))
+                let stated = res.headers.get(ERA_HEADER).map(HeaderValue::as_bytes);
+                Ok(EraResponse {
+                    status: res.status,
+                    era: self.check_era(sent_in, stated)?,
+                    body: res.body,
+                })
             }
             Err(e) => {
                 log::debug!("store call {} {path} failed: {e}", req.method);
@@ -148,23 +169,54 @@
         }
     }
 
+    /// Returns the era of a response, or fails if it is invalid or not the newest one. A write may
+    /// have taken effect in any of these cases.
+    fn check_era(&self, sent_in: Era, stated: Option<&[u8]>) -> Result<Era, StoreError> {
+        let (check, newest) = {
+            let mut eras = self.eras.borrow_mut();
+            (eras.check(sent_in, stated), eras.newest())
+        };
+        match check {
+            EraCheck::Current => Ok(newest),
+            EraCheck::New => {
+                log::info!(era:% = newest, before:% = sent_in; "the store states a new era");
+                self.metrics.count(Counter::StoreEras);
+                Ok(newest)
+            }
+            EraCheck::Late => {
+                log::info!(era:% = newest; "response of an earlier era of the store ignored");
+                Err(StoreError::BadAnswer)
+            }
+            EraCheck::Invalid(fault) => {
+                let stated = stated.map(String::from_utf8_lossy);
+                log::warn!(era:% = newest, stated:? = stated, reason:% = fault;
+                    "invalid era in a response of the store");
+                self.metrics.count(Counter::StoreErasInvalid);
+                Err(StoreError::BadAnswer)
+            }
+        }
+    }
+
     async fn read_rows(&self, path: &str, timeout: Duration) -> Result<FeedResponse, StoreError> {
-        let (status, body) = self.send(Method::GET, path, Bytes::new(), timeout).await?;
-        match status {
-            StatusCode::OK => Ok(FeedResponse::Changed(decode::<RowsResponse>(&body)?.into())),
+        let res = self.send(Method::GET, path, Bytes::new(), timeout).await?;
+        match res.status {
+            StatusCode::OK => {
+                let rows = decode::<RowsResponse>(&res.body)?;
+                Ok(FeedResponse::Changed(rows.into_page(res.era)))
+            }
             StatusCode::GONE => Ok(FeedResponse::HistoryCompacted),
             status => Err(unexpected(status)),
         }
     }
 }
 
-impl From<RowsResponse> for RowPage {
-    fn from(res: RowsResponse) -> Self {
-        Self {
-            rows: stored_rows(res.rows),
-            version: res.ver,
-            store_time: res.now_s,
-            truncated: res.truncated,
+impl RowsResponse {
+    fn into_page(self, era: Era) -> RowPage {
+        RowPage {
+            rows: stored_rows(self.rows),
+            version: StoreVersion::new(era, self.ver),
+            store_time: self.now_s,
+            truncated: self.truncated,
         }
     }
 }
@@ -179,6 +231,10 @@
 }
 
 impl RowStore for RowClient {
+    fn era(&self) -> Era {
+        self.eras.borrow().newest()
+    }
+
     fn read<'a>(
         &'a self,
         table: &'a str,
@@ -222,13 +278,13 @@
             };
             let body = serde_json::to_vec(&req).map_err(|_| StoreError::Refused)?;
             let (method, body) = (Method::POST, Bytes::from(body));
-            let (status, body) = self.send(method, "/rows-tx", body, CALL_TIMEOUT).await?;
-            match status {
+            let res = self.send(method, "/rows-tx", body, CALL_TIMEOUT).await?;
+            match res.status {
                 StatusCode::OK => Ok(WriteOutcome::Committed {
-                    version: decode::<WriteResponse>(&body)?.ver,
+                    version: StoreVersion::new(res.era, decode::<WriteResponse>(&res.body)?.ver),
                 }),
                 StatusCode::PRECONDITION_FAILED => {
-                    let res = decode::<ConflictResponse>(&body)?;
+                    let res = decode::<ConflictResponse>(&res.body)?;
                     Ok(WriteOutcome::Conflict(stored_rows(res.rows)))
                 }
                 status => Err(unexpected(status)),
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -212,9 +212,9 @@
                 let was_held = parts.slice.is_held(now);
                 parts
                     .slice
-                    .with_lease(now, |l| l.record_write(version, sent));
+                    .with_lease(now, |l| l.record_write(version.number, sent));
                 if !was_held {
-                    log::info!(data_centre = centre, row = version; "slice taken");
+                    log::info!(data_centre = centre, row:? = version; "slice taken");
                 }
                 parts
                     .holders
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -1,5 +1,7 @@
 //! Interfaces to the services that hold persistent state: tables, objects and the list of hosts.
 
+mod era;
+mod era_tracker;
 mod error;
 mod host_list;
 mod object_store;
@@ -7,6 +9,8 @@
 mod row_store;
 mod table;
 
+pub use era::{Era, StoreVersion};
+pub use era_tracker::{EraCheck, EraFault, EraTracker};
 pub use error::StoreError;
 pub use host_list::{HostList, ListedHost};
 pub use object_store::ObjectStore;
--- a/src/store/read_part.rs
+++ b/src/store/read_part.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use super::{RowStore, StoreError, StoredRow};
+use super::{RowStore, StoreError, StoreVersion, StoredRow};
 
 /// The rows of one part, read page by page.
 pub struct PartRows {
     /// The rows in key order.
     pub rows: Vec<StoredRow>,
     /// Version of the store at the first page, from which changes must be followed.
-    pub version: u64,
+    pub version: StoreVersion,
     /// The store's steady clock at the first page.
     pub store_time: Duration,
 }
@@ -18,7 +18,8 @@
 ///
 /// # Errors
 ///
-/// Returns the error of the first call that fails.
+/// Returns the error of the first call that fails, and [`StoreError::BadAnswer`] if the pages are not of
+/// one era.
 pub async fn read_part(
     store: &dyn RowStore,
     table: &str,
@@ -35,6 +36,10 @@
         // The smallest key after the last one read.
         let from = format!("{}\0", last.key);
         let page = store.read(table, part, &from).await?;
+        if page.version.era != all.version.era {
+            log::info!(table = table, era:% = page.version.era; "the era of the store changed during a read");
+            return Err(StoreError::BadAnswer);
+        }
         // Rows may have been removed meanwhile, so that none is left.
         let is_behind = page.rows.first().is_some_and(|row| row.key < from);
         if is_behind || (page.rows.is_empty() && page.truncated) {
--- a/src/store/row_store.rs
+++ b/src/store/row_store.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 
-use super::{BoxFuture, StoreError};
+use super::{BoxFuture, Era, StoreError, StoreVersion};
 
 /// One row as read.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -23,8 +23,8 @@
 pub struct RowPage {
     /// The rows that were read or that changed.
     pub rows: Vec<StoredRow>,
-    /// Newest version of the store at the time of the read.
-    pub version: u64,
+    /// Newest version of the store at the time of the read; those of the rows are of the same era.
+    pub version: StoreVersion,
     /// The store's steady clock at the time of the read.
     pub store_time: Duration,
     /// Whether there are more rows after the last one.
@@ -85,7 +85,7 @@
     /// All rows were written.
     Committed {
         /// New version of the rows.
-        version: u64,
+        version: StoreVersion,
     },
     /// A row had another version than expected; nothing was written. Holds the current state of
     /// all rows with an expected version.
@@ -93,7 +93,12 @@
 }
 
 /// A store of versioned rows.
+///
+/// A response of an earlier era than the newest one known is treated as a failed call.
 pub trait RowStore {
+    /// Returns the newest era that a response stated.
+    fn era(&self) -> Era;
+
     /// Reads the rows of a part of a table from the key `from` on, in key order.
     fn read<'a>(
         &'a self,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod process_role;
 mod row_store;
+mod row_transaction;
 mod script;
 mod target;
 
@@ -24,6 +25,6 @@
 pub use link::{Link, LinkFaults};
 pub use platform::{HostRow, Platform, PlatformFaults, PlatformStats};
 pub use process_role::run_role;
-pub use row_store::{RowStore, RowStoreFaults};
+pub use row_store::{RowStore, RowStoreCopy, RowStoreFaults};
 pub use script::{Script, ScriptEnd};
 pub use target::{Target, TargetFaults, TargetOptions, WorkRecord};
--- a/standins/src/row_store.rs
+++ b/standins/src/row_store.rs
@@ -10,15 +10,15 @@
 };
 
 use base64::{prelude::BASE64_STANDARD, Engine};
-use serde::Deserialize;
 use serde_json::{json, Value};
 
-use crate::http::{respond, ConnectionAction, Handler, Request, Server};
+use crate::{
+    http::{respond, ConnectionAction, Handler, Request, Server},
+    row_transaction::{Name, Transaction},
+};
 
 /// Maximum number of rows in one response.
 const PAGE_ROWS: usize = 500;
-/// Headers of all responses.
-const JSON: [(&str, &str); 1] = [("content-type", "application/json")];
 
 /// Faults of the store, which can be changed at run time.
 #[derive(Debug, Clone, Default)]
@@ -29,6 +29,8 @@
     pub refuse_with: Option<u16>,
     /// Delay before each response.
     pub delay: Duration,
+    /// Delay between the processing of a call and its response.
+    pub response_delay: Duration,
     /// Number of subsequent writes that take effect but whose response is lost.
     pub lose_write_answers: u32,
 }
@@ -51,12 +53,25 @@
     }
 }
 
+impl From<&Name> for RowName {
+    fn from(name: &Name) -> Self {
+        Self::new(&name.table, &name.part, &name.key)
+    }
+}
+
 #[derive(Debug, Clone)]
 struct StoredRow {
     value: Option<Vec<u8>>,
     version: u64,
 }
 
+/// A copy of the contents of a store, to which it can be rolled back.
+#[derive(Debug, Clone)]
+pub struct RowStoreCopy {
+    rows: BTreeMap<RowName, StoredRow>,
+    version: u64,
+}
+
 #[derive(Default)]
 struct State {
     rows: BTreeMap<RowName, StoredRow>,
@@ -65,6 +80,10 @@
     truncated_up_to: u64,
     faults: RowStoreFaults,
     calls: u64,
+    /// Era stated in all responses.
+    era: Option<u64>,
+    /// Header value stated in place of the era.
+    stated_era: Option<String>,
 }
 
 struct Shared {
@@ -73,50 +92,6 @@
     started: Instant,
 }
 
-#[derive(Deserialize)]
-struct Name {
-    table: String,
-    #[serde(default)]
-    part: String,
-    key: String,
-    #[serde(default)]
-    ver: u64,
-}
-
-#[derive(Deserialize)]
-struct Put {
-    table: String,
-    #[serde(default)]
-    part: String,
-    key: String,
-    value: String,
-}
-
-#[derive(Deserialize)]
-struct Transaction {
-    #[serde(default)]
-    expect: Vec<Name>,
-    #[serde(default)]
-    puts: Vec<Put>,
-    #[serde(default)]
-    deletes: Vec<Name>,
-}
-
-impl Name {
-    fn row(&self) -> RowName {
-        RowName::new(&self.table, &self.part, &self.key)
-    }
-}
-
-impl Transaction {
-    fn is_of_one_part(&self) -> bool {
-        let names = self.expect.iter().chain(&self.deletes).map(|n| &n.part);
-        let mut parts = names.chain(self.puts.iter().map(|p| &p.part));
-        let first = parts.next();
-        parts.all(|part| Some(part) == first)
-    }
-}
-
 /// A running simulated store; stops when dropped.
 pub struct RowStore {
     shared: Arc<Shared>,
@@ -174,6 +149,34 @@
         self.shared.changed.notify_all();
     }
 
+    /// Sets the era that all responses state; `None` states none, as earlier stores do.
+    pub fn set_era(&self, era: Option<u64>) {
+        self.shared.state().era = era;
+    }
+
+    /// Makes all responses state `value` in place of the era, or the era again.
+    pub fn set_stated_era(&self, value: Option<&str>) {
+        self.shared.state().stated_era = value.map(str::to_owned);
+    }
+
+    /// Copies the contents.
+    pub fn copy(&self) -> RowStoreCopy {
+        let state = self.shared.state();
+        RowStoreCopy {
+            rows: state.rows.clone(),
+            version: state.version,
+        }
+    }
+
+    /// Returns to an older copy, which loses all later writes, and starts a new era.
+    pub fn roll_back(&self, copy: &RowStoreCopy) {
+        let mut state = self.shared.state();
+        state.rows = copy.rows.clone();
+        state.version = copy.version;
+        state.era = Some(state.era.map_or(1, |era| era + 1));
+        self.shared.changed.notify_all();
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: RowStoreFaults) {
         self.shared.state().faults = faults;
@@ -187,18 +190,23 @@
 }
 
 impl State {
+    fn stated_era(&self) -> Option<String> {
+        let era = self.era.map(|era| era.to_string());
+        self.stated_era.clone().or(era)
+    }
+
     fn set(&mut self, name: RowName, value: Option<Vec<u8>>) {
         let version = self.version;
         self.rows.insert(name, StoredRow { value, version });
     }
 
     fn version_of(&self, name: &Name) -> u64 {
-        let row = self.rows.get(&name.row());
+        let row = self.rows.get(&RowName::from(name));
         row.filter(|r| r.value.is_some()).map_or(0, |r| r.version)
     }
 
     fn row_json(&self, name: &Name) -> Option<Value> {
-        let name = name.row();
+        let name = RowName::from(name);
         let row = self.rows.get(&name)?;
         Some(row_json(&name, row))
     }
@@ -221,7 +229,7 @@
         self.started.elapsed().as_secs_f64()
     }
 
-    fn read(&self, req: &Request) -> (u16, Value) {
+    fn read(&self, req: &Request) -> Answer {
         let table = req.query("table").unwrap_or_default();
         let from = req.query("from").unwrap_or_default();
         let part = req.query("part").unwrap_or_default();
@@ -233,49 +241,52 @@
         rows.truncate(PAGE_ROWS);
         let (ver, now_s) = (state.version, self.now_s());
         let response = json!({"rows": rows, "truncated": truncated, "ver": ver, "nowS": now_s});
-        (200, response)
+        Answer::new(200, response, &state)
     }
 
-    fn follow(&self, req: &Request) -> (u16, Value) {
+    fn follow(&self, req: &Request) -> Answer {
         let number = |name: &str| req.query(name).and_then(|v| v.parse().ok()).unwrap_or(0);
         let table = req.query("table").unwrap_or_default();
         let after = number("after");
         let end = Instant::now() + Duration::from_millis(number("waitMs"));
         let mut state = self.state();
         loop {
-            if after < state.truncated_up_to {
-                return (410, json!({}));
+            if after < state.truncated_up_to || after > state.version {
+                return Answer::new(410, json!({}), &state);
             }
             let rows = state.rows(&table, |_, row| row.version > after);
             let left = end.saturating_duration_since(Instant::now());
             let has_fault = state.faults.down || state.faults.refuse_with.is_some();
             if !rows.is_empty() || left.is_zero() || has_fault {
                 let (ver, now_s) = (state.version, self.now_s());
-                return (200, json!({"rows": rows, "ver": ver, "nowS": now_s}));
+                let response = json!({"rows": rows, "ver": ver, "nowS": now_s});
+                return Answer::new(200, response, &state);
             }
             let waited = self.changed.wait_timeout(state, left);
             state = waited.unwrap_or_else(|e| e.into_inner()).0;
         }
     }
 
-    fn transact(&self, body: &[u8]) -> (u16, Value) {
+    fn reject(&self, status: u16) -> Answer {
+        Answer::new(status, json!({}), &self.state())
+    }
+
+    fn transact(&self, body: &[u8]) -> Answer {
         let Ok(tx) = serde_json::from_slice::<Transaction>(body) else {
-            return (400, json!({}));
+            return self.reject(400);
         };
         if !tx.is_of_one_part() {
-            return (400, json!({}));
+            return self.reject(400);
         }
         let protected = |table: &str| table == "op" || table == "servers";
         if tx.puts.iter().any(|p| protected(&p.table)) {
-            return (403, json!({}));
+            return self.reject(403);
         }
         let mut state = self.state();
         if tx.expect.iter().any(|e| state.version_of(e) != e.ver) {
             let rows: Vec<Value> = tx.expect.iter().filter_map(|e| state.row_json(e)).collect();
-            return (
-                412,
-                json!({"rows": rows, "ver": state.version, "nowS": self.now_s()}),
-            );
+            let response = json!({"rows": rows, "ver": state.version, "nowS": self.now_s()});
+            return Answer::new(412, response, &state);
         }
         state.version += 1;
         for put in &tx.puts {
@@ -283,10 +294,11 @@
             state.set(RowName::new(&put.table, &put.part, &put.key), Some(value));
         }
         for name in &tx.deletes {
-            state.set(name.row(), None);
+            state.set(name.into(), None);
         }
         self.changed.notify_all();
-        (200, json!({"ver": state.version, "nowS": self.now_s()}))
+        let response = json!({"ver": state.version, "nowS": self.now_s()});
+        Answer::new(200, response, &state)
     }
 
     /// Returns whether the response to the current write must be dropped, and counts it if so.
@@ -298,6 +310,31 @@
     }
 }
 
+/// A response, with the era in which it was made.
+struct Answer {
+    status: u16,
+    body: Value,
+    era: Option<String>,
+}
+
+impl Answer {
+    fn new(status: u16, body: Value, state: &State) -> Self {
+        let era = state.stated_era();
+        Self { status, body, era }
+    }
+
+    fn send(&self, stream: &mut TcpStream) -> io::Result<ConnectionAction> {
+        let mut headers = vec![("content-type", "application/json")];
+        headers.extend(self.era.as_deref().map(|era| ("store-era", era)));
+        respond(
+            stream,
+            self.status,
+            &headers,
+            self.body.to_string().as_bytes(),
+        )
+    }
+}
+
 impl Handler for Shared {
     fn handle(
         &self,
@@ -314,22 +351,23 @@
             return Ok(ConnectionAction::Close);
         }
         if let Some(status) = faults.refuse_with {
-            return respond(stream, status, &JSON, b"{}");
+            return self.reject(status).send(stream);
         }
         thread::sleep(faults.delay);
-        let (status, response) = match req.plain_path() {
+        let answer = match req.plain_path() {
             "/rows-get" => self.read(req),
             "/rows-feed" => self.follow(req),
             "/rows-tx" => self.transact(&req.body),
-            _ => (404, json!({})),
+            _ => self.reject(404),
         };
+        thread::sleep(faults.response_delay);
         if self.state().faults.down {
             return Ok(ConnectionAction::Close);
         }
         if req.plain_path() == "/rows-tx" && self.take_lost_response() {
             return Ok(ConnectionAction::Close);
         }
-        respond(stream, status, &JSON, response.to_string().as_bytes())
+        answer.send(stream)
     }
 }
 
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -16,6 +16,7 @@
     peer::{decode, Envelope},
     platform::{decode_configuration, decode_target},
     quota::{TokenRequest, TokenResponse},
+    store::{Era, StoreVersion},
 };
 use monoio_codec::{Decoded, Decoder};
 use quickcheck::QuickCheck;
@@ -114,7 +115,7 @@
     };
     TableDelta {
         whole: false,
-        version: 9,
+        version: 9.into(),
         has_gap: false,
         more: false,
         rows: vec![row],
@@ -124,9 +125,9 @@
 #[test]
 fn messages_of_daemons_are_decoded_or_refused() {
     let req = ProofRequest {
-        configuration: Some(7),
-        targets: None,
-        members: Some(u64::MAX),
+        configuration: Some(7.into()),
+        targets: Some(StoreVersion::new(Era::stated(2), 9)),
+        members: Some(u64::MAX.into()),
     };
     let body = rmp_serde::to_vec(&req).expect("encoded");
     fuzz("proof request", &body, |b| {
--- a/tests/delta_codec.rs
+++ b/tests/delta_codec.rs
@@ -6,7 +6,7 @@
 fn delta(value: &[u8]) -> TableDelta {
     TableDelta {
         whole: false,
-        version: 9,
+        version: 9.into(),
         has_gap: false,
         more: false,
         rows: vec![RowChange {
--- a/tests/followed_table.rs
+++ b/tests/followed_table.rs
@@ -6,7 +6,7 @@
 use chervillug::{
     clock::BootTime,
     follow::{FollowedTable, TableSink},
-    store::StoredRow,
+    store::{Era, StoreVersion, StoredRow},
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -43,16 +43,25 @@
 struct Store {
     rows: BTreeMap<String, StoredRow>,
     version: u64,
-    /// The contents at earlier versions.
-    former: BTreeMap<u64, Contents>,
+    era: Era,
+    number_of_eras: u64,
+    /// The rows at earlier versions.
+    former: BTreeMap<StoreVersion, BTreeMap<String, StoredRow>>,
+}
+
+fn contents(rows: &BTreeMap<String, StoredRow>) -> Contents {
+    let values = rows
+        .values()
+        .map(|r| Some((r.key.clone(), r.value.clone()?)));
+    values.flatten().collect()
 }
 
 impl Store {
     fn put(&mut self, key: u8, present: bool) {
-        self.former.insert(self.version, self.contents());
+        self.former.insert(self.newest(), self.rows.clone());
         self.version += 1;
         let key = format!("k{}", key % 6);
-        let value = present.then(|| Bytes::from(self.version.to_string()));
+        let value = present.then(|| Bytes::from(format!("{:?}", self.newest())));
         let row = StoredRow {
             key: key.clone(),
             value,
@@ -61,18 +70,38 @@
         self.rows.insert(key, row);
     }
 
+    /// Comes back from a copy that lacks the newest `lost` versions. The rows get other values than
+    /// before when they are written again under the same versions.
+    fn roll_back(&mut self, lost: u64) {
+        self.former.insert(self.newest(), self.rows.clone());
+        self.version = self.version.saturating_sub(lost);
+        let copies = self.former.iter().rev();
+        let mut copies = copies.filter(|(at, _)| at.era == self.era && at.number <= self.version);
+        // The oldest copy of an era may be newer than that.
+        self.rows = copies
+            .next()
+            .map(|(_, rows)| rows.clone())
+            .unwrap_or_default();
+        self.rows.retain(|_, row| row.version <= self.version);
+        self.number_of_eras += 1;
+        self.era = Era::stated(self.number_of_eras);
+    }
+
+    fn newest(&self) -> StoreVersion {
+        StoreVersion::new(self.era, self.version)
+    }
+
     fn live(&self) -> Vec<StoredRow> {
         let live = self.rows.values().filter(|row| row.value.is_some());
         live.cloned().collect()
     }
 
     fn contents(&self) -> Contents {
-        let live = self.live().into_iter();
-        live.filter_map(|r| Some((r.key, r.value?))).collect()
+        contents(&self.rows)
     }
 
-    fn contents_at(&self, version: u64) -> Contents {
-        let former = self.former.get(&version).cloned();
+    fn contents_at(&self, version: StoreVersion) -> Contents {
+        let former = self.former.get(&version).map(contents);
         former.unwrap_or_else(|| self.contents())
     }
 
@@ -86,9 +115,10 @@
 
 /// A response of the store that has not arrived yet.
 struct Response {
-    whole: bool,
+    /// Version after which the changes were requested; `None` if all rows were.
+    since: Option<StoreVersion>,
     rows: Vec<StoredRow>,
-    version: u64,
+    version: StoreVersion,
 }
 
 struct Daemon {
@@ -110,14 +140,16 @@
     /// Calls the store for the changes, or for all rows if the copy is empty or the store has no
     /// history. The response is under way until [`Daemon::receive`].
     fn send_read(&self, store: &Store, has_history: bool) {
-        let held = self.table.version().filter(|_| has_history);
+        // The store has no history since a version that it does not have.
+        let is_known = |held: &StoreVersion| has_history && held.number <= store.version;
+        let held = self.table.version().filter(is_known);
         if held.is_none() {
             self.table.invalidate();
         }
         *self.response.borrow_mut() = Some(Response {
-            whole: held.is_none(),
-            rows: held.map_or_else(|| store.live(), |held| store.changed_since(held)),
-            version: store.version,
+            since: held,
+            rows: held.map_or_else(|| store.live(), |held| store.changed_since(held.number)),
+            version: store.newest(),
         });
     }
 
@@ -127,16 +159,21 @@
             return;
         };
         let now = BootTime::default();
-        if res.whole {
-            self.table.replace(res.rows, res.version, now);
-        } else {
-            self.table.apply(res.rows, res.version, now);
-        }
+        match res.since {
+            Some(since) => self.table.apply(res.rows, since, res.version, now),
+            None => self.table.replace(res.rows, res.version, now),
+        };
     }
 
+    /// Reads until the copy is as new as the store; the changes of a new era cannot be applied.
     fn read(&self, store: &Store, has_history: bool) {
-        self.send_read(store, has_history);
-        self.receive();
+        for _ in 0..2 {
+            self.send_read(store, has_history);
+            self.receive();
+            if self.table.era() == store.era && self.table.version().is_some() {
+                return;
+            }
+        }
     }
 
     /// Fetches deltas from another daemon until it has no more.
@@ -173,6 +210,7 @@
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Put { key: u8, present: bool },
+    RollBack { lost: u64 },
     Read { daemon: u8, has_history: bool },
     Send { daemon: u8, has_history: bool },
     Receive { daemon: u8 },
@@ -182,20 +220,23 @@
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let daemon = u8::arbitrary(g) % 3;
-        match u8::arbitrary(g) % 8 {
-            0 | 1 => Step::Put {
+        match u8::arbitrary(g) % 17 {
+            16 => Step::RollBack {
+                lost: u64::arbitrary(g) % 4,
+            },
+            0..=3 => Step::Put {
                 key: u8::arbitrary(g),
                 present: bool::arbitrary(g),
             },
-            2 => Step::Read {
+            4 | 5 => Step::Read {
                 daemon,
                 has_history: u8::arbitrary(g) % 3 > 0,
             },
-            3 => Step::Send {
+            6 | 7 => Step::Send {
                 daemon,
                 has_history: u8::arbitrary(g) % 3 > 0,
             },
-            4 => Step::Receive { daemon },
+            8 | 9 => Step::Receive { daemon },
             _ => Step::Fetch {
                 daemon,
                 other: u8::arbitrary(g) % 3,
@@ -216,6 +257,10 @@
             store.put(key, present);
             true
         }
+        Step::RollBack { lost } => {
+            store.roll_back(lost);
+            true
+        }
         Step::Read {
             daemon,
             has_history,
@@ -226,7 +271,7 @@
         }
         Step::Fetch { daemon, other } if daemon != other => {
             let (daemon, other) = (&daemons[usize::from(daemon)], &daemons[usize::from(other)]);
-            let newest = Some(store.version);
+            let newest = Some(store.newest());
             let is_current = daemon.table.version() == newest || other.table.version() == newest;
             daemon.fetch_from(other);
             !is_current || daemon.matches(&store)
@@ -273,7 +318,7 @@
         reader.read(&store, true);
         follower.fetch_from(&reader);
         follower.receive();
-        assert_eq!(follower.table.version(), Some(store.version));
+        assert_eq!(follower.table.version(), Some(store.newest()));
         assert!(follower.is_consistent(&store), "history: {has_history}");
     }
 }
--- a/tests/large_configuration.rs
+++ b/tests/large_configuration.rs
@@ -96,8 +96,8 @@
         ),
     };
     let now = clock.now();
-    tables.members.replace(members.to_vec(), 1, now);
-    tables.targets.replace(Vec::new(), 1, now);
+    tables.members.replace(members.to_vec(), 1.into(), now);
+    tables.targets.replace(Vec::new(), 1.into(), now);
     let connectivity = StoreConnectivity::default();
     let mut router = PeerRouter::default();
     let handler = ProofHandler {
@@ -164,7 +164,10 @@
         let now = SystemClock.now();
         if let Some(row) = newest.take() {
             let version = row.version;
-            reader.tables.configuration.apply(vec![row], version, now);
+            reader
+                .tables
+                .configuration
+                .apply(vec![row], (version - 1).into(), version.into(), now);
         }
         reader.connectivity.record_response(now);
         let store_time = now.as_duration();
@@ -202,7 +205,10 @@
         .clone();
     let small = configuration_row(&configuration(4), 4);
     let now = SystemClock.now();
-    reader.tables.configuration.replace(vec![small], 4, now);
+    reader
+        .tables
+        .configuration
+        .replace(vec![small], 4.into(), now);
     monoio::spawn(feed_reader(reader.clone(), newest.clone()));
     nodes.retain(|node| node.host != first);
     sleep(Duration::from_secs(2)).await;
@@ -242,7 +248,10 @@
         let (reader, nodes) = start_fleet(&newest).await;
         let changed = configuration_row(&configuration(6), 6);
         let now = SystemClock.now();
-        reader.tables.configuration.apply(vec![changed], 6, now);
+        reader
+            .tables
+            .configuration
+            .apply(vec![changed], 5.into(), 6.into(), now);
         reader.tables.configuration.invalidate();
         sleep(TWO_POLLS).await;
         let now = SystemClock.now();
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -3,7 +3,7 @@
 use std::{fs, path::Path};
 
 /// Names of the platform's interface that no file outside `src/platform/` may contain.
-const NAMES: [&str; 22] = [
+const NAMES: [&str; 24] = [
     "rows-tx",
     "rows-get",
     "rows-feed",
@@ -20,6 +20,8 @@
     "x-server-load",
     "X-Server-Signature",
     "x-server-signature",
+    "Store-Era",
+    "store-era",
     "ratePerS",
     "apiKeys",
     "warmupLeftS",
