follow: keep removals and newer rows in force through a rollback

Cause: a store that comes back from an older copy lists revoked keys, targets that had left and reverted evacuations again, and states that its older configuration is the newest.

Change: EraGuard stands between a copy and its sink. Known removals stay so until the row is written again above the first full read of the era; rows that the older copy lacks or has with older values stay in force for a grace period that the sink states. EraGate lets reads of a new era prove freshness only once their configuration is as new as the one in force. Readers that wait for the operator answer polls with rows and without a proof, so that the other daemons do not read the store. Without eras nothing changes.

Ruled out: withholding a removed row whatever its version; the property test found rows that were written again before the rollback and stayed withheld.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -32,7 +32,7 @@
         SliceStatusHandler, TokenHandler,
     },
     retry::RetryBudgetConfig,
-    routing::{ConfigurationView, RoutingPolicy},
+    routing::{ConfigurationView, EraGate, RoutingPolicy},
     store::RowStore,
 };
 
@@ -164,6 +164,9 @@
         let key_secret = format!("{:032x}", fastrand::u128(..));
         let max_age = settings.max_key_withdrawal - KEY_PROOF_MARGIN;
         let view = ConfigurationView::new(KeyHasher::new(&key_secret), max_age);
+        if settings.first_start {
+            view.update_eras(EraGate::trust_start);
+        }
         Self {
             clock: Rc::new(SystemClock),
             store: Rc::new(RowClient::new(settings.store_address, metrics.clone())),
--- a/src/follow/change_fetcher.rs
+++ b/src/follow/change_fetcher.rs
@@ -9,7 +9,7 @@
     metrics::{Counter, Metrics},
     peer::{MessageKind, PeerClient},
     routing::ConfigurationView,
-    store::StoreVersion,
+    store::{Era, StoreVersion},
 };
 
 use super::{
@@ -39,9 +39,9 @@
 }
 
 impl PeerProof {
-    /// Adopts the proof for the configuration in `view`.
-    pub(super) fn adopt(&self, view: &ConfigurationView) {
-        view.update_freshness(|f| f.adopt_peer_proof(self.requested_at, self.age));
+    /// Adopts the proof for the configuration in `view`, whose copy is of `era`.
+    pub(super) fn adopt(&self, view: &ConfigurationView, era: Era) {
+        view.adopt_peer_proof(era, self.requested_at, self.age);
     }
 }
 
@@ -101,17 +101,20 @@
     }
 
     /// Starts a fetch from `reader` unless one is running. `proof` came with the response that left
-    /// the changes out, and is adopted once they are merged.
-    pub(super) fn start(&self, reader: &Rc<str>, proof: PeerProof) {
+    /// the changes out, and is adopted once they are merged, unless they are of another era than the
+    /// copy was: the proof may be of the era before.
+    pub(super) fn start(&self, reader: &Rc<str>, proof: Option<PeerProof>) {
         if self.state.replace(FetchState::Running) == FetchState::Running {
             return;
         }
         let (fetcher, reader) = (self.clone(), reader.clone());
         monoio::spawn(async move {
+            let era = fetcher.tables.configuration.era();
             fetcher.state.set(match fetcher.fetch(&reader).await {
                 FetchResult::Merged { configuration } => {
-                    if configuration {
-                        proof.adopt(&fetcher.view);
+                    let is_same_era = fetcher.tables.configuration.era() == era;
+                    if let Some(proof) = proof.filter(|_| configuration && is_same_era) {
+                        proof.adopt(&fetcher.view, era);
                     }
                     FetchState::Idle
                 }
--- a/src/follow/followed_table.rs
+++ b/src/follow/followed_table.rs
@@ -1,10 +1,6 @@
 //! A daemon's local copy of one table of the store.
 
-use std::{
-    cell::RefCell,
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    rc::Rc,
-};
+use std::{cell::RefCell, rc::Rc};
 
 use bytes::Bytes;
 
@@ -13,14 +9,14 @@
     store::{Era, StoreVersion, StoredRow},
 };
 
-use super::{table_delta::RowChange, table_follower::TableSink, RowVersion, TableDelta};
+use super::{
+    era_guard::EraGuard,
+    table_copy::{is_large, removal, TableCopy},
+    table_delta::RowChange,
+    table_follower::TableSink,
+    RowVersion, TableDelta,
+};
 
-/// Tombstones of removed rows kept for other daemons; a daemon whose copy is older gets all rows.
-const MAX_TOMBSTONES: usize = 512;
-/// Minimum size of a row that other daemons' changes may be compressed against, in bytes.
-const LARGE_ROW_BYTES: usize = 4 * 1024;
-/// Replaced values of large rows kept for daemons that still hold them.
-const MAX_REPLACED: usize = 4;
 /// Rows of one delta, which keep a response well below the size limit of a peer message.
 const MAX_DELTA_ROWS: usize = 128;
 
@@ -28,131 +24,8 @@
 pub struct FollowedTable {
     name: &'static str,
     sink: Rc<dyn TableSink>,
-    state: RefCell<State>,
-}
-
-#[derive(Default)]
-struct State {
-    /// Era of the store to which all versions of the copy belong.
-    era: Era,
-    /// Version of the store that the copy reflects; `None` before the first read and while a full
-    /// read is needed.
-    version: Option<u64>,
-    /// Newest version that the copy ever reflected; unlike `version`, it survives the need for a
-    /// full read.
-    last_version: u64,
-    rows: BTreeMap<String, StoredRow>,
-    tombstones: VecDeque<StoredRow>,
-    /// Former values of large rows, oldest first.
-    replaced: VecDeque<StoredRow>,
-    /// Tombstones up to this version are not kept.
-    tombstones_since: u64,
-    /// Range of versions whose changes were not observed. Of the rows removed in it, only those
-    /// that the copy held before have a tombstone.
-    gap: Option<(u64, u64)>,
-}
-
-impl State {
-    fn add_tombstone(&mut self, row: StoredRow) {
-        if self.tombstones.len() >= MAX_TOMBSTONES {
-            if let Some(oldest) = self.tombstones.pop_front() {
-                self.tombstones_since = oldest.version;
-            }
-        }
-        self.tombstones.push_back(row);
-    }
-
-    /// Inserts a row, and keeps the value that it replaces if that is large.
-    fn insert(&mut self, row: &StoredRow) {
-        let former = self.rows.insert(row.key.clone(), row.clone());
-        let Some(former) = former.filter(|f| f.version != row.version && is_large(f)) else {
-            return;
-        };
-        if self.replaced.len() >= MAX_REPLACED {
-            self.replaced.pop_front();
-        }
-        self.replaced.push_back(former);
-    }
-
-    fn put(&mut self, row: &StoredRow) {
-        if row.value.is_some() {
-            self.insert(row);
-        } else {
-            // The tombstone is kept even if the row is unknown here: another daemon may hold a
-            // row that was inserted and removed between two reads of this one.
-            self.rows.remove(&row.key);
-            self.add_tombstone(row.clone());
-        }
-    }
-
-    /// Returns whether a row changed after the version that the copy reflects. A row of a full read
-    /// that took several calls may be newer than that version itself.
-    fn is_newer(&self, row: &StoredRow) -> bool {
-        let held = self.rows.get(&row.key).map(|held| held.version);
-        Some(row.version) > self.version.max(held)
-    }
-
-    /// Starts an empty copy in a later era, whose versions say nothing about those of this one.
-    fn start_era(&mut self, era: Era) {
-        *self = Self {
-            era,
-            ..Self::default()
-        };
-    }
-
-    fn store_version(&self) -> Option<StoreVersion> {
-        Some(StoreVersion::new(self.era, self.version?))
-    }
-
-    /// Replaces all rows by those of a full read as of `version`.
-    fn replace(&mut self, rows: &[StoredRow], version: u64) {
-        let kept: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
-        let is_removed = |key: &&String| !kept.contains(key.as_str());
-        let removed: Vec<String> = self.rows.keys().filter(is_removed).cloned().collect();
-        for row in rows {
-            self.insert(row);
-        }
-        for key in removed {
-            self.rows.remove(&key);
-            self.add_tombstone(StoredRow {
-                key,
-                value: None,
-                version,
-            });
-        }
-        self.record_gap(version);
-        self.version = Some(version);
-        self.last_version = version;
-    }
-
-    /// Records that changes between the last version and `version` were not observed.
-    fn record_gap(&mut self, version: u64) {
-        match (self.last_version, self.gap) {
-            (0, _) => self.tombstones_since = version,
-            (_, Some((_, end))) => self.tombstones_since = self.tombstones_since.max(end),
-            (_, None) => {}
-        }
-        self.gap = Some((self.last_version, version));
-    }
-
-    /// Returns whether the tombstones are complete for a copy of version `held`.
-    fn has_tombstones_since(&self, held: u64) -> bool {
-        let in_gap = |(from, to): (u64, u64)| from < held && held < to;
-        held >= self.tombstones_since && !self.gap.is_some_and(in_gap)
-    }
-
-    /// Returns the rows that changed after `held`, in the order of their versions.
-    fn changed_since(&self, held: u64) -> Vec<&StoredRow> {
-        let all = self.rows.values().chain(&self.tombstones);
-        let mut rows: Vec<&StoredRow> = all.filter(|row| row.version > held).collect();
-        rows.sort_by_key(|row| row.version);
-        rows
-    }
-}
-
-fn is_large(row: &StoredRow) -> bool {
-    let size = row.value.as_ref().map_or(0, Bytes::len);
-    size >= LARGE_ROW_BYTES
+    state: RefCell<TableCopy>,
+    guard: RefCell<EraGuard>,
 }
 
 impl FollowedTable {
@@ -162,6 +35,7 @@
             name,
             sink,
             state: RefCell::default(),
+            guard: RefCell::default(),
         }
     }
 
@@ -195,6 +69,17 @@
     /// newer or of a later era, as another daemon's changes may have been merged while the read was
     /// under way.
     pub fn replace(&self, rows: Vec<StoredRow>, version: StoreVersion, now: BootTime) -> bool {
+        self.replace_since(rows, version.number, version, now)
+    }
+
+    /// Replaces all rows; `era_start` is the version of the first full read of their era.
+    fn replace_since(
+        &self,
+        rows: Vec<StoredRow>,
+        era_start: u64,
+        version: StoreVersion,
+        now: BootTime,
+    ) -> bool {
         let held = self.version();
         if held > Some(version) || self.era() > version.era {
             log::info!(table = self.name, held:? = held, row:? = version;
@@ -203,15 +88,54 @@
             return self.era() == version.era;
         }
         if self.era() < version.era {
-            log::info!(table = self.name, held:? = held, row:? = version, rows = rows.len();
-                "all rows read in a new era of the store");
-            self.state.borrow_mut().start_era(version.era);
+            self.start_era(&rows, era_start, version, now);
         }
-        self.state.borrow_mut().replace(&rows, version.number);
-        self.sink.replace(rows, now);
+        let in_force = {
+            let mut guard = self.guard.borrow_mut();
+            let removed = self.state.borrow_mut().replace(&rows, version.number);
+            for key in &removed {
+                guard.record_missing(key, version.number);
+            }
+            rows.iter().for_each(|row| guard.record(row));
+            guard.in_force(rows)
+        };
+        self.sink.replace(in_force, now);
         true
     }
 
+    fn start_era(&self, rows: &[StoredRow], era_start: u64, version: StoreVersion, now: BootTime) {
+        let mut state = self.state.borrow_mut();
+        let mut guard = self.guard.borrow_mut();
+        let held = state.store_version();
+        let grace = |key: &str| self.sink.grace(key);
+        guard.start_era(era_start, &state.rows, rows, grace, now);
+        state.start_era(version.era);
+        let withheld = rows.iter().filter(|row| guard.is_withheld(row)).count();
+        let retained = guard.retained();
+        log::info!(table = self.name, held:? = held, row:? = version, rows = rows.len(),
+            withheld = withheld, retained = retained; "all rows read in a new era of the store");
+    }
+
+    /// Returns when rows of an earlier era that are still in force are next released.
+    pub fn next_release(&self) -> Option<BootTime> {
+        self.guard.borrow().next_release()
+    }
+
+    /// Returns the rows that replace those whose grace period is over.
+    fn released_rows(&self, now: BootTime) -> Vec<StoredRow> {
+        let state = self.state.borrow();
+        let released = self.guard.borrow_mut().release(now);
+        if !released.is_empty() {
+            log::info!(table = self.name, rows = released.len();
+                "rows of an earlier era were not written again");
+        }
+        let current = |key: &String| {
+            let row = state.rows.get(key).cloned();
+            row.unwrap_or_else(|| removal(key, state.last_version))
+        };
+        released.iter().map(current).collect()
+    }
+
     /// Applies the rows that changed after `since` up to `version`; there may be none. Ignores them
     /// unless both versions and the copy are of one era, and makes a full read necessary if they are
     /// of a later one than the copy. Returns whether the copy reflects them.
@@ -239,10 +163,14 @@
     /// daemon's changes may have been merged while the response that holds the rows was under way.
     fn apply_newer(&self, rows: Vec<StoredRow>, version: u64, now: BootTime) {
         let received = rows.len();
-        let newer = {
+        let mut newer = {
             let mut state = self.state.borrow_mut();
+            let mut guard = self.guard.borrow_mut();
             let newer: Vec<StoredRow> = rows.into_iter().filter(|r| state.is_newer(r)).collect();
-            newer.iter().for_each(|row| state.put(row));
+            for row in &newer {
+                state.put(row);
+                guard.record(row);
+            }
             state.version = state.version.max(Some(version));
             state.last_version = state.last_version.max(version);
             newer
@@ -251,6 +179,7 @@
             log::info!(table = self.name, held:? = self.version(), row = version,
                 rows = received - newer.len(); "rows older than the copy ignored");
         }
+        newer.extend(self.released_rows(now));
         self.sink.apply(newer, now);
     }
 
@@ -278,7 +207,7 @@
     /// `None` if this copy needs a full read or is older than the other one.
     ///
     /// The delta holds all rows if `held` is `None` or of an earlier era, or the tombstones since then
-    /// are incomplete.
+    /// are incomplete; only rows that are withheld as known removals are left out.
     pub fn delta_since(&self, held: Option<StoreVersion>) -> Option<TableDelta> {
         let state = self.state.borrow();
         let known = state.version?;
@@ -293,7 +222,8 @@
             return None;
         }
         let mut rows = state.changed_since(from);
-        rows.retain(|row| !whole || row.value.is_some());
+        let guard = self.guard.borrow();
+        rows.retain(|row| !whole || (row.value.is_some() && !guard.is_withheld(row)));
         let mut version = known;
         if !whole && rows.len() > MAX_DELTA_ROWS {
             // The rows of one transaction share a version and must not be split.
@@ -307,6 +237,7 @@
             has_gap: state.gap.is_some_and(|(_, end)| end > from),
             more: version < known,
             rows: rows.into_iter().map(RowChange::from).collect(),
+            era_start: guard.era_start(),
         })
     }
 
@@ -322,7 +253,8 @@
         let rows = delta.rows.into_iter().map(StoredRow::from);
         if delta.whole {
             if held < Some(delta.version) && last_version <= delta.version {
-                self.replace(rows.collect(), delta.version, now);
+                let era_start = delta.era_start.unwrap_or(delta.version.number);
+                self.replace_since(rows.collect(), era_start, delta.version, now);
             }
             return;
         }
--- a/src/follow/member_sink.rs
+++ b/src/follow/member_sink.rs
@@ -1,6 +1,6 @@
 //! Applies the fleet's members and slice holders read from the store.
 
-use std::{cell::RefCell, collections::BTreeMap};
+use std::{cell::RefCell, collections::BTreeMap, time::Duration};
 
 use crate::{
     clock::BootTime,
@@ -11,6 +11,9 @@
 
 use super::{table_follower::TableSink, MemberRow};
 
+/// Time within which members and holders of slices write lost rows again.
+const LOST_MEMBER_GRACE: Duration = Duration::from_secs(10);
+
 /// Updates the directory of peers and the holders of slices.
 pub struct MemberSink {
     directory: PeerDirectory,
@@ -92,5 +95,9 @@
         self.publish();
     }
 
+    fn grace(&self, _: &str) -> Option<Duration> {
+        Some(LOST_MEMBER_GRACE)
+    }
+
     fn on_failure(&self, _: BootTime) {}
 }
--- a/src/follow/proof_handler.rs
+++ b/src/follow/proof_handler.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::Clock,
     peer::{decode, encode, PeerHandler},
-    routing::ConfigurationView,
+    routing::{ConfigurationView, EraVerdict},
     store::BoxFuture,
 };
 
@@ -43,10 +43,15 @@
         };
         let (targets, targets_pending) = split(tables.targets.delta_since(req.targets));
         let (members, members_pending) = split(tables.members.delta_since(req.members));
+        let verdict = self.view.era_verdict(tables.configuration.era());
+        // An unconfirmed copy must not look like one that only lacks a proof; the sender asks another
+        // reader.
+        let confirmed = Some(&tables.configuration).filter(|_| verdict != EraVerdict::Unconfirmed);
         let (configuration, configuration_pending) =
-            split(tables.configuration.delta_since(req.configuration));
+            split(confirmed.and_then(|table| table.delta_since(req.configuration)));
+        let age = self.view.freshness().age(now);
         ProofResponse {
-            age: self.view.freshness().age(now),
+            age: age.filter(|_| verdict == EraVerdict::Proves),
             direct: self.connectivity.is_connected(now),
             configuration,
             targets,
--- a/src/follow/reader_task.rs
+++ b/src/follow/reader_task.rs
@@ -8,7 +8,7 @@
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
     peer::{MessageKind, PeerClient},
-    routing::ConfigurationView,
+    routing::{ConfigurationView, EraVerdict},
 };
 
 use super::{
@@ -156,7 +156,7 @@
         if position == 0 || now.since(self.last_direct) >= STANDBY_TIMEOUT {
             self.parts.role.set(ReaderRole::ForOthers);
         }
-        if self.parts.connectivity.is_connected(now) {
+        if self.parts.connectivity.is_connected(now) && !self.needs_confirmation() {
             return STANDBY_INTERVAL;
         }
         match self.poll_until_direct(fallbacks).await {
@@ -165,6 +165,12 @@
         }
     }
 
+    /// Returns whether another daemon must confirm what this one read first.
+    fn needs_confirmation(&self) -> bool {
+        let era = self.parts.tables.configuration.era();
+        self.parts.view.era_verdict(era) == EraVerdict::Unconfirmed
+    }
+
     /// Makes this daemon read the store for itself once its newest proof is too old, even while it
     /// polls further readers.
     fn read_if_stale(&mut self) {
@@ -267,16 +273,35 @@
             "changes received");
     }
 
+    /// Returns whether a daemon that reads the store has no proof because the store came back from an
+    /// older copy, and its configuration has not been written again. Its rows are current, and reading
+    /// the store would give no proof either.
+    fn is_waiting(&self, res: &ProofResponse) -> bool {
+        let in_era = match &res.configuration {
+            Some(delta) => delta.version.era.is_stated(),
+            None => {
+                let held = self.parts.tables.configuration.era();
+                res.pending.configuration && held.is_stated()
+            }
+        };
+        res.age.is_none() && res.direct && in_era
+    }
+
     /// Applies the changes and then the proof, which is valid only for the configuration that
     /// results from them. Starts to fetch the changes that the response has no room for.
     fn handle_response(&self, reader: &Rc<str>, res: ProofResponse, sent: BootTime) -> PollResult {
-        let Some(age) = res.age.filter(|age| *age <= MAX_PROOF_AGE) else {
+        let age = res.age.filter(|age| *age <= MAX_PROOF_AGE);
+        let is_waiting = self.is_waiting(&res);
+        if age.is_none() && !is_waiting {
             return PollResult::Failed;
-        };
+        }
         let now = self.parts.clock.now();
+        if is_waiting {
+            self.parts.view.update_eras(|e| e.on_waiting_peer(now));
+        }
         let tables = &self.parts.tables;
         // Without its changes, the reader's proof says nothing about this daemon's configuration.
-        let proves_own = res.configuration.is_some();
+        let proven_era = res.configuration.as_ref().map(|delta| delta.version.era);
         let deltas: [(&FollowedTable, Option<TableDelta>); 3] = [
             (&tables.configuration, res.configuration),
             (&tables.targets, res.targets),
@@ -290,10 +315,10 @@
                 table.merge(delta, now);
             }
         }
-        let proof = PeerProof {
+        let proof = age.map(|age| PeerProof {
             requested_at: sent,
             age,
-        };
+        });
         if res.pending.is_empty() {
             self.fetcher.on_caught_up();
         } else {
@@ -302,8 +327,9 @@
         if tables.targets.version().is_none() && !res.pending.targets {
             return PollResult::Failed;
         }
-        if proves_own {
-            proof.adopt(&self.parts.view);
+        let era = tables.configuration.era();
+        if let Some(proof) = proof.filter(|_| proven_era == Some(era)) {
+            proof.adopt(&self.parts.view, era);
         }
         if res.direct {
             PollResult::Direct { more }
--- a/src/follow/table_delta.rs
+++ b/src/follow/table_delta.rs
@@ -61,6 +61,10 @@
     pub more: bool,
     /// The rows.
     pub rows: Vec<RowChange>,
+    /// Version of the first full read in the era of `version`; left out if the era is unstated, as
+    /// daemons of earlier builds do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era_start: Option<u64>,
 }
 
 impl TableDelta {
--- a/src/follow/table_follower.rs
+++ b/src/follow/table_follower.rs
@@ -54,6 +54,12 @@
     /// Applies the rows that changed; there may be none.
     fn apply(&self, rows: Vec<StoredRow>, now: BootTime);
 
+    /// Returns for how long a row that the daemon holds stays in force if the store came back from an
+    /// older copy without that row; `None` if neither that nor an older value is to be bridged.
+    fn grace(&self, _: &str) -> Option<Duration> {
+        None
+    }
+
     /// Called after the changes of a response from the store itself have been applied.
     fn on_response(&self, _: &ResponseTiming) {}
 
@@ -189,10 +195,18 @@
         if self.failures > 0 || waited || alone {
             Duration::ZERO
         } else {
-            self.opts.long_poll
+            self.time_until_release().min(self.opts.long_poll)
         }
     }
 
+    /// Returns the time after which a call must return so that rows of an earlier era are released in
+    /// time.
+    fn time_until_release(&self) -> Duration {
+        let now = self.parts.clock.now();
+        let release = self.table.next_release();
+        release.map_or(Duration::MAX, |at| at.since(now))
+    }
+
     /// Waits until another task detects a reconnect to the store.
     async fn reconnect_by_other(&self, seen: u64) {
         if self.opts.tracks_connectivity {
--- a/src/follow/target_sink.rs
+++ b/src/follow/target_sink.rs
@@ -14,6 +14,9 @@
 /// Time between two checks for entries whose grace period is over.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time within which targets write lost entries again.
+const LOST_ENTRY_GRACE: Duration = Duration::from_secs(2);
+
 /// Decodes the entry of a target, or returns what is invalid in it.
 type DecodeTarget = fn(&str, &[u8]) -> Result<ListedHost, String>;
 
@@ -109,6 +112,12 @@
         self.publish();
     }
 
+    /// A target that is leaving must not seem ready, nor one that is ready be missing, before it has
+    /// written its entry again.
+    fn grace(&self, _: &str) -> Option<Duration> {
+        Some(LOST_ENTRY_GRACE)
+    }
+
     fn on_failure(&self, now: BootTime) {
         let proof_age = self.view.freshness().age(now);
         self.list.borrow_mut().on_store_failure(proof_age, now);
--- a/src/routing/freshness.rs
+++ b/src/routing/freshness.rs
@@ -53,6 +53,12 @@
         );
     }
 
+    /// Forgets the offset of the store's clock, which may have changed as the store came back from an
+    /// older copy. What was proven before stays proven.
+    pub fn forget_store_clock(&mut self) {
+        self.offset = None;
+    }
+
     /// Adopts the proof of a peer that was `age` old at `requested_at`, the time of the request.
     pub fn adopt_peer_proof(&mut self, requested_at: BootTime, age: Duration) {
         let as_of = requested_at.as_duration().saturating_sub(age);
--- a/src/routing/view.rs
+++ b/src/routing/view.rs
@@ -6,15 +6,16 @@
     time::Duration,
 };
 
-use crate::{catalog::KeyHasher, clock::BootTime};
+use crate::{catalog::KeyHasher, clock::BootTime, store::Era};
 
-use super::{Configuration, Freshness, RouteTable};
+use super::{Configuration, EraGate, EraVerdict, Freshness, RouteTable};
 
 /// The configuration in force and the proof of its freshness, shared by the tasks of this daemon.
 #[derive(Clone)]
 pub struct ConfigurationView {
     table: Rc<RefCell<Rc<RouteTable>>>,
     freshness: Rc<RefCell<Freshness>>,
+    eras: Rc<RefCell<EraGate>>,
     hasher: KeyHasher,
     max_age: Duration,
 }
@@ -26,6 +27,7 @@
         Self {
             table: Rc::default(),
             freshness: Rc::default(),
+            eras: Rc::default(),
             hasher,
             max_age,
         }
@@ -66,6 +68,48 @@
         change(&mut self.freshness.borrow_mut());
     }
 
+    /// Records a response of the store in `era` with the time `store_time` of the store; returns
+    /// whether it proves freshness.
+    pub fn record_answer(
+        &self,
+        era: Era,
+        sent: BootTime,
+        received: BootTime,
+        store_time: Duration,
+    ) -> EraVerdict {
+        let is_new = self.eras.borrow().proven_in() != Some(era);
+        let in_force = self.version();
+        let verdict = self.eras.borrow_mut().on_answer(era, in_force, received);
+        if verdict == EraVerdict::Proves {
+            let mut freshness = self.freshness.borrow_mut();
+            if is_new {
+                freshness.forget_store_clock();
+            }
+            freshness.record_answer(sent, received, store_time);
+        }
+        verdict
+    }
+
+    /// Adopts the proof of another daemon, which was `age` old at `requested_at`, for a copy of `era`;
+    /// returns whether it proves freshness of the configuration in force.
+    pub fn adopt_peer_proof(&self, era: Era, requested_at: BootTime, age: Duration) -> EraVerdict {
+        let verdict = self.eras.borrow_mut().on_peer_proof(era, self.version());
+        if verdict == EraVerdict::Proves {
+            self.update_freshness(|f| f.adopt_peer_proof(requested_at, age));
+        }
+        verdict
+    }
+
+    /// Returns whether reads in `era` prove freshness of the configuration in force.
+    pub fn era_verdict(&self, era: Era) -> EraVerdict {
+        self.eras.borrow().verdict(era, self.version())
+    }
+
+    /// Updates what is known of the eras of the store.
+    pub fn update_eras(&self, change: impl FnOnce(&mut EraGate)) {
+        change(&mut self.eras.borrow_mut());
+    }
+
     /// Returns whether the configuration is proven to be recent enough to accept keys.
     pub fn is_fresh(&self, now: BootTime) -> bool {
         let age = self.freshness.borrow().age(now);
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -119,6 +119,7 @@
         has_gap: false,
         more: false,
         rows: vec![row],
+        era_start: Some(4),
     }
 }
 
--- a/tests/delta_codec.rs
+++ b/tests/delta_codec.rs
@@ -14,6 +14,7 @@
             value: Some(value.to_vec()),
             version: 9,
         }],
+        era_start: None,
     }
 }
 
