--- a/src/follow/target_sink.rs
+++ b/src/follow/target_sink.rs
@@ -9,11 +9,17 @@
     store::{ListedHost, StoredRow},
 };
 
-use super::{table_follower::TableSink, TargetList};
+use super::{
+    table_follower::{EraRows, TableSink},
+    TargetList,
+};
 
 /// Time between two checks for entries whose grace period is over.
 const EXPIRE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time within which targets write lost entries again.
+const LOST_ENTRY_GRACE: Duration = Duration::from_secs(2);
+
 /// Decodes the entry of a target, or returns what is invalid in it.
 type DecodeTarget = fn(&str, &[u8]) -> Result<ListedHost, String>;
 /// Returns the time for which an entry states that its target is cold.
@@ -22,6 +28,7 @@
 /// Maintains the list of targets and sends each change to the balancer.
 pub struct TargetSink {
     list: Rc<RefCell<TargetList>>,
+    era: RefCell<EraRows>,
     balancer: BalancerHandle,
     decode: DecodeTarget,
     decode_warmup: DecodeWarmup,
@@ -40,6 +47,7 @@
     ) -> Self {
         Self {
             list: Rc::default(),
+            era: RefCell::default(),
             balancer,
             decode,
             decode_warmup,
@@ -76,10 +84,12 @@
     /// Tells the balancer what entries that were read state about the warm-up of their targets. The
     /// list must have been published before.
     fn publish_warmups(&self, rows: &[StoredRow]) {
+        let era = self.era.borrow();
         let warmup = |row: &StoredRow| {
             Some(EntryWarmup {
                 target: row.key.clone(),
-                version: row.version,
+                version: era.version(row),
+                may_be_restored: era.may_be_restored(row),
                 left: (self.decode_warmup)(row.value.as_ref()?),
             })
         };
@@ -106,7 +116,7 @@
 }
 
 impl TableSink for TargetSink {
-    fn replace(&self, rows: Vec<StoredRow>, now: BootTime) {
+    fn replace(&self, mut rows: Vec<StoredRow>, now: BootTime) {
         let hosts: Vec<ListedHost> = rows.iter().filter_map(|r| self.decode(r)).collect();
         log::info!(targets = hosts.len(); "targets read");
         {
@@ -115,6 +125,8 @@
             list.replace(hosts, now);
         }
         self.publish();
+        // Rows that stay in force from an earlier era were passed on there.
+        rows.retain(|row| !self.era.borrow().retained.contains(&row.key));
         self.publish_warmups(&rows);
     }
 
@@ -130,6 +142,16 @@
         self.publish_warmups(&rows);
     }
 
+    /// A target that is leaving must not seem ready, nor one that is ready be missing, before it has
+    /// written its entry again.
+    fn grace(&self, _: &str) -> Option<Duration> {
+        Some(LOST_ENTRY_GRACE)
+    }
+
+    fn set_era(&self, rows: &EraRows) {
+        *self.era.borrow_mut() = rows.clone();
+    }
+
     fn on_failure(&self, now: BootTime) {
         let proof_age = self.view.freshness().age(now);
         self.list.borrow_mut().on_store_failure(proof_age, now);
--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -18,7 +18,7 @@
 
 use rustc_hash::FxHashMap;
 
-use crate::clock::BootTime;
+use crate::{clock::BootTime, store::StoreVersion};
 
 use super::{
     AttemptId, Detector, QueueRejection, Service, ServiceId, Suspicion, Target, TargetId,
@@ -95,7 +95,7 @@
     /// Data centres whose targets receive nothing.
     evacuated: BTreeSet<Rc<str>>,
     /// Version and time of the end of the last evacuation of each data centre.
-    returned: BTreeMap<Rc<str>, (Option<u64>, BootTime)>,
+    returned: BTreeMap<Rc<str>, (Option<StoreVersion>, BootTime)>,
     /// Services whose cold targets take a limited rate.
     warmup_terms: BTreeMap<Rc<str>, WarmupTerms>,
     /// Targets that became cold, for which the place of this daemon in the fleet is needed.
--- a/src/health/warmup_state.rs
+++ b/src/health/warmup_state.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::clock::BootTime;
+use crate::{clock::BootTime, store::StoreVersion};
 
 /// Longest warm-up that a target may state.
 const MAX_WARMUP: Duration = Duration::from_secs(3600);
@@ -13,7 +13,7 @@
     since: BootTime,
     /// Entries up to this version do not tell whether the target is cold now; `None` if no version
     /// is known from which they do.
-    version: Option<u64>,
+    version: Option<StoreVersion>,
     /// Whether the first entry only sets `version`, as its age is not known.
     awaits_first_entry: bool,
     /// Whether the response to a probe tells that the target is warm.
@@ -24,7 +24,8 @@
 /// and in responses to probes, and reasons for which it counts as cold without one.
 #[derive(Debug, Clone, Default)]
 pub struct WarmupState {
-    entry_version: Option<u64>,
+    /// The last entry that was applied, with the time that it states.
+    entry: Option<(StoreVersion, Duration)>,
     entry_until: Option<BootTime>,
     probe_until: Option<BootTime>,
     doubt: Option<Doubt>,
@@ -50,20 +51,43 @@
 
     /// Applies the entry of the target of this version, which states that it is cold for `left`.
     /// An entry that was applied before is ignored, as it says nothing about the time since then.
-    pub fn record_entry(&mut self, version: u64, left: Duration, now: BootTime) {
-        if self.entry_version == Some(version) {
+    ///
+    /// An entry that may have been written in an earlier era, as the store came back from an older
+    /// copy, ends nothing that is known from an earlier era.
+    pub fn record_entry(
+        &mut self,
+        version: StoreVersion,
+        may_be_restored: bool,
+        left: Duration,
+        now: BootTime,
+    ) {
+        let is_same = |known: StoreVersion, known_left: Duration| {
+            let is_unchanged = known.number == version.number && known_left == left;
+            known == version || (may_be_restored && is_unchanged)
+        };
+        let former = self.entry.replace((version, left));
+        if former.is_some_and(|(known, known_left)| is_same(known, known_left)) {
             return;
         }
-        self.entry_version = Some(version);
         let is_cold = !left.is_zero();
-        self.entry_until = is_cold.then(|| now + left.min(MAX_WARMUP));
+        let until = is_cold.then(|| now + left.min(MAX_WARMUP));
+        let is_of_new_era = former.is_some_and(|(known, _)| known.era != version.era);
+        self.entry_until = if may_be_restored && is_of_new_era {
+            self.entry_until.max(until)
+        } else {
+            until
+        };
         let Some(doubt) = &mut self.doubt else {
             return;
         };
         if doubt.awaits_first_entry {
             doubt.awaits_first_entry = false;
             doubt.version = Some(version);
-        } else if !is_cold && doubt.version.is_some_and(|known| version > known) {
+            return;
+        }
+        let is_written_after =
+            |known: StoreVersion| version > known && (version.era == known.era || !may_be_restored);
+        if !is_cold && doubt.version.is_some_and(is_written_after) {
             self.doubt = None;
         }
     }
@@ -82,7 +106,7 @@
 
     /// Records that the evacuation of the target's data centre ended with `version` of the store,
     /// if that is known. The target may have become cold while its entry says otherwise.
-    pub fn record_return(&mut self, version: Option<u64>, now: BootTime) {
+    pub fn record_return(&mut self, version: Option<StoreVersion>, now: BootTime) {
         self.doubt = Some(Doubt {
             since: now,
             version,
--- a/src/quota/handover_plan.rs
+++ b/src/quota/handover_plan.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 
-use crate::clock::BootTime;
+use crate::{clock::BootTime, store::StoreVersion};
 
 /// Timeout for the response of one successor, which writes the lease row before it responds.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -24,7 +24,7 @@
         /// The new holder.
         host: Rc<str>,
         /// Version of the row.
-        version: u64,
+        version: StoreVersion,
     },
     /// No host has confirmed that it holds the slice; its lease expires.
     Failed,
@@ -38,7 +38,7 @@
 pub struct HandoverPlan {
     candidates: VecDeque<Rc<str>>,
     end: BootTime,
-    holder: Option<(Rc<str>, u64)>,
+    holder: Option<(Rc<str>, StoreVersion)>,
 }
 
 impl HandoverPlan {
@@ -52,7 +52,7 @@
     }
 
     /// Records that `host` has become the holder by a write that gave the row this version.
-    pub fn record_holder(&mut self, host: &Rc<str>, version: u64) {
+    pub fn record_holder(&mut self, host: &Rc<str>, version: StoreVersion) {
         self.holder = Some((host.clone(), version));
     }
 
--- a/src/quota/lease_handle.rs
+++ b/src/quota/lease_handle.rs
@@ -4,7 +4,7 @@
 
 use local_sync::{mpsc, oneshot};
 
-use crate::{clock::BootTime, lifecycle::ShutdownSignal};
+use crate::{clock::BootTime, lifecycle::ShutdownSignal, store::StoreVersion};
 
 use super::ReleasedSlice;
 
@@ -12,7 +12,7 @@
 /// the holder.
 pub(super) struct SliceOffer {
     pub(super) slice: ReleasedSlice,
-    pub(super) reply: oneshot::Sender<Option<u64>>,
+    pub(super) reply: oneshot::Sender<Option<StoreVersion>>,
 }
 
 /// Handle of the task that writes the lease of the local slice.
@@ -39,7 +39,7 @@
 
     /// Takes over a slice that its holder has released, and returns the version of the row that
     /// made this daemon the holder; `None` if it is leaving itself or the row could not be written.
-    pub async fn take_over(&self, slice: ReleasedSlice) -> Option<u64> {
+    pub async fn take_over(&self, slice: ReleasedSlice) -> Option<StoreVersion> {
         if self.stop.is_triggered() {
             return None;
         }
--- a/src/quota/slice_row.rs
+++ b/src/quota/slice_row.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::membership::Incarnation;
+use crate::{membership::Incarnation, store::StoredRow};
 
 /// Table of the slice leases, keyed by data centre.
 pub const SLICES_TABLE: &str = "slices";
@@ -15,3 +15,20 @@
     /// Incarnation of the daemon on that host.
     pub incarnation: Incarnation,
 }
+
+impl LeaseHolder {
+    /// Returns the holder stored in a lease row; `None` if the row has no value or it cannot be
+    /// parsed.
+    pub fn from_row(row: &StoredRow) -> Option<Self> {
+        let value = row.value.as_ref()?;
+        match serde_json::from_slice(value) {
+            Ok(holder) => Some(holder),
+            Err(e) => {
+                let reason = e.to_string();
+                log::warn!(row = row.version, reason = reason.as_str();
+                    "cannot parse holder of slice lease");
+                None
+            }
+        }
+    }
+}
--- a/tests/token_requests.rs
+++ b/tests/token_requests.rs
@@ -86,7 +86,7 @@
                 start_holder(&secrets, handler)
             };
             let host = format!("holder-{centre}");
-            holders.set(centre, &host, 1);
+            holders.set(centre, &host, 1.into());
             hosts.push(ListedHost {
                 name: host,
                 data_centre: centre.to_owned(),
--- a/tests/warmup.rs
+++ b/tests/warmup.rs
@@ -302,9 +302,11 @@
         }
         for (ms, news) in case.news {
             match news {
-                News::Entry(version, s) => state.record_entry(*version, secs(*s), at(*ms)),
+                News::Entry(version, s) => {
+                    state.record_entry((*version).into(), false, secs(*s), at(*ms));
+                }
                 News::Probe(s) => drop(state.record_probe(secs(*s), at(*ms))),
-                News::Return(version) => state.record_return(*version, at(*ms)),
+                News::Return(number) => state.record_return(number.map(Into::into), at(*ms)),
             }
         }
         let expected = case.cold_until.map(at);
