--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -33,7 +33,7 @@
         SliceShare, SliceStatusHandler, TokenHandler,
     },
     retry::RetryBudgetConfig,
-    routing::{ConfigurationView, RoutingPolicy},
+    routing::{ConfigurationView, EraGate, RoutingPolicy},
     store::RowStore,
 };
 
@@ -166,6 +166,9 @@
         let key_secret = format!("{:032x}", fastrand::u128(..));
         let max_age = settings.max_key_withdrawal - KEY_PROOF_MARGIN;
         let view = ConfigurationView::new(KeyHasher::new(&key_secret), max_age);
+        if settings.first_start {
+            view.update_eras(EraGate::trust_start);
+        }
         Self {
             clock: Rc::new(SystemClock),
             store: Rc::new(RowClient::new(settings.store_address, metrics.clone())),
@@ -303,6 +306,7 @@
             clock: base.clock.clone(),
             broadcast: broadcast.clone(),
             metrics: base.metrics.clone(),
+            first_start: settings.first_start,
         });
         let handler = TokenHandler {
             slice: slice.clone(),
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -6,6 +6,7 @@
 mod configuration_sink;
 mod delta_codec;
 mod delta_encoder;
+mod era_guard;
 mod evacuation_list;
 mod evacuation_sink;
 mod followed_table;
@@ -22,6 +23,7 @@
 mod shared_tables;
 mod sink_sequence;
 mod store_connectivity;
+mod table_copy;
 mod table_delta;
 mod table_follower;
 mod target_list;
@@ -49,7 +51,9 @@
 pub use sink_sequence::SinkSequence;
 pub use store_connectivity::StoreConnectivity;
 pub use table_delta::{RowChange, TableDelta};
-pub use table_follower::{follow_table, FollowOptions, FollowParts, ResponseTiming, TableSink};
+pub use table_follower::{
+    follow_table, EraRows, FollowOptions, FollowParts, ResponseTiming, TableSink,
+};
 pub use target_list::TargetList;
 pub use target_sink::TargetSink;
 pub use warmup_sink::WarmupSink;
--- a/src/health/balancer/warmup.rs
+++ b/src/health/balancer/warmup.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use crate::clock::BootTime;
+use crate::{clock::BootTime, store::StoreVersion};
 
 use super::{
     super::{FleetShare, Target, TargetId, WarmupTerms},
@@ -21,7 +21,10 @@
     /// Name of the target.
     pub target: String,
     /// Version of the entry.
-    pub version: u64,
+    pub version: StoreVersion,
+    /// Whether the entry may have been written in an earlier era, as the store came back from an older
+    /// copy.
+    pub may_be_restored: bool,
     /// Time for which the target is cold; zero if it is not.
     pub left: Duration,
 }
@@ -41,7 +44,9 @@
                 continue;
             };
             if let Some(target) = self.targets.get_mut(&id) {
-                target.warmup.record_entry(entry.version, entry.left, now);
+                let (version, may_be_restored) = (entry.version, entry.may_be_restored);
+                let warmup = &mut target.warmup;
+                warmup.record_entry(version, may_be_restored, entry.left, now);
             }
             self.update_warmup(id, now);
         }
@@ -67,7 +72,12 @@
     }
 
     /// Records that a target is back in use after an evacuation.
-    pub(super) fn record_return(&mut self, id: TargetId, version: Option<u64>, now: BootTime) {
+    pub(super) fn record_return(
+        &mut self,
+        id: TargetId,
+        version: Option<StoreVersion>,
+        now: BootTime,
+    ) {
         if let Some(target) = self.targets.get_mut(&id) {
             target.ramp_from = Some(now);
             target.warmup.record_return(version, now);
--- a/src/quota/local_slice.rs
+++ b/src/quota/local_slice.rs
@@ -4,7 +4,7 @@
 
 use monoio::time::sleep;
 
-use crate::{catalog::Plan, clock::BootTime};
+use crate::{catalog::Plan, clock::BootTime, store::StoreVersion};
 
 use super::{HolderChange, ReleasedSlice, SliceBuckets, SliceLease, SliceLevels, SliceShare};
 
@@ -35,7 +35,7 @@
     lease: SliceLease,
     buckets: Option<SliceBuckets>,
     /// A release of the slice to this daemon, until it becomes the holder.
-    received: Option<(u64, SliceLevels)>,
+    received: Option<(StoreVersion, SliceLevels)>,
     handover: Handover,
 }
 
@@ -98,8 +98,9 @@
     }
 
     /// Stops granting tokens for good, and returns the version of the lease row and the levels of
-    /// the buckets for a successor; `None` if the lease is not held.
-    pub fn release(&self, now: BootTime) -> Option<(u64, SliceLevels)> {
+    /// the buckets for a successor; `None` if the lease is not held, or its row was not read in the
+    /// era.
+    pub fn release(&self, now: BootTime) -> Option<(StoreVersion, SliceLevels)> {
         let mut state = self.state.borrow_mut();
         let version = state.lease.release(now)?;
         let buckets = state.buckets.take();
--- a/tests/warmup_sim/mod.rs
+++ b/tests/warmup_sim/mod.rs
@@ -197,7 +197,7 @@
         let b: Rc<str> = Rc::from("b");
         let reverted = Reversal {
             data_centre: b.clone(),
-            version: Some(50),
+            version: Some(50.into()),
         };
         let evacuations = Evacuations {
             in_force: in_force.then(|| b.clone()).into_iter().collect(),
@@ -222,7 +222,8 @@
             let left = Duration::from_millis((RETURNED_AT + 12_000).saturating_sub(now));
             let entry = |n: usize| EntryWarmup {
                 target: format!("t{n}"),
-                version: 60,
+                version: 60.into(),
+                may_be_restored: false,
                 left,
             };
             let entries: Vec<EntryWarmup> = (0..COLD).map(entry).collect();
