--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -68,11 +68,23 @@
         self.tokens = (self.tokens + tokens).min(self.cfg.max_tokens);
     }
 
-    /// Takes one token if available; returns whether the retry is allowed.
-    pub fn try_withdraw(&mut self, now: BootTime) -> bool {
+    /// Returns whether the budget is too low for a request that is repeated without a failure: less
+    /// than half is left, or no token would remain for a retry where the budget can hold two.
+    pub fn is_low(&mut self, now: BootTime) -> bool {
+        self.refill(now);
+        let max = self.cfg.max_tokens;
+        self.tokens < (max / 2.0).max(max.min(2.0))
+    }
+
+    fn refill(&mut self, now: BootTime) {
         let refill = now.since(self.refilled_at).as_secs_f64() * self.cfg.floor_per_s;
         self.tokens = (self.tokens + refill).min(self.cfg.max_tokens);
         self.refilled_at = now;
+    }
+
+    /// Takes one token if available; returns whether the retry is allowed.
+    pub fn try_withdraw(&mut self, now: BootTime) -> bool {
+        self.refill(now);
         if self.tokens < 1.0 {
             return false;
         }
--- a/src/retry/service_retry_state.rs
+++ b/src/retry/service_retry_state.rs
@@ -43,6 +43,11 @@
         self.budget.try_withdraw(now)
     }
 
+    /// Returns whether the budget is too low for hedged requests.
+    pub fn is_budget_low(&mut self, now: BootTime) -> bool {
+        self.budget.is_low(now)
+    }
+
     /// Returns the time after which a connection is considered silent.
     pub fn silence_timeout(&self) -> Duration {
         self.latencies.silence_timeout()
