proxy: send a second attempt beside a slow one (hedged requests)

Change: while the response head of a first attempt is awaited and the delay passes, proxy/hedge_race.rs sends the request to a second target, uses the first good response and closes the other connection. The setting `hedging` names the largest share of extra requests; without it nothing changes. Balancer::pick_hedge picks only sound targets with a free slot, and leaves out a data centre that is slow as a whole; nothing is hedged while requests wait. Second attempts count against the attempts of the route, the retry budget and the targets that one request may lose.

--- a/src/config/front_settings.rs
+++ b/src/config/front_settings.rs
@@ -16,6 +16,10 @@
 /// configuration has been proven fresh.
 pub const KEY_PROOF_MARGIN: Duration = Duration::from_millis(600);
 
+/// Largest share of extra requests that hedging may add. It is the usual limit of operators on
+/// repeated requests, against which hedged requests count.
+const MAX_HEDGING: f64 = 0.2;
+
 /// Settings of an entry daemon on the users' platform.
 #[serde_as]
 #[derive(Debug, Clone, Deserialize)]
@@ -57,6 +61,9 @@
     pub warmup_over: Option<f64>,
     /// Requests in addition to `warmup_over` that a cold target may get in a second.
     pub warmup_slack: Option<f64>,
+    /// Largest share of extra requests of each service that hedging may add. Without this setting
+    /// requests are not hedged.
+    pub hedging: Option<f64>,
     /// Whether the whole fleet starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -120,6 +127,10 @@
         if !self.warmup_slack.is_none_or(is_valid) {
             return invalid("warmup_slack", "expected a non-negative number");
         }
+        let is_share = |share: f64| share > 0.0 && share <= MAX_HEDGING;
+        if !self.hedging.is_none_or(is_share) {
+            return invalid("hedging", "expected a share above 0 and at most 0.2");
+        }
         if self.warmup_over.is_some() != self.warmup_slack.is_some() {
             return invalid("warmup_over", "expected together with warmup_slack");
         }
--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -363,6 +363,7 @@
             claims: None,
             poison,
             retry_budget: self.retry_budget(),
+            hedging: base.settings.hedging,
             failure_notifier: Some(balancer.failure_notifier),
             metrics: base.metrics.clone(),
             clock: base.clock.clone(),
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -163,6 +163,7 @@
         claims: Some(claims),
         poison,
         failure_notifier: None,
+        hedging: None,
         retry_budget: Box::new(RetryBudgetConfig::default),
         metrics,
         clock,
--- a/src/health/balancer/feedback.rs
+++ b/src/health/balancer/feedback.rs
@@ -33,7 +33,7 @@
                     self.recovered.push(target.name.clone());
                 }
                 if let Some(service) = self.services.get_mut(&target.service) {
-                    service.record_answer(obs.latency, now);
+                    service.record_answer(&target.data_centre, obs.latency, now);
                 }
             }
             _ => {}
--- a/src/health/balancer/mod.rs
+++ b/src/health/balancer/mod.rs
@@ -2,6 +2,7 @@
 
 mod evacuation;
 mod feedback;
+mod hedge;
 mod pick;
 mod target_list;
 mod warmup;
--- a/src/health/balancer/pick.rs
+++ b/src/health/balancer/pick.rs
@@ -63,7 +63,7 @@
         self.start(id, now).ok_or(PickError::NoTarget)
     }
 
-    fn start(&mut self, id: TargetId, now: BootTime) -> Option<Choice> {
+    pub(super) fn start(&mut self, id: TargetId, now: BootTime) -> Option<Choice> {
         self.targets.get_mut(&id)?.throttle.record_sent(now);
         self.start_granted(id, now)
     }
@@ -121,6 +121,15 @@
         target.is_some_and(|t| !t.evacuated.get() && t.throttle.lend(is_cold, now))
     }
 
+    /// Returns the cost of the distance of a target in another data centre.
+    pub(super) fn remote_cost(&self, target: &Target) -> f64 {
+        let local = self.data_centre.as_deref();
+        if local.is_none_or(|local| *target.data_centre == *local) {
+            return 0.0;
+        }
+        REMOTE_COST
+    }
+
     /// Draws an idle target on trial for a small share of the idempotent first attempts.
     fn draw_trial(
         &mut self,
--- a/src/health/balancer_handle.rs
+++ b/src/health/balancer_handle.rs
@@ -45,6 +45,15 @@
     FindLenders(ScheduleRequest, oneshot::Sender<Vec<Lender>>),
     /// Starts a request on a target for which another daemon gave a token.
     PickGranted(TargetId, PickReply),
+    /// Requests a target for the second attempt of a hedged request.
+    PickHedge {
+        /// Name of the service.
+        service: Rc<str>,
+        /// Target of the first attempt.
+        first: TargetId,
+        /// Receives the picked target.
+        reply: oneshot::Sender<Result<PickedTarget, PickError>>,
+    },
     /// Takes a token of a limited target for another daemon.
     LendToken {
         /// Name of the target.
@@ -229,6 +238,20 @@
         res.unwrap_or(Err(PickError::NoTarget))
     }
 
+    /// Picks a target with spare capacity for a second attempt beside the one at `first`; returns
+    /// `None` at once if there is none.
+    ///
+    /// Cancel safe: the picked target is released when the future is dropped.
+    pub async fn pick_hedge(&self, service: Rc<str>, first: TargetId) -> Option<PickedTarget> {
+        let (reply, rx) = oneshot::channel();
+        self.send(BalancerMessage::PickHedge {
+            service,
+            first,
+            reply,
+        });
+        rx.await.ok()?.ok()
+    }
+
     /// Returns the daemons that may have a token of a limited target left for `req`.
     pub async fn find_lenders(&self, req: &ScheduleRequest) -> Vec<Lender> {
         let (reply, rx) = oneshot::channel();
--- a/src/health/balancer_task.rs
+++ b/src/health/balancer_task.rs
@@ -113,6 +113,15 @@
                 let res = balancer.start_granted(id, now).ok_or(PickError::NoTarget);
                 self.reply([Decision { item: reply, res }]);
             }
+            BalancerMessage::PickHedge {
+                service,
+                first,
+                reply,
+            } => {
+                let choice = self.scheduler.pick_hedge(&service, first, now);
+                let res = choice.ok_or(PickError::NoTarget);
+                self.reply([Decision { item: reply, res }]);
+            }
             BalancerMessage::LendToken {
                 target,
                 is_cold,
--- a/src/health/in_flight.rs
+++ b/src/health/in_flight.rs
@@ -24,6 +24,8 @@
     attempt: AttemptId,
     started: BootTime,
     lateness: Lateness,
+    /// Whether its lateness is evidence against the target.
+    is_judged: bool,
 }
 
 /// Requests in flight at one target.
@@ -49,9 +51,23 @@
             attempt,
             started: now,
             lateness: Lateness::InTime,
+            is_judged: true,
         });
     }
 
+    /// Excludes a request from those whose lateness is evidence against the target.
+    pub fn leave_unjudged(&mut self, attempt: AttemptId) {
+        let found = self.requests.iter_mut().find(|r| r.attempt == attempt);
+        if let Some(request) = found {
+            request.is_judged = false;
+        }
+    }
+
+    /// Returns the times since the requests started.
+    pub fn ages(&self, now: BootTime) -> impl Iterator<Item = Duration> + '_ {
+        self.requests.iter().map(move |r| now.since(r.started))
+    }
+
     /// Removes a request.
     pub fn end(&mut self, attempt: AttemptId) {
         self.requests.retain(|r| r.attempt != attempt);
@@ -66,8 +82,9 @@
     /// Marks the requests older than `limit` with `lateness`, and returns the number of those that
     /// were newly marked.
     pub fn mark_late(&mut self, lateness: Lateness, limit: Duration, now: BootTime) -> usize {
-        let is_new =
-            |r: &&mut InFlightRequest| r.lateness < lateness && now.since(r.started) > limit;
+        let is_new = |r: &&mut InFlightRequest| {
+            r.is_judged && r.lateness < lateness && now.since(r.started) > limit
+        };
         let newly_late = self.requests.iter_mut().filter(is_new);
         newly_late.map(|r| r.lateness = lateness).count()
     }
--- a/src/health/scheduler.rs
+++ b/src/health/scheduler.rs
@@ -135,6 +135,16 @@
         self.enqueue(PendingRequest { id, req, item }, now)
     }
 
+    /// Picks a target for the second attempt of a hedged request; `None` if none has spare capacity,
+    /// or while other requests wait.
+    pub fn pick_hedge(&mut self, service: &str, first: TargetId, now: BootTime) -> Option<Choice> {
+        let queue = self.queues.get(service);
+        if !queue.is_none_or(RankedQueue::is_empty) {
+            return None;
+        }
+        self.balancer.pick_hedge(service, first, now)
+    }
+
     /// Removes a queued request whose caller disconnected; nothing happens if it is not queued.
     pub fn cancel(&mut self, service: &str, id: QueueId, now: BootTime) {
         let queue = self.queues.get_mut(service);
--- a/src/health/service.rs
+++ b/src/health/service.rs
@@ -2,6 +2,8 @@
 
 use std::{rc::Rc, time::Duration};
 
+use rustc_hash::FxHashMap;
+
 use crate::clock::BootTime;
 
 use super::{DecayingSum, TargetId};
@@ -9,10 +11,20 @@
 /// Half-life of the request counts and of the latency sum.
 const WORK_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Fewest recent requests from which the latency of a data centre is known.
+const MIN_CENTRE_REQUESTS: f64 = 4.0;
+
 /// Identity of a service within one daemon, never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServiceId(pub u32);
 
+/// Recent successful responses of the targets in one data centre.
+#[derive(Debug, Clone, Default)]
+struct CentreAnswers {
+    answered: DecayingSum,
+    latency_s: DecayingSum,
+}
+
 /// State of one service in a daemon. Its target sets are rebuilt after a change or when they are
 /// too old.
 #[derive(Debug, Clone)]
@@ -30,6 +42,7 @@
     dispatched: DecayingSum,
     answered: DecayingSum,
     latency_s: DecayingSum,
+    centres: FxHashMap<Rc<str>, CentreAnswers>,
 }
 
 impl Service {
@@ -44,6 +57,7 @@
             dispatched: DecayingSum::default(),
             answered: DecayingSum::default(),
             latency_s: DecayingSum::default(),
+            centres: FxHashMap::default(),
         }
     }
 
@@ -52,8 +66,12 @@
         self.dispatched.add(1.0, now, WORK_HALF_LIFE);
     }
 
-    /// Records the latency of a successful response.
-    pub fn record_answer(&mut self, latency: Duration, now: BootTime) {
+    /// Records the latency of a successful response of a target in `data_centre`.
+    pub fn record_answer(&mut self, data_centre: &Rc<str>, latency: Duration, now: BootTime) {
+        let centre = self.centres.entry(data_centre.clone()).or_default();
+        centre.answered.add(1.0, now, WORK_HALF_LIFE);
+        let latency_s = latency.as_secs_f64();
+        centre.latency_s.add(latency_s, now, WORK_HALF_LIFE);
         self.answered.add(1.0, now, WORK_HALF_LIFE);
         self.latency_s
             .add(latency.as_secs_f64(), now, WORK_HALF_LIFE);
@@ -71,6 +89,27 @@
         Duration::try_from_secs_f64(mean_s).unwrap_or_default()
     }
 
+    /// Returns the data centres whose targets answered.
+    pub fn centres(&self) -> impl Iterator<Item = &str> {
+        self.centres.keys().map(|centre| &**centre)
+    }
+
+    /// Returns the recent mean latency in a data centre, in s, where `unanswered` requests that took
+    /// `age` so far count, too; `None` if there were too few requests.
+    pub fn centre_latency_s(
+        &self,
+        centre: &str,
+        unanswered: f64,
+        age: Duration,
+        now: BootTime,
+    ) -> Option<f64> {
+        let recent = |sum: &DecayingSum| sum.get(now, WORK_HALF_LIFE);
+        let centre = self.centres.get(centre);
+        let count = centre.map_or(0.0, |c| recent(&c.answered)) + unanswered;
+        let sum_s = centre.map_or(0.0, |c| recent(&c.latency_s)) + age.as_secs_f64();
+        (count >= MIN_CENTRE_REQUESTS).then(|| sum_s / count)
+    }
+
     /// Returns the recent request rate per target, in 1/s.
     pub fn rate_per_target(&self, now: BootTime) -> f64 {
         let count = self.dispatched.get(now, WORK_HALF_LIFE);
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -90,6 +90,14 @@
     TargetsCold,
     /// Requests whose picked target was withdrawn before they were sent.
     PicksWithdrawn,
+    /// Second attempts of hedged requests that were sent.
+    HedgesSent,
+    /// Hedged requests that the second attempt answered.
+    HedgesWon,
+    /// Second attempts that failed, or whose response was an error, while the first was awaited.
+    HedgesFailed,
+    /// Requests whose delay for a second attempt passed, and for which none was sent.
+    HedgesRefused,
     /// Targets ejected or put on trial.
     Ejections,
     /// Messages about suspected targets sent to other daemons.
--- a/src/native/policy.rs
+++ b/src/native/policy.rs
@@ -70,6 +70,8 @@
                 version: catalog.revision(),
                 proof_age: None,
             },
+            // Requests are not hedged here, so that their routes need no names.
+            route: Rc::from(""),
             service: Rc::from(route.service.as_str()),
             repeatable: is_repeatable(&head.method, route.repeatable, declared),
             max_attempts: MAX_ATTEMPTS,
--- a/src/proxy/access_log.rs
+++ b/src/proxy/access_log.rs
@@ -7,7 +7,11 @@
 
 use http::{Method, StatusCode};
 
-use crate::{health::QueueRejection, outcome::ErrorKind, retry::RetryReason};
+use crate::{
+    health::QueueRejection,
+    outcome::ErrorKind,
+    retry::{Attempt, HedgeRefusal, RetryReason},
+};
 
 use super::access_policy::AuthorizedRequest;
 
@@ -85,6 +89,31 @@
     log::info!(request_id = request_id, reason = reason.name(), granted = granted; "retry");
 }
 
+/// Logs a second attempt that is sent `after` the beginning of the first one.
+pub(super) fn log_hedged(request_id: &str, target: &str, after: Duration) {
+    log::info!(
+        request_id = request_id,
+        target_name = target,
+        after_ms = after.as_millis() as u64;
+        "second attempt sent"
+    );
+}
+
+/// Logs the reason for which no second attempt is sent.
+pub(super) fn log_hedge_refused(request_id: &str, reason: HedgeRefusal) {
+    log::info!(request_id = request_id, reason = reason.name(); "no second attempt");
+}
+
+/// Logs which of two attempts continues alone or is used.
+pub(super) fn log_hedge_ended(request_id: &str, remaining: Attempt, other_failed: bool) {
+    log::info!(
+        request_id = request_id,
+        remaining = remaining.name(),
+        other_failed = other_failed;
+        "one of two attempts ended"
+    );
+}
+
 /// Logs a request that was answered by a target.
 pub(super) fn log_response(entry: &ResponseEntry<'_>) {
     log::info!(
--- a/src/proxy/access_policy.rs
+++ b/src/proxy/access_policy.rs
@@ -41,6 +41,8 @@
     pub identity: Option<CallerIdentity>,
     /// Basis of the authorization decision.
     pub basis: DecisionBasis,
+    /// Name of the route, unique among those of the daemon.
+    pub route: Rc<str>,
     /// Service that the request is routed to.
     pub service: Rc<str>,
     /// Whether the request may run more than once.
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     health::{Observation, WorkResult},
-    http::response_body_kind,
+    http::{response_body_kind, BodyKind},
     metrics::{Counter, Latency},
     poison::Verdict,
     retry::{Action, AttemptFailure, Event},
@@ -34,16 +34,19 @@
         }
     }
 
-    /// Handles a response head, and receives the beginning of the body of an answer.
-    pub(super) async fn on_response_head(&mut self, head: response::Parts) -> Action {
+    /// Classifies a response head, reports it to the balancer, and returns the framing of its body.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the attempt failed if the response is not an answer.
+    fn assess_head(&self, head: &response::Parts) -> Result<BodyKind, AttemptFailure> {
         let Some(attempt) = &self.attempt else {
-            return self.step(Event::CallerDisconnected);
+            return Err(AttemptFailure::Lost);
         };
-        let heads = &self.cx.heads;
         let reused = attempt.conn.as_ref().is_none_or(|conn| conn.reused);
-        let class = heads.classify(&head, self.dispatch.request_id, reused);
+        let class = self.classify(head, reused);
         if class != ResponseClass::WrongTarget {
-            let report = heads.target_report(head.status, &head.headers);
+            let report = self.cx.heads.target_report(head.status, &head.headers);
             let is_answer = class == ResponseClass::Answer;
             attempt.picked.report(report, is_answer);
             if report.unusable > 0 {
@@ -61,19 +64,49 @@
             ResponseClass::Answer => {}
             ResponseClass::NotRun => {
                 self.observe(WorkResult::Shed);
-                return self.step(Event::Failed(AttemptFailure::Shed));
+                return Err(AttemptFailure::Shed);
             }
-            ResponseClass::WrongTarget => return self.step(Event::Failed(AttemptFailure::Shed)),
+            ResponseClass::WrongTarget => return Err(AttemptFailure::Shed),
             ResponseClass::Invalid => {
                 self.observe(WorkResult::Lost);
-                return self.step(Event::Failed(AttemptFailure::Malformed));
+                return Err(AttemptFailure::Malformed);
             }
         }
-        let Ok(kind) = response_body_kind(&self.head.method, &head) else {
+        response_body_kind(&self.head.method, head).map_err(|_| {
             self.observe(WorkResult::Lost);
-            return self.step(Event::Failed(AttemptFailure::Malformed));
+            AttemptFailure::Malformed
+        })
+    }
+
+    fn classify(&self, head: &response::Parts, reused: bool) -> ResponseClass {
+        let heads = &self.cx.heads;
+        heads.classify(head, self.dispatch.request_id, reused)
+    }
+
+    /// Returns whether the head is that of an answer that is not an error of the target; `reused` is
+    /// whether its connection carried a request before.
+    pub(super) fn is_good(&self, head: &response::Parts, reused: bool) -> bool {
+        !head.status.is_server_error() && self.classify(head, reused) == ResponseClass::Answer
+    }
+
+    /// Returns whether the head, received by the current attempt, is that of an answer.
+    pub(super) fn is_answer(&self, head: &response::Parts) -> bool {
+        let conn = self.attempt.as_ref().and_then(|a| a.conn.as_ref());
+        let reused = conn.is_none_or(|conn| conn.reused);
+        self.classify(head, reused) == ResponseClass::Answer
+    }
+
+    /// Handles a response head, and receives the beginning of the body of an answer.
+    pub(super) async fn on_response_head(&mut self, head: response::Parts) -> Action {
+        let Some((started, is_second)) = self.attempt.as_ref().map(|a| (a.started, a.is_second))
+        else {
+            return self.step(Event::CallerDisconnected);
+        };
+        let kind = match self.assess_head(&head) {
+            Ok(kind) => kind,
+            Err(failure) => return self.step(Event::Failed(failure)),
         };
-        let (started, now) = (attempt.started, self.cx.clock.now());
+        let now = self.cx.clock.now();
         let Some(exchange) = self.exchange() else {
             return self.step(Event::CallerDisconnected);
         };
@@ -87,24 +120,64 @@
             .record_latency(Latency::TargetLatencyS, latency);
         let service = self.dispatch.service();
         self.cx.retry_states.record_answer(service, latency, now);
+        if !is_second {
+            self.record_first_latency(latency);
+        }
+        self.observe_answer(&head);
+        self.response = Some(StartedResponse { head, kind, body });
+        self.step(Event::ResponseHead)
+    }
+
+    fn observe_answer(&self, head: &response::Parts) {
         self.observe(if head.status.is_server_error() {
             WorkResult::ServerError
         } else {
             WorkResult::Success
         });
-        self.response = Some(StartedResponse { head, kind, body });
-        self.step(Event::ResponseHead)
+    }
+
+    /// Records that the current attempt ended with `result` while the other one is in progress.
+    /// Returns how it failed; `None` if it was answered with an error of the target, or if its time
+    /// ran out.
+    pub(super) async fn record_one_ended(
+        &mut self,
+        result: Result<response::Parts, Event>,
+    ) -> Option<AttemptFailure> {
+        let failure = match result {
+            Ok(head) => match self.assess_head(&head) {
+                Ok(_) => {
+                    self.observe_answer(&head);
+                    return None;
+                }
+                Err(failure) => failure,
+            },
+            Err(Event::Failed(AttemptFailure::Lost)) => self.record_lost().await,
+            Err(Event::Failed(failure)) => {
+                self.close_unused_connections();
+                self.observe(WorkResult::Lost);
+                failure
+            }
+            Err(_) => return None,
+        };
+        self.step(Event::OneFailed(failure));
+        Some(failure)
     }
 
     /// Handles an attempt that ended without a response.
     pub(super) async fn on_attempt_ended(&mut self, event: Event) -> Action {
         match event {
-            Event::Failed(AttemptFailure::Lost) => return self.on_connection_lost().await,
+            Event::Failed(AttemptFailure::Lost) => {
+                let failure = self.record_lost().await;
+                return self.step(Event::Failed(failure));
+            }
             Event::Failed(_) => {
                 self.close_unused_connections();
                 self.observe(WorkResult::Lost);
             }
-            Event::DeadlinePassed => self.on_silence(),
+            Event::DeadlinePassed => {
+                self.record_cancelled_first();
+                self.on_silence();
+            }
             Event::UploadRefused(reason) => {
                 log::info!(request_id = self.dispatch.request_id, reason:? = reason;
                     "upload refused midway");
@@ -114,12 +187,12 @@
         self.step(event)
     }
 
-    /// Handles a lost connection, which trips the circuit breaker whether or not the target crashed.
-    /// A crash is attributed to the request first: it is recorded for the fingerprint of the
-    /// request, and not observed as a failure of the target.
-    pub(super) async fn on_connection_lost(&mut self) -> Action {
+    /// Records a lost connection, which trips the circuit breaker whether or not the target crashed,
+    /// and returns how the attempt failed. A crash is attributed to the request first: it is recorded
+    /// for the fingerprint of the request, and not observed as a failure of the target.
+    async fn record_lost(&self) -> AttemptFailure {
         let Some(attempt) = &self.attempt else {
-            return self.step(Event::CallerDisconnected);
+            return AttemptFailure::Lost;
         };
         let picked = &attempt.picked;
         // A pooled connection may have been closed for being idle, so its loss is not reported to
@@ -129,7 +202,7 @@
         if !target_crashed(self.cx, picked.address).await {
             self.close_unused_connections();
             self.observe(WorkResult::Lost);
-            return self.step(Event::Failed(AttemptFailure::Lost));
+            return AttemptFailure::Lost;
         }
         let fingerprint = self.dispatch.fingerprint(self.head, self.body);
         let poison = &self.cx.poison;
@@ -137,10 +210,10 @@
             .record_crash(fingerprint, &picked.name, attempt.started)
             .await;
         self.close_unused_connections();
-        self.step(Event::Failed(match verdict {
+        match verdict {
             Verdict::Suspect | Verdict::Cleared => AttemptFailure::Lost,
             Verdict::Refused => AttemptFailure::Crashed,
-        }))
+        }
     }
 
     /// Handles silence during an attempt: on a pooled connection it is attributed to the
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -18,6 +18,7 @@
 use super::{
     access_policy::{AccessPolicy, CallerLimits},
     head_format::HeadFormat,
+    hedging_states::HedgingStates,
     request_id::RequestIds,
     retry_states::{RetryBudgetSource, ServiceRetryStates},
 };
@@ -67,6 +68,7 @@
     /// Requests in flight.
     pub in_flight: BoundedCounter,
     pub(super) retry_states: ServiceRetryStates,
+    pub(super) hedging: HedgingStates,
     /// Connections that are being refused because there are too many.
     pub refused_connections: BoundedCounter,
     /// Bytes of buffered request bodies.
@@ -86,6 +88,9 @@
     pub limiter: Box<dyn Limiter>,
     /// Limits on the retries of each service.
     pub retry_budget: RetryBudgetSource,
+    /// Largest share of extra requests of each service that hedging may add; `None` if requests are
+    /// not hedged.
+    pub hedging: Option<f64>,
     /// Picks targets.
     pub balancer: TokenBorrower,
     /// Whether repeatable requests are retried at another target when a target goes silent.
@@ -135,6 +140,7 @@
             shutdown: parts.shutdown,
             grace: ShutdownGrace::default(),
             retry_states: ServiceRetryStates::new(parts.retry_budget),
+            hedging: HedgingStates::new(parts.hedging),
             request_ids: RefCell::new(RequestIds::default()),
         }
     }
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -7,7 +7,7 @@
 use crate::{
     claim::FirstRequest,
     clock::BootTime,
-    health::{PickError, PickedTarget, ScheduleRequest, TargetId},
+    health::{PickedTarget, TargetId},
     http::{BodyKind, HttpError, HttpReader},
     metrics::Counter,
     outcome::{ErrorKind, Outcome},
@@ -19,10 +19,10 @@
 };
 
 use super::{
-    access_log::{log_placed, log_queue_rejection, log_retry, PlacedEntry},
+    access_log::log_retry,
     admitted_request::AdmittedRequest,
     deadline::Deadline,
-    exchange::{caller_disconnected, Exchange, ResponseBody},
+    exchange::{Exchange, ResponseBody},
     request_body::RequestBody,
     ProxyContext,
 };
@@ -104,6 +104,7 @@
     ) -> RunResult {
         let (service, now) = (self.service(), self.cx.clock.now());
         self.cx.retry_states.record_request(service, now);
+        self.cx.hedging.record_request(service, now);
         let policy = RetryPolicy {
             repeatable: self.repeatable,
             replayable: body.is_replayable(),
@@ -122,6 +123,7 @@
             retry_after: None,
             attempt: None,
             response: None,
+            may_hedge: true,
         };
         RunResult {
             result: run.execute().await,
@@ -135,22 +137,26 @@
     pub(super) picked: PickedTarget,
     pub(super) conn: Option<TargetConnection>,
     pub(super) started: BootTime,
-    silence_handled: bool,
+    pub(super) silence_handled: bool,
+    /// Whether it was sent beside another attempt.
+    pub(super) is_second: bool,
 }
 
 /// Executes the actions that the state machine of one request asks for.
 pub(super) struct RequestRun<'a> {
     pub(super) dispatch: &'a Dispatch<'a>,
     pub(super) cx: &'a ProxyContext,
-    machine: RequestStateMachine,
+    pub(super) machine: RequestStateMachine,
     pub(super) head: &'a mut request::Parts,
     pub(super) body: &'a mut RequestBody,
-    caller: &'a mut HttpReader,
-    tried: Vec<TargetId>,
+    pub(super) caller: &'a mut HttpReader,
+    pub(super) tried: Vec<TargetId>,
     /// Time until a target may take the request, if none did for lack of capacity.
-    retry_after: Option<Duration>,
+    pub(super) retry_after: Option<Duration>,
     pub(super) attempt: Option<CurrentAttempt>,
     pub(super) response: Option<StartedResponse>,
+    /// Whether a second attempt has not been decided on yet.
+    pub(super) may_hedge: bool,
 }
 
 impl RequestRun<'_> {
@@ -199,64 +205,6 @@
         self.machine.step(event).unwrap_or(Action::Cancel)
     }
 
-    async fn pick_target(&mut self) -> Action {
-        self.attempt = None;
-        if self.dispatch.deadline.has_passed(self.cx.clock.now()) {
-            return self.step(Event::DeadlinePassed);
-        }
-        let started = self.cx.clock.now();
-        let req = self.schedule_request();
-        let rank = req.rank;
-        let res = monoio::select! {
-            res = self.cx.balancer.pick(req) => res,
-            () = caller_disconnected(self.caller) => return self.step(Event::CallerDisconnected),
-        };
-        let picked = match res {
-            Ok(picked) => picked,
-            Err(PickError::NoTarget) => return self.step(Event::NoTarget),
-            Err(PickError::Throttled(wait)) => {
-                self.retry_after = Some(wait);
-                return self.step(Event::Throttled);
-            }
-            Err(PickError::Overloaded(rejection)) => {
-                log_queue_rejection(self.dispatch.request_id, rank, rejection);
-                self.retry_after = Some(rejection.retry_after);
-                return self.step(Event::Overloaded);
-            }
-            Err(PickError::Busy) => return self.step(Event::Overloaded),
-        };
-        let now = self.cx.clock.now();
-        log_placed(&PlacedEntry {
-            request_id: self.dispatch.request_id,
-            target: &picked.name,
-            tried: self.tried.len(),
-            waited: now.since(started),
-            left: self.dispatch.deadline.left(now),
-        });
-        self.tried.push(picked.id);
-        self.attempt = Some(CurrentAttempt {
-            picked,
-            conn: None,
-            started: self.cx.clock.now(),
-            silence_handled: false,
-        });
-        self.step(Event::Picked)
-    }
-
-    fn schedule_request(&self) -> ScheduleRequest {
-        let identity = self.dispatch.admitted.authorized.identity.as_ref();
-        ScheduleRequest {
-            service: self.dispatch.service().clone(),
-            workspace: self.dispatch.workspace(),
-            rate_per_s: identity.map_or(0.0, |i| i.plan.rate_per_s),
-            rank: self.dispatch.admitted.authorized.rank,
-            resent_early: self.dispatch.resent_early,
-            repeatable: self.dispatch.repeatable,
-            deadline: self.dispatch.deadline.at(),
-            avoid: self.tried.clone(),
-        }
-    }
-
     async fn connect(&mut self, source: ConnectionSource) -> Action {
         let Some(attempt) = &mut self.attempt else {
             return self.step(Event::Failed(AttemptFailure::Connect));
@@ -325,6 +273,9 @@
     }
 
     async fn await_response_head(&mut self) -> Action {
+        if let Some((hedge, delay)) = self.hedge() {
+            return self.await_hedged(hedge, delay).await;
+        }
         let timeout = self.silence_time_left();
         let Some(exchange) = self.exchange() else {
             return self.step(Event::CallerDisconnected);
--- a/src/proxy/exchange.rs
+++ b/src/proxy/exchange.rs
@@ -108,12 +108,7 @@
     }
 
     async fn send_head(&mut self) -> Result<(), Event> {
-        let mut buf = BytesMut::new();
-        encode_request_head(self.head, self.body.framing(), &mut buf);
-        if let RequestBody::Whole(body) = &self.body {
-            buf.extend_from_slice(body);
-        }
-        let res = self.conn.writer.write(buf.freeze()).await;
+        let res = self.conn.writer.write(encode(self.head, self.body)).await;
         res.map_err(|_| Event::Failed(AttemptFailure::Lost))
     }
 
@@ -143,7 +138,7 @@
         }
     }
 
-    fn response_head_limits(&self) -> HeadLimits {
+    pub(super) fn response_head_limits(&self) -> HeadLimits {
         HeadLimits {
             max_bytes: self.limits.head_bytes,
             timeout: self.time_left,
@@ -151,6 +146,16 @@
     }
 }
 
+/// Encodes a request head, and the body if it is buffered.
+pub(super) fn encode(head: &request::Parts, body: &RequestBody) -> Bytes {
+    let mut buf = BytesMut::new();
+    encode_request_head(head, body.framing(), &mut buf);
+    if let RequestBody::Whole(body) = body {
+        buf.extend_from_slice(body);
+    }
+    buf.freeze()
+}
+
 /// Waits until the caller closes its connection.
 pub(super) async fn caller_disconnected(caller: &mut HttpReader) {
     while caller.buffered_len() < MAX_PIPELINED_BYTES {
@@ -201,7 +206,7 @@
 
 /// Reads response heads up to the first one that is not informational, at most
 /// [`MAX_INTERIM_HEADS`] before it.
-async fn read_final_head(
+pub(super) async fn read_final_head(
     reader: &mut HttpReader,
     limits: &HeadLimits,
 ) -> Result<response::Parts, Event> {
--- a/src/proxy/retry_states.rs
+++ b/src/proxy/retry_states.rs
@@ -45,6 +45,11 @@
         self.with_state(service, now, |state| state.try_withdraw_retry(now))
     }
 
+    /// Returns whether the budget of a service is too low for hedged requests.
+    pub(super) fn is_budget_low(&self, service: &str, now: BootTime) -> bool {
+        self.with_state(service, now, |state| state.is_budget_low(now))
+    }
+
     /// Returns the time after which a connection is considered silent.
     pub(super) fn silence_timeout(&self, service: &str, now: BootTime) -> Duration {
         self.with_state(service, now, |state| state.silence_timeout())
--- a/src/retry/event.rs
+++ b/src/retry/event.rs
@@ -34,6 +34,15 @@
     ResponseHead,
     /// The attempt failed.
     Failed(AttemptFailure),
+    /// The first byte of a second attempt, beside the one in progress, is about to be written.
+    HedgeStarted,
+    /// One of the two attempts failed in this way; the other one is still in progress.
+    OneFailed(AttemptFailure),
+    /// The second attempt takes the place of the first one, which has ended.
+    HedgeTookOver {
+        /// Whether the connection of the second attempt carried a request before.
+        reused: bool,
+    },
     /// Nothing arrived within the silence timeout of the service; the attempt is still in progress.
     SilenceTimeout,
     /// The retry budget allows the retry.
--- a/src/retry/hedge.rs
+++ b/src/retry/hedge.rs
@@ -45,7 +45,7 @@
     BudgetLow,
     /// The limit on hedged requests is reached.
     LimitReached,
-    /// No other target has spare capacity.
+    /// No other target has spare capacity and can be reached.
     NoTarget,
 }
 
--- a/src/retry/state_machine.rs
+++ b/src/retry/state_machine.rs
@@ -63,6 +63,11 @@
         self.attempts
     }
 
+    /// Returns whether another attempt is within the maximum.
+    pub fn has_attempt_left(&self) -> bool {
+        self.attempts < self.policy.max_attempts
+    }
+
     /// Returns whether silence of the current attempt would lead to a retry.
     pub fn would_retry_on_silence(&self) -> bool {
         let written = matches!(self.phase, Phase::Exchanging { written: true, .. });
@@ -117,6 +122,19 @@
                 },
                 Event::SilenceTimeout,
             ) => self.on_silence_timeout(reused),
+            (Phase::Exchanging { written: true, .. }, Event::HedgeStarted)
+                if self.has_attempt_left() =>
+            {
+                self.attempts += 1;
+                Some(Action::AwaitHead)
+            }
+            (Phase::Exchanging { written: true, .. }, Event::OneFailed(failure)) => {
+                self.count_failure(failure, true);
+                Some(Action::AwaitHead)
+            }
+            (Phase::Exchanging { written: true, .. }, Event::HedgeTookOver { reused }) => {
+                self.on_send_started(reused)
+            }
             (Phase::Exchanging { reused, written }, Event::Failed(failure)) => {
                 self.on_failure(failure, reused, written)
             }
@@ -197,9 +215,7 @@
         reused: bool,
         written: bool,
     ) -> Option<Action> {
-        let may_have_run = written && failure != AttemptFailure::Shed;
-        self.may_have_run |= may_have_run;
-        self.lost_attempts += u32::from(may_have_run);
+        self.count_failure(failure, written);
         let kind = self.error_kind(failure);
         if !self.may_have_run {
             self.last_not_run_error = Some(kind);
@@ -211,6 +227,12 @@
         Some(Action::CheckBudget(retry_reason(failure, reused)))
     }
 
+    fn count_failure(&mut self, failure: AttemptFailure, written: bool) {
+        let may_have_run = written && failure != AttemptFailure::Shed;
+        self.may_have_run |= may_have_run;
+        self.lost_attempts += u32::from(may_have_run);
+    }
+
     fn may_retry(&self) -> bool {
         let is_safe = !self.may_have_run || self.policy.repeatable;
         is_safe && self.can_send_again() && self.lost_attempts < MAX_LOST_ATTEMPTS
@@ -218,7 +240,7 @@
 
     fn can_send_again(&self) -> bool {
         let body_available = self.policy.replayable || !self.written_once;
-        body_available && self.attempts < self.policy.max_attempts
+        body_available && self.has_attempt_left()
     }
 
     fn is_written(&self) -> bool {
--- a/src/routing/policy.rs
+++ b/src/routing/policy.rs
@@ -113,6 +113,7 @@
                 version: table.version,
                 proof_age: self.view.freshness().age(now),
             },
+            route: Rc::from([&*route.host, &*route.prefix].concat()),
             service: self.choose_service(route).ok_or(ErrorKind::RouteClosed)?,
             repeatable: route.repeatable,
             max_attempts: route.max_attempts,
--- a/tests/front_settings.rs
+++ b/tests/front_settings.rs
@@ -31,7 +31,7 @@
     key: &'static str,
 }
 
-const CASES: [Case; 15] = [
+const CASES: [Case; 18] = [
     Case {
         name: "local data centre not listed",
         from: r#"["a", "b"]"#,
@@ -123,6 +123,27 @@
         line: 14,
         key: "warmup_over",
     },
+    Case {
+        name: "more hedged requests than operators allow",
+        from: "MORE",
+        to: ",\n \"hedging\": 0.21",
+        line: 14,
+        key: "hedging",
+    },
+    Case {
+        name: "no share of hedged requests",
+        from: "MORE",
+        to: ",\n \"hedging\": 0",
+        line: 14,
+        key: "hedging",
+    },
+    Case {
+        name: "negative share of hedged requests",
+        from: "MORE",
+        to: ",\n \"hedging\": -0.1",
+        line: 14,
+        key: "hedging",
+    },
     Case {
         name: "unknown key",
         from: "MORE",
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -4,9 +4,11 @@
 
 use chervillug::{
     clock::BootTime,
+    outcome::ErrorKind,
     retry::{
-        Attempt, Hedge, HedgeAction, HedgeConditions, HedgeEvent, HedgeLimit, HedgePolicy,
-        HedgeRefusal, RetryBudget, RetryBudgetConfig, ServiceHedging,
+        Action, Attempt, AttemptFailure, Event, Hedge, HedgeAction, HedgeConditions, HedgeEvent,
+        HedgeLimit, HedgePolicy, HedgeRefusal, RequestStateMachine, RetryBudget, RetryBudgetConfig,
+        RetryPolicy, RetryReason, ServiceHedging,
     },
 };
 
@@ -575,3 +577,114 @@
     assert!(hedging.delay("r400").is_some());
     assert!(hedging.delay("r0").is_none(), "unused routes make room");
 }
+
+struct AttemptsCase {
+    name: &'static str,
+    max_attempts: u32,
+    events: &'static [Event],
+    last: Option<Action>,
+    attempts: u32,
+    may_have_run: bool,
+}
+
+/// Guards against second attempts that do not count against the `attempts` of the route or against
+/// the targets that one request may take down, and against a wrong report of what was executed.
+#[test]
+fn second_attempt_counts_as_an_attempt() {
+    const SENT: [Event; 3] = [
+        Event::Picked,
+        Event::Connected { reused: false },
+        Event::SendStarted,
+    ];
+    const TOOK_OVER: Event = Event::HedgeTookOver { reused: false };
+    let cases = [
+        AttemptsCase {
+            name: "no attempt left",
+            max_attempts: 1,
+            events: &[Event::HedgeStarted],
+            last: None,
+            attempts: 1,
+            may_have_run: false,
+        },
+        AttemptsCase {
+            name: "retry after both were shed",
+            max_attempts: 3,
+            events: &[
+                Event::HedgeStarted,
+                Event::OneFailed(AttemptFailure::Shed),
+                Event::Failed(AttemptFailure::Shed),
+            ],
+            last: Some(Action::CheckBudget(RetryReason::TargetShed)),
+            attempts: 2,
+            may_have_run: false,
+        },
+        AttemptsCase {
+            name: "no retry after both were shed",
+            max_attempts: 2,
+            events: &[
+                Event::HedgeStarted,
+                Event::OneFailed(AttemptFailure::Shed),
+                Event::Failed(AttemptFailure::Shed),
+            ],
+            last: Some(Action::RespondError(ErrorKind::TargetShed)),
+            attempts: 2,
+            may_have_run: false,
+        },
+        AttemptsCase {
+            name: "both lost",
+            max_attempts: 5,
+            events: &[
+                Event::HedgeStarted,
+                Event::OneFailed(AttemptFailure::Lost),
+                TOOK_OVER,
+                Event::Failed(AttemptFailure::Lost),
+            ],
+            last: Some(Action::RespondError(ErrorKind::TargetLost)),
+            attempts: 2,
+            may_have_run: true,
+        },
+        AttemptsCase {
+            name: "one lost, the other shed",
+            max_attempts: 2,
+            events: &[
+                Event::HedgeStarted,
+                Event::OneFailed(AttemptFailure::Lost),
+                TOOK_OVER,
+                Event::Failed(AttemptFailure::Shed),
+            ],
+            last: Some(Action::RespondError(ErrorKind::TargetLost)),
+            attempts: 2,
+            may_have_run: true,
+        },
+        AttemptsCase {
+            name: "the second answers",
+            max_attempts: 2,
+            events: &[Event::HedgeStarted, TOOK_OVER, Event::ResponseHead],
+            last: Some(Action::Relay),
+            attempts: 2,
+            may_have_run: true,
+        },
+        AttemptsCase {
+            name: "deadline during the race",
+            max_attempts: 2,
+            events: &[Event::HedgeStarted, Event::DeadlinePassed],
+            last: Some(Action::RespondError(ErrorKind::TargetTimeout)),
+            attempts: 2,
+            may_have_run: true,
+        },
+    ];
+    for case in &cases {
+        let mut machine = RequestStateMachine::new(RetryPolicy {
+            repeatable: true,
+            replayable: true,
+            retry_on_silence: false,
+            trust_recent_connections: true,
+            max_attempts: case.max_attempts,
+        });
+        let events = SENT.iter().chain(case.events);
+        let last = events.map(|e| machine.step(*e)).last().flatten();
+        assert_eq!(last, case.last, "{}", case.name);
+        assert_eq!(machine.attempts(), case.attempts, "{}", case.name);
+        assert_eq!(machine.may_have_run(), case.may_have_run, "{}", case.name);
+    }
+}
