hedging: play the failure of one of two attempts

Cause: no test with processes covered what the proxy does when one attempt of a hedged request fails while the other is in progress.

--- a/standins/src/entry_target.rs
+++ b/standins/src/entry_target.rs
@@ -51,6 +51,10 @@
     Hangs,
     /// Answers after this time.
     AnswersAfter(Duration),
+    /// Answers with an internal error after this time.
+    FailsAfter(Duration),
+    /// Closes the connection without a response after this time.
+    ClosesAfter(Duration),
 }
 
 /// A request that was executed by a target.
@@ -308,6 +312,14 @@
                 thread::sleep(time);
                 self.answer(stream, 200, &id)
             }
+            TargetBehaviour::FailsAfter(time) => {
+                thread::sleep(time);
+                self.answer(stream, 500, &id)
+            }
+            TargetBehaviour::ClosesAfter(time) => {
+                thread::sleep(time);
+                Ok(ConnectionAction::Close)
+            }
             TargetBehaviour::Hangs => {
                 thread::sleep(Duration::from_secs(20));
                 Ok(ConnectionAction::Close)
--- a/tests/entry_hedging.rs
+++ b/tests/entry_hedging.rs
@@ -158,6 +158,83 @@
     assert_eq!(counter(&fleet, "hedges_failed"), 0);
 }
 
+struct RaceCase {
+    name: &'static str,
+    first: TargetBehaviour,
+    second: TargetBehaviour,
+    status: u16,
+    /// Range of the time to the response.
+    min: Duration,
+    max: Duration,
+    /// Whether the second attempt failed.
+    failed: u64,
+}
+
+/// Guards against a failure of one attempt that ends the request or hides the response to the other
+/// one, and against an error of a target that waits long for a better response.
+#[test]
+fn request_survives_the_failure_of_one_attempt() {
+    const fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+    // The last case opens the breaker of a target, so that nothing is hedged after it.
+    let cases = [
+        RaceCase {
+            name: "the second is answered with an error",
+            first: TargetBehaviour::AnswersAfter(ms(300)),
+            second: TargetBehaviour::Fails,
+            status: 200,
+            min: ms(300),
+            max: ms(600),
+            failed: 1,
+        },
+        RaceCase {
+            name: "the first is answered with an error",
+            first: TargetBehaviour::FailsAfter(ms(200)),
+            second: TargetBehaviour::AnswersAfter(SLOW),
+            status: 500,
+            min: ms(200),
+            max: ms(500),
+            failed: 1,
+        },
+        RaceCase {
+            name: "the first is lost",
+            first: TargetBehaviour::ClosesAfter(ms(200)),
+            second: TargetBehaviour::AnswersAfter(ms(400)),
+            status: 200,
+            min: ms(400),
+            max: ms(700),
+            failed: 0,
+        },
+    ];
+    let fleet = start(Some(0.2));
+    warm_up(&fleet, START_PAUSE + Duration::from_secs(1));
+    for (n, case) in cases.iter().enumerate() {
+        // Requests in time, so that the service does not count as slow.
+        warm_up(&fleet, ms(500 + n as u64));
+        let failed = counter(&fleet, "hedges_failed");
+        set_behaviour(&fleet, "one", case.first);
+        let (mut client, id) = (connect(&fleet), format!("race-{n}"));
+        let sent = Instant::now();
+        client.write(&head("GET", "/one/x", &id)).expect("is sent");
+        assert!(wait_for_runs(&fleet, &id, 1), "{}", case.name);
+        set_behaviour(&fleet, "one", case.second);
+        let reply = client.read_reply("GET").expect("a response");
+        let took = sent.elapsed();
+        set_behaviour(&fleet, "one", TargetBehaviour::Answers);
+        println!("{}: {} after {took:?}", case.name, reply.status);
+        assert_eq!(reply.status, case.status, "{}", case.name);
+        assert!(
+            took >= case.min && took < case.max,
+            "{}: {took:?}",
+            case.name
+        );
+        assert_eq!(fleet.run_count(&id), 2, "{}", case.name);
+        let gained = counter(&fleet, "hedges_failed") - failed;
+        assert_eq!(gained, case.failed, "{}", case.name);
+    }
+}
+
 /// Guards against second attempts without the setting.
 #[test]
 fn nothing_is_hedged_without_the_setting() {
