--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -388,6 +388,7 @@
             admission: Some(self.admission.clone()),
             poison,
             retry_budget: self.retry_budget(),
+            hedging: base.settings.hedging,
             failure_notifier: Some(balancer.failure_notifier),
             metrics: base.metrics.clone(),
             clock: base.clock.clone(),
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -164,6 +164,7 @@
         admission: None,
         poison,
         failure_notifier: None,
+        hedging: None,
         retry_budget: Box::new(RetryBudgetConfig::default),
         metrics,
         clock,
