follow: write lost rows again, and keep rewritten rows of an era

Cause: nobody else restores the members, the fleet secret and the holders when the store comes back from a copy without them.

Change: LostRowsTask writes the row of the daemon and the fleet secret again in a new era, on the condition of the version that was read, and adopts another secret that a new daemon generated. The holder's announcements come with its first renewal. Deltas with all rows hold every row and name those that are withheld; only a daemon that enters the era uses these names. Removals count as of the last copy that lacked the row.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -14,7 +14,10 @@
     catalog::KeyHasher,
     clock::{Clock, SystemClock},
     config::{self, FrontSettings, KEY_PROOF_MARGIN},
-    follow::{join_fleet, JoinParts, JoinedFleet, MemberRow, StoreConnectivity},
+    follow::{
+        join_fleet, JoinParts, JoinedFleet, LostRowsParts, LostRowsTask, MemberRow, SharedTables,
+        StoreConnectivity,
+    },
     health::{BalancerHandle, FailureHandler, FailureNotifier, LendHandler, TokenBorrower},
     lifecycle::{readiness_server_task, ReadinessServer, ShutdownSignal, Signals},
     membership::Incarnation,
@@ -124,7 +127,8 @@
     let mut termination = Signals::termination()?;
     monoio::select! {
         joined = front.base.join() => {
-            secrets.set(&[joined.secret]);
+            secrets.set(std::slice::from_ref(&joined.secret));
+            monoio::spawn(front.base.lost_rows_task(&tables, &secrets, joined.secret).run());
             let known = [joined.members, joined.holders].concat();
             tables.members.sink().replace(known, front.base.clock.now());
             following.start();
@@ -189,13 +193,34 @@
         monoio::spawn(readiness_server_task(Rc::new(server), listener));
     }
 
-    /// Registers this daemon in the fleet.
-    async fn join(&self) -> JoinedFleet {
-        let row = MemberRow {
+    fn member_row(&self) -> MemberRow {
+        MemberRow {
             data_centre: self.settings.data_centre.clone(),
             address: self.settings.peer_address,
             leaving: false,
-        };
+        }
+    }
+
+    fn lost_rows_task(
+        &self,
+        tables: &SharedTables,
+        secrets: &FleetSecrets,
+        secret: String,
+    ) -> LostRowsTask {
+        LostRowsTask::new(LostRowsParts {
+            store: self.store.clone(),
+            members: tables.members.clone(),
+            host: self.settings.host.clone(),
+            row: self.member_row(),
+            secret,
+            secrets: secrets.clone(),
+            metrics: self.metrics.clone(),
+        })
+    }
+
+    /// Registers this daemon in the fleet.
+    async fn join(&self) -> JoinedFleet {
+        let row = self.member_row();
         let parts = JoinParts {
             store: &*self.store,
             host: &self.settings.host,
--- a/src/follow/era_guard.rs
+++ b/src/follow/era_guard.rs
@@ -7,6 +7,8 @@
 
 use crate::{clock::BootTime, store::StoredRow};
 
+use super::EraStart;
+
 /// Time for which a row stays in force although the older copy has another value. Owners write their
 /// rows again within seconds; the limit matters only if that happened before the first read of the era.
 const OLDER_VALUE_GRACE: Duration = Duration::from_secs(10);
@@ -42,17 +44,31 @@
         self.era_start
     }
 
-    /// Starts a new era, whose first full read as of `era_start` returned `read`. `former` are the rows
-    /// of the copy before; those for which `grace` returns a time stay in force if the read lacks
+    /// Starts a new era, whose first full read returned `read`. `former` are the rows
+    /// of the copy before, as of `former_version`; those for which `grace` returns a time stay in force if the read lacks
     /// them, for that time, or has older versions of them.
     pub(super) fn start_era(
         &mut self,
-        era_start: u64,
+        start: &EraStart,
         former: &BTreeMap<String, StoredRow>,
+        former_version: u64,
         read: &[StoredRow],
         grace: impl Fn(&str) -> Option<Duration>,
         now: BootTime,
     ) {
+        let era_start = start.version;
+        // A row may have been inserted and removed again between two reads.
+        for (_, at) in self
+            .removed
+            .iter_mut()
+            .filter(|(key, _)| !former.contains_key(*key))
+        {
+            *at = former_version.max(*at);
+        }
+        for row in read.iter().filter(|row| start.withheld.contains(&row.key)) {
+            let known = self.removed.get(&row.key).copied().unwrap_or_default();
+            self.set_removed(&row.key, known.max(row.version));
+        }
         let mut in_force: BTreeMap<&str, StoredRow> = former
             .iter()
             .filter(|(_, row)| !self.is_withheld(row))
--- a/src/follow/followed_table.rs
+++ b/src/follow/followed_table.rs
@@ -14,7 +14,7 @@
     table_copy::{is_large, removal, TableCopy},
     table_delta::RowChange,
     table_follower::TableSink,
-    RowVersion, TableDelta,
+    EraStart, RowVersion, TableDelta,
 };
 
 /// Rows of one delta, which keep a response well below the size limit of a peer message.
@@ -69,14 +69,18 @@
     /// newer or of a later era, as another daemon's changes may have been merged while the read was
     /// under way.
     pub fn replace(&self, rows: Vec<StoredRow>, version: StoreVersion, now: BootTime) -> bool {
-        self.replace_since(rows, version.number, version, now)
+        let start = EraStart {
+            version: version.number,
+            withheld: Vec::new(),
+        };
+        self.replace_since(rows, &start, version, now)
     }
 
-    /// Replaces all rows; `era_start` is the version of the first full read of their era.
+    /// Replaces all rows; `start` is applied if they are the first ones of their era.
     fn replace_since(
         &self,
         rows: Vec<StoredRow>,
-        era_start: u64,
+        start: &EraStart,
         version: StoreVersion,
         now: BootTime,
     ) -> bool {
@@ -88,7 +92,7 @@
             return self.era() == version.era;
         }
         if self.era() < version.era {
-            self.start_era(&rows, era_start, version, now);
+            self.start_era(&rows, start, version, now);
         }
         let in_force = {
             let mut guard = self.guard.borrow_mut();
@@ -103,12 +107,18 @@
         true
     }
 
-    fn start_era(&self, rows: &[StoredRow], era_start: u64, version: StoreVersion, now: BootTime) {
+    fn start_era(
+        &self,
+        rows: &[StoredRow],
+        start: &EraStart,
+        version: StoreVersion,
+        now: BootTime,
+    ) {
         let mut state = self.state.borrow_mut();
         let mut guard = self.guard.borrow_mut();
         let held = state.store_version();
         let grace = |key: &str| self.sink.grace(key);
-        guard.start_era(era_start, &state.rows, rows, grace, now);
+        guard.start_era(start, &state.rows, state.last_version, rows, grace, now);
         state.start_era(version.era);
         let withheld = rows.iter().filter(|row| guard.is_withheld(row)).count();
         let retained = guard.retained();
@@ -183,6 +193,11 @@
         self.sink.apply(newer, now);
     }
 
+    /// Returns a row as the store has it.
+    pub fn row(&self, key: &str) -> Option<StoredRow> {
+        self.state.borrow().rows.get(key).cloned()
+    }
+
     /// Returns the largest row, if it is large enough to compress changes against it.
     pub fn large_row(&self) -> Option<StoredRow> {
         let state = self.state.borrow();
@@ -207,7 +222,7 @@
     /// `None` if this copy needs a full read or is older than the other one.
     ///
     /// The delta holds all rows if `held` is `None` or of an earlier era, or the tombstones since then
-    /// are incomplete; only rows that are withheld as known removals are left out.
+    /// are incomplete.
     pub fn delta_since(&self, held: Option<StoreVersion>) -> Option<TableDelta> {
         let state = self.state.borrow();
         let known = state.version?;
@@ -223,7 +238,13 @@
         }
         let mut rows = state.changed_since(from);
         let guard = self.guard.borrow();
-        rows.retain(|row| !whole || (row.value.is_some() && !guard.is_withheld(row)));
+        rows.retain(|row| !whole || row.value.is_some());
+        let era_start = guard.era_start().filter(|_| whole).map(|version| EraStart {
+            version,
+            withheld: (rows.iter().filter(|row| guard.is_withheld(row)))
+                .map(|row| row.key.clone())
+                .collect(),
+        });
         let mut version = known;
         if !whole && rows.len() > MAX_DELTA_ROWS {
             // The rows of one transaction share a version and must not be split.
@@ -237,7 +258,7 @@
             has_gap: state.gap.is_some_and(|(_, end)| end > from),
             more: version < known,
             rows: rows.into_iter().map(RowChange::from).collect(),
-            era_start: guard.era_start(),
+            era_start,
         })
     }
 
@@ -253,8 +274,11 @@
         let rows = delta.rows.into_iter().map(StoredRow::from);
         if delta.whole {
             if held < Some(delta.version) && last_version <= delta.version {
-                let era_start = delta.era_start.unwrap_or(delta.version.number);
-                self.replace_since(rows.collect(), era_start, delta.version, now);
+                let start = delta.era_start.unwrap_or(EraStart {
+                    version: delta.version.number,
+                    withheld: Vec::new(),
+                });
+                self.replace_since(rows.collect(), &start, delta.version, now);
             }
             return;
         }
--- a/src/follow/join.rs
+++ b/src/follow/join.rs
@@ -10,9 +10,9 @@
 use super::{JoinEvent, JoinPlan, JoinStep, MemberRow, FLEET_TABLE, MEMBERS_TABLE};
 
 /// Part of [`FLEET_TABLE`].
-const FLEET_PART: &str = "";
+pub(super) const FLEET_PART: &str = "";
 /// Key of the secret with which daemons authenticate to each other.
-const SECRET_KEY: &str = "secret";
+pub(super) const SECRET_KEY: &str = "secret";
 
 /// Dependencies of [`join_fleet`].
 pub struct JoinParts<'a> {
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -10,6 +10,7 @@
 mod followed_table;
 mod join;
 mod join_plan;
+mod lost_rows;
 mod member_sink;
 mod member_table;
 mod proof_handler;
@@ -32,6 +33,9 @@
 pub use followed_table::FollowedTable;
 pub use join::{join_fleet, JoinParts, JoinedFleet};
 pub use join_plan::{JoinEvent, JoinPlan, JoinStep};
+pub use lost_rows::{
+    lost_member_version, secret_action, LostRowsParts, LostRowsTask, SecretAction,
+};
 pub use member_sink::MemberSink;
 pub use member_table::{MemberRow, FLEET_TABLE, MEMBERS_TABLE};
 pub use proof_handler::ProofHandler;
@@ -41,7 +45,7 @@
 pub use reader_task::{ReaderParts, ReaderTask};
 pub use shared_tables::SharedTables;
 pub use store_connectivity::StoreConnectivity;
-pub use table_delta::{RowChange, TableDelta};
+pub use table_delta::{EraStart, RowChange, TableDelta};
 pub use table_follower::{follow_table, FollowOptions, FollowParts, ResponseTiming, TableSink};
 pub use target_list::TargetList;
 pub use target_sink::TargetSink;
--- a/src/follow/table_delta.rs
+++ b/src/follow/table_delta.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// The line between rows of the older copy from which the store came back, and later ones.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EraStart {
+    /// Version of the first full read in the era.
+    pub version: u64,
+    /// Keys of rows of the older copy that are known to be removed.
+    pub withheld: Vec<String>,
+}
+
 /// The rows of a table that changed after the version held by the receiver, in the order of their
 /// versions.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -61,10 +70,10 @@
     pub more: bool,
     /// The rows.
     pub rows: Vec<RowChange>,
-    /// Version of the first full read in the era of `version`; left out if the era is unstated, as
-    /// daemons of earlier builds do.
+    /// What is known of the rows in the older copy from which the store came back; left out unless these
+    /// are all rows of a stated era, as daemons of earlier builds do.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub era_start: Option<u64>,
+    pub era_start: Option<EraStart>,
 }
 
 impl TableDelta {
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -30,6 +30,8 @@
     StoreEras,
     /// Responses of the store whose era was invalid.
     StoreErasInvalid,
+    /// Rows of this daemon and of the fleet written again after the store lost them.
+    RowsRestored,
     /// Unauthenticated or replayed messages on the peer port.
     PeerUnauthenticated,
     /// Messages above the size limit on the peer port.
--- a/standins/src/row_store.rs
+++ b/standins/src/row_store.rs
@@ -72,6 +72,20 @@
     version: u64,
 }
 
+impl RowStoreCopy {
+    /// Returns the copy without the row `key` of a table, in whichever part it is.
+    pub fn without(mut self, table: &str, key: &str) -> Self {
+        self.rows.retain(|n, _| n.table != table || n.key != key);
+        self
+    }
+
+    /// Returns the value of the row `key` of a table, in whichever part it is.
+    pub fn get(&self, table: &str, key: &str) -> Option<&[u8]> {
+        let row = |(n, _): &(&RowName, _)| n.table == table && n.key == key;
+        self.rows.iter().find(row)?.1.value.as_deref()
+    }
+}
+
 #[derive(Default)]
 struct State {
     rows: BTreeMap<RowName, StoredRow>,
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -9,8 +9,8 @@
 use chervillug::{
     config::{parse, parse_front},
     follow::{
-        decode_delta, encode_delta, ChangesResponse, ProofRequest, ProofResponse, RowChange,
-        TableDelta,
+        decode_delta, encode_delta, ChangesResponse, EraStart, ProofRequest, ProofResponse,
+        RowChange, TableDelta,
     },
     http::{BodyDecoder, BodyKind},
     peer::{decode, Envelope},
@@ -119,7 +119,10 @@
         has_gap: false,
         more: false,
         rows: vec![row],
-        era_start: Some(4),
+        era_start: Some(EraStart {
+            version: 4,
+            withheld: vec!["evacuated".to_owned()],
+        }),
     }
 }
 
--- a/tests/entry_eras.rs
+++ b/tests/entry_eras.rs
@@ -168,3 +168,36 @@
     assert_eq!(takes(&fleet, former), takes_before, "{}", logs(&fleet));
     assert_eq!(takes(&fleet, holder), 1, "{}", logs(&fleet));
 }
+
+/// Guards against daemons that other daemons do not find, or that start with another secret, as the
+/// store lost the rows of the fleet.
+#[test]
+fn lost_rows_of_the_fleet_are_written_again() {
+    let mut fleet = start(4);
+    fleet.store.set_era(Some(1));
+    sleep(Duration::from_secs(4));
+    let before = fleet.store.copy();
+    let rows = [
+        ("fleet", "secret"),
+        ("members", "entry-0"),
+        ("members", "entry-3"),
+        ("fleet", "slice:a"),
+        ("members", "slice:a"),
+    ];
+    let older = rows.iter().fold(before.clone(), |copy, (table, key)| {
+        copy.without(table, key)
+    });
+    fleet.store.roll_back(&older);
+    let is_restored = || {
+        let now = fleet.store.copy();
+        rows.iter()
+            .all(|(table, key)| now.get(table, key) == before.get(table, key))
+    };
+    assert!(
+        eventually(Duration::from_secs(8), is_restored),
+        "{}",
+        logs(&fleet)
+    );
+    fleet.daemons[1].restart().expect("a restart");
+    fleet.wait_serving().expect("all daemons serve");
+}
--- a/tests/followed_table.rs
+++ b/tests/followed_table.rs
@@ -313,3 +313,37 @@
     follower.fetch_from(&reader, &store);
     assert!(follower.matches(&store));
 }
+
+/// Guards against a row in force that a daemon loses as it gets all rows from one that withholds it:
+/// the latter read the era later, and takes the row for that of the older copy.
+#[test]
+fn row_withheld_by_another_daemon_of_the_same_era_stays_in_force() {
+    let put = |key, present| Step::Put { key, present };
+    let read = |daemon| Step::Read {
+        daemon,
+        has_history: false,
+    };
+    let fetch = |daemon, other| Step::Fetch { daemon, other };
+    let has_history = true;
+    assert!(copies_match_store(vec![
+        put(1, true),
+        read(2),
+        put(4, false),
+        put(1, false),
+        read(2),
+        Step::RollBack { lost: 2 },
+        read(0),
+        fetch(1, 0),
+        put(1, true),
+        read(2),
+        read(0),
+        Step::RollBack { lost: 0 },
+        Step::Send {
+            daemon: 1,
+            has_history,
+        },
+        fetch(1, 2),
+        Step::Receive { daemon: 1 },
+        fetch(1, 0),
+    ]));
+}
