--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -133,7 +133,8 @@
     let mut termination = Signals::termination()?;
     monoio::select! {
         joined = front.base.join() => {
-            secrets.set(&[joined.secret]);
+            secrets.set(std::slice::from_ref(&joined.secret));
+            monoio::spawn(front.base.lost_rows_task(&tables, &secrets, joined.secret).run());
             let known = [joined.members, joined.holders].concat();
             tables.members.sink().replace(known, front.base.clock.now());
             roles = Some(front.held_roles(&lease, &following));
@@ -201,13 +202,17 @@
         )
     }
 
-    /// Registers this daemon in the fleet.
-    async fn join(&self) -> JoinedFleet {
-        let row = MemberRow {
+    pub(super) fn member_row(&self) -> MemberRow {
+        MemberRow {
             data_centre: self.settings.data_centre.clone(),
             address: self.settings.peer_address,
             leaving: false,
-        };
+        }
+    }
+
+    /// Registers this daemon in the fleet.
+    async fn join(&self) -> JoinedFleet {
+        let row = self.member_row();
         let parts = JoinParts {
             store: &*self.store,
             host: &self.settings.host,
--- a/src/daemon/front_tables.rs
+++ b/src/daemon/front_tables.rs
@@ -6,16 +6,16 @@
     admission::{AdmissionHandler, AdmissionTask, AdmissionTaskParts},
     follow::{
         follow_table, ChangesHandler, ConfigurationSink, EvacuationFormat, EvacuationSink,
-        FollowOptions, FollowParts, FollowedTable, LeavingReaders, MemberSink, ProofHandler,
-        ReaderParts, ReaderTask, SharedReaderRole, SharedTables, SinkSequence, TableSink,
-        TargetSink, WarmupSink, MEMBERS_TABLE,
+        FollowOptions, FollowParts, FollowedTable, LeavingReaders, LostRowsParts, LostRowsTask,
+        MemberSink, ProofHandler, ReaderParts, ReaderTask, SharedReaderRole, SharedTables,
+        SinkSequence, TableSink, TargetSink, WarmupSink, MEMBERS_TABLE,
     },
-    peer::{MessageKind, PeerRouter},
+    peer::{FleetSecrets, MessageKind, PeerRouter},
     platform,
     quota::SliceHolders,
 };
 
-use super::front::{BalancerParts, FrontDaemon};
+use super::front::{BalancerParts, FrontBase, FrontDaemon};
 
 /// Longest time that the store holds a call for the configuration open. One response proves to a
 /// whole data centre that the keys are fresh, so that it must be shorter than the maximum age that
@@ -60,6 +60,26 @@
     }
 }
 
+impl FrontBase {
+    /// Returns the task that writes lost rows of this daemon and of the fleet again.
+    pub(super) fn lost_rows_task(
+        &self,
+        tables: &SharedTables,
+        secrets: &FleetSecrets,
+        secret: String,
+    ) -> LostRowsTask {
+        LostRowsTask::new(LostRowsParts {
+            store: self.store.clone(),
+            members: tables.members.clone(),
+            host: self.settings.host.clone(),
+            row: self.member_row(),
+            secret,
+            secrets: secrets.clone(),
+            metrics: self.metrics.clone(),
+        })
+    }
+}
+
 impl FrontDaemon {
     /// Registers the handlers for other daemons, and returns the tasks that follow the tables.
     pub(super) fn prepare_following(
--- a/src/follow/mod.rs
+++ b/src/follow/mod.rs
@@ -13,6 +13,7 @@
 mod join;
 mod join_plan;
 mod leaving_readers;
+mod lost_rows;
 mod member_sink;
 mod member_table;
 mod proof_handler;
@@ -40,6 +41,9 @@
 pub use join::{join_fleet, JoinParts, JoinedFleet};
 pub use join_plan::{JoinEvent, JoinPlan, JoinStep};
 pub use leaving_readers::LeavingReaders;
+pub use lost_rows::{
+    lost_member_version, secret_action, LostRowsParts, LostRowsTask, SecretAction,
+};
 pub use member_sink::MemberSink;
 pub use member_table::{MemberRow, FLEET_TABLE, MEMBERS_TABLE};
 pub use proof_handler::ProofHandler;
@@ -50,7 +54,7 @@
 pub use shared_tables::SharedTables;
 pub use sink_sequence::SinkSequence;
 pub use store_connectivity::StoreConnectivity;
-pub use table_delta::{RowChange, TableDelta};
+pub use table_delta::{EraStart, RowChange, TableDelta};
 pub use table_follower::{
     follow_table, EraRows, FollowOptions, FollowParts, ResponseTiming, TableSink,
 };
