proxy: try repeatable requests again that a target answers with an error

Cause: a target that fails a part of its requests while its health check is good answers them with 500, which was relayed although the request may run again and other targets are sound.

Change: with a limit on the fleet's retries in the settings, an answer with a server error other than 504 to a repeatable request asks the retry budget for another attempt; if it is denied, the answer is relayed. It counts against the route's attempts. Requests that run at most once, and deployments without the settings, are served as before.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -389,6 +389,7 @@
             pool: PoolHandle::new(pool_tx),
             // Aborting work that a target has started costs more than a slow response.
             retry_on_silence: false,
+            retry_error_answers: self.base.settings.retry_limit().is_some(),
             claims: None,
             admission: Some(self.admission.clone()),
             poison,
--- a/src/daemon/native.rs
+++ b/src/daemon/native.rs
@@ -160,6 +160,7 @@
         },
         pool: PoolHandle::new(pool_tx),
         retry_on_silence: true,
+        retry_error_answers: false,
         claims: Some(claims),
         admission: None,
         poison,
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -1,6 +1,6 @@
 //! Evaluation of the result of an attempt, and feedback on the target.
 
-use http::response;
+use http::{response, StatusCode};
 
 use crate::{
     health::{Observation, WorkResult},
@@ -140,8 +140,20 @@
             self.record_first_latency(latency);
         }
         self.observe_answer(&head);
+        let event = self.answer_event(head.status);
         self.response = Some(StartedResponse { head, kind, body });
-        self.step(Event::ResponseHead)
+        self.step(event)
+    }
+
+    /// Returns the event of an answer with this status. A target that ran out of time left none for
+    /// another attempt.
+    fn answer_event(&self, status: StatusCode) -> Event {
+        let is_error = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
+        if is_error && self.cx.retry_error_answers {
+            Event::ErrorAnswer
+        } else {
+            Event::ResponseHead
+        }
     }
 
     fn observe_answer(&self, head: &response::Parts) {
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -41,6 +41,9 @@
     pub balancer: TokenBorrower,
     /// Whether repeatable requests are retried at another target when a target goes silent.
     pub retry_on_silence: bool,
+    /// Whether repeatable requests are retried at another target when a target answers with an
+    /// error of its own.
+    pub retry_error_answers: bool,
     /// Pool of idle connections to targets.
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice; `None` if callers never repeat a request.
@@ -98,6 +101,9 @@
     pub balancer: TokenBorrower,
     /// Whether repeatable requests are retried at another target when a target goes silent.
     pub retry_on_silence: bool,
+    /// Whether repeatable requests are retried at another target when a target answers with an
+    /// error of its own.
+    pub retry_error_answers: bool,
     /// Pool of idle connections to targets.
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice; `None` if callers never repeat a request.
@@ -133,6 +139,7 @@
             limiter: parts.limiter,
             balancer: parts.balancer,
             retry_on_silence: parts.retry_on_silence,
+            retry_error_answers: parts.retry_error_answers,
             pool: parts.pool,
             claims: parts.claims,
             admission: parts.admission,
--- a/src/proxy/pick_target.rs
+++ b/src/proxy/pick_target.rs
@@ -15,6 +15,7 @@
     /// Picks a target for the next attempt, and waits for one while all are busy.
     pub(super) async fn pick_target(&mut self) -> Action {
         self.attempt = None;
+        self.response = None;
         if self.dispatch.deadline.has_passed(self.cx.clock.now()) {
             return self.step(Event::DeadlinePassed);
         }
--- a/src/retry/event.rs
+++ b/src/retry/event.rs
@@ -32,6 +32,9 @@
     Informational,
     /// The head of the target's final response arrived.
     ResponseHead,
+    /// The target answered with an error of its own, which is relayed unless another attempt may be
+    /// made.
+    ErrorAnswer,
     /// The attempt failed.
     Failed(AttemptFailure),
     /// The first byte of a second attempt, beside the one in progress, is about to be written.
--- a/src/retry/reason.rs
+++ b/src/retry/reason.rs
@@ -14,6 +14,8 @@
     TargetLost,
     /// The target sent a malformed response to a repeatable request.
     TargetMalformed,
+    /// The target answered a repeatable request with an error of its own.
+    TargetError,
     /// A pooled connection closed while carrying a repeatable request.
     StaleConnection,
     /// A connection went silent while carrying a repeatable request.
--- a/src/retry/state_machine.rs
+++ b/src/retry/state_machine.rs
@@ -23,6 +23,8 @@
     CheckingBudgetWhileSilent {
         reused: bool,
     },
+    /// The target answered with an error, which is relayed if the retry is denied.
+    CheckingBudgetWithAnswer,
     Relaying,
     Ended,
 }
@@ -115,6 +117,7 @@
             (Phase::Exchanging { written: true, .. }, Event::ResponseHead) => {
                 self.on_response_head()
             }
+            (Phase::Exchanging { written: true, .. }, Event::ErrorAnswer) => self.on_error_answer(),
             (
                 Phase::Exchanging {
                     reused,
@@ -139,10 +142,13 @@
                 self.on_failure(failure, reused, written)
             }
             (
-                Phase::CheckingBudget(_) | Phase::CheckingBudgetWhileSilent { .. },
+                Phase::CheckingBudget(_)
+                | Phase::CheckingBudgetWhileSilent { .. }
+                | Phase::CheckingBudgetWithAnswer,
                 Event::BudgetGranted,
             ) => self.retry(),
             (Phase::CheckingBudget(kind), Event::BudgetRefused) => self.respond_error(kind),
+            (Phase::CheckingBudgetWithAnswer, Event::BudgetRefused) => self.on_response_head(),
             (Phase::CheckingBudgetWhileSilent { reused }, Event::BudgetRefused) => {
                 self.on_send_started(reused)
             }
@@ -195,6 +201,15 @@
         Some(Action::Relay)
     }
 
+    fn on_error_answer(&mut self) -> Option<Action> {
+        if !self.policy.repeatable || !self.can_send_again() {
+            return self.on_response_head();
+        }
+        self.may_have_run = true;
+        self.phase = Phase::CheckingBudgetWithAnswer;
+        Some(Action::CheckBudget(RetryReason::TargetError))
+    }
+
     fn on_silence_timeout(&mut self, reused: bool) -> Option<Action> {
         if !self.would_retry_on_silence() {
             return Some(Action::AwaitHead);
