--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -33,7 +33,7 @@
         SliceShare, SliceStatusHandler, TokenHandler,
     },
     retry::RetryBudgetConfig,
-    routing::{ConfigurationView, RoutingPolicy},
+    routing::{ConfigurationView, EraGate, RoutingPolicy},
     store::RowStore,
 };
 
@@ -133,7 +133,8 @@
     let mut termination = Signals::termination()?;
     monoio::select! {
         joined = front.base.join() => {
-            secrets.set(&[joined.secret]);
+            secrets.set(std::slice::from_ref(&joined.secret));
+            monoio::spawn(front.base.lost_rows_task(&tables, &secrets, joined.secret).run());
             let known = [joined.members, joined.holders].concat();
             tables.members.sink().replace(known, front.base.clock.now());
             roles = Some(front.held_roles(&lease, &following));
@@ -166,6 +167,9 @@
         let key_secret = format!("{:032x}", fastrand::u128(..));
         let max_age = settings.max_key_withdrawal - KEY_PROOF_MARGIN;
         let view = ConfigurationView::new(KeyHasher::new(&key_secret), max_age);
+        if settings.first_start {
+            view.update_eras(EraGate::trust_start);
+        }
         Self {
             clock: Rc::new(SystemClock),
             store: Rc::new(RowClient::new(settings.store_address, metrics.clone())),
@@ -198,13 +202,17 @@
         )
     }
 
-    /// Registers this daemon in the fleet.
-    async fn join(&self) -> JoinedFleet {
-        let row = MemberRow {
+    pub(super) fn member_row(&self) -> MemberRow {
+        MemberRow {
             data_centre: self.settings.data_centre.clone(),
             address: self.settings.peer_address,
             leaving: false,
-        };
+        }
+    }
+
+    /// Registers this daemon in the fleet.
+    async fn join(&self) -> JoinedFleet {
+        let row = self.member_row();
         let parts = JoinParts {
             store: &*self.store,
             host: &self.settings.host,
@@ -303,6 +311,7 @@
             clock: base.clock.clone(),
             broadcast: broadcast.clone(),
             metrics: base.metrics.clone(),
+            first_start: settings.first_start,
         });
         let handler = TokenHandler {
             slice: slice.clone(),
@@ -380,10 +389,12 @@
             pool: PoolHandle::new(pool_tx),
             // Aborting work that a target has started costs more than a slow response.
             retry_on_silence: false,
+            retry_error_answers: self.base.settings.retry_limit().is_some(),
             claims: None,
             admission: Some(self.admission.clone()),
             poison,
             retry_budget: self.retry_budget(),
+            hedging: base.settings.hedging,
             failure_notifier: Some(balancer.failure_notifier),
             metrics: base.metrics.clone(),
             clock: base.clock.clone(),
--- a/src/follow/evacuation_list.rs
+++ b/src/follow/evacuation_list.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeSet, rc::Rc};
 
+use crate::store::StoreVersion;
+
 /// A change of the evacuation of one data centre.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EvacuationChange {
@@ -12,7 +14,7 @@
         /// Name of the data centre.
         data_centre: Rc<str>,
         /// Version of the row's removal; `None` if only its absence was observed.
-        version: Option<u64>,
+        version: Option<StoreVersion>,
     },
 }
 
@@ -52,7 +54,7 @@
     /// Records that the row of a data centre was removed at `version`. This is a change even if the
     /// row is not known here, as other daemons may have observed an evacuation that began and ended
     /// between two reads of this one.
-    pub fn revert(&mut self, data_centre: &str, version: u64) -> EvacuationChange {
+    pub fn revert(&mut self, data_centre: &str, version: StoreVersion) -> EvacuationChange {
         self.in_force.remove(data_centre);
         EvacuationChange::Reverted {
             data_centre: Rc::from(data_centre),
--- a/src/follow/evacuation_sink.rs
+++ b/src/follow/evacuation_sink.rs
@@ -4,6 +4,7 @@
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
+    time::Duration,
 };
 
 use crate::{
@@ -13,7 +14,11 @@
     store::StoredRow,
 };
 
-use super::{table_follower::TableSink, EvacuationChange, EvacuationList};
+use super::{
+    configuration_sink::LOST_ROW_GRACE,
+    table_follower::{EraRows, TableSink},
+    EvacuationChange, EvacuationList,
+};
 
 /// Names and formats of the evacuation rows.
 #[derive(Clone, Copy)]
@@ -27,6 +32,7 @@
 /// Maintains the set of evacuated data centres and sends each change to the balancer.
 pub struct EvacuationSink {
     list: RefCell<EvacuationList>,
+    era: RefCell<EraRows>,
     format: EvacuationFormat,
     known: BTreeSet<String>,
     balancer: BalancerHandle,
@@ -44,6 +50,7 @@
     ) -> Self {
         Self {
             list: RefCell::default(),
+            era: RefCell::default(),
             format,
             known: known.iter().cloned().collect(),
             balancer,
@@ -89,7 +96,7 @@
                     version,
                 } => {
                     self.metrics.count(Counter::EvacuationsReverted);
-                    log::info!(data_centre = &**data_centre, row = *version;
+                    log::info!(data_centre = &**data_centre, row:? = version;
                         "evacuation of a data centre reverted");
                     reverted.push(Reversal {
                         data_centre: data_centre.clone(),
@@ -129,11 +136,19 @@
             if row.value.is_some() {
                 changes.extend(list.start(data_centre));
             } else {
-                changes.push(list.revert(data_centre, row.version));
+                changes.push(list.revert(data_centre, self.era.borrow().version(row)));
             }
         }
         self.publish(&changes, &found);
     }
 
+    fn grace(&self, key: &str) -> Option<Duration> {
+        (self.format.data_centre)(key).map(|_| LOST_ROW_GRACE)
+    }
+
+    fn set_era(&self, rows: &EraRows) {
+        *self.era.borrow_mut() = rows.clone();
+    }
+
     fn on_failure(&self, _: BootTime) {}
 }
--- a/src/follow/member_sink.rs
+++ b/src/follow/member_sink.rs
@@ -1,6 +1,6 @@
 //! Applies the fleet's members and slice holders read from the store.
 
-use std::{cell::RefCell, collections::BTreeMap};
+use std::{cell::RefCell, collections::BTreeMap, time::Duration};
 
 use crate::{
     clock::BootTime,
@@ -9,13 +9,20 @@
     store::{ListedHost, StoredRow},
 };
 
-use super::{table_follower::TableSink, MemberRow};
+use super::{
+    table_follower::{EraRows, TableSink},
+    MemberRow,
+};
+
+/// Time within which members and holders of slices write lost rows again.
+const LOST_MEMBER_GRACE: Duration = Duration::from_secs(10);
 
 /// Updates the directory of peers and the holders of slices.
 pub struct MemberSink {
     directory: PeerDirectory,
     holders: SliceHolders,
     members: RefCell<BTreeMap<String, ListedHost>>,
+    era: RefCell<EraRows>,
 }
 
 impl MemberSink {
@@ -25,6 +32,7 @@
             directory,
             holders,
             members: RefCell::default(),
+            era: RefCell::default(),
         }
     }
 
@@ -67,8 +75,8 @@
         };
         let host = holder.host.as_str();
         log::info!(data_centre = data_centre, holder = host, row = row.version; "slice holder read");
-        self.holders
-            .set_from_row(data_centre, host, row.version, now);
+        let version = self.era.borrow().version(row);
+        self.holders.set_from_row(data_centre, host, version, now);
     }
 
     fn publish(&self) {
@@ -81,7 +89,13 @@
 impl TableSink for MemberSink {
     fn replace(&self, rows: Vec<StoredRow>, now: BootTime) {
         self.members.borrow_mut().clear();
-        rows.into_iter().for_each(|row| self.apply_row(row, now));
+        for row in rows {
+            // The holder that a row of an earlier era names is known already, or a newer one is.
+            let is_holder = HolderRow::data_centre(&row.key).is_some();
+            if !(is_holder && self.era.borrow().retained.contains(&row.key)) {
+                self.apply_row(row, now);
+            }
+        }
         self.publish();
     }
 
@@ -93,5 +107,13 @@
         self.publish();
     }
 
+    fn grace(&self, _: &str) -> Option<Duration> {
+        Some(LOST_MEMBER_GRACE)
+    }
+
+    fn set_era(&self, rows: &EraRows) {
+        *self.era.borrow_mut() = rows.clone();
+    }
+
     fn on_failure(&self, _: BootTime) {}
 }
--- a/src/follow/sink_sequence.rs
+++ b/src/follow/sink_sequence.rs
@@ -1,10 +1,10 @@
 //! Several sinks of one table.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use crate::{clock::BootTime, store::StoredRow};
 
-use super::table_follower::{ResponseTiming, TableSink};
+use super::table_follower::{EraRows, ResponseTiming, TableSink};
 
 /// Passes the changes of one table on to several sinks, in their order.
 pub struct SinkSequence {
@@ -31,6 +31,17 @@
         }
     }
 
+    /// A row stays in force for as long as one of the sinks needs it.
+    fn grace(&self, key: &str) -> Option<Duration> {
+        self.sinks.iter().filter_map(|sink| sink.grace(key)).max()
+    }
+
+    fn set_era(&self, rows: &EraRows) {
+        for sink in &self.sinks {
+            sink.set_era(rows);
+        }
+    }
+
     fn on_response(&self, timing: &ResponseTiming) {
         for sink in &self.sinks {
             sink.on_response(timing);
--- a/src/follow/table_delta.rs
+++ b/src/follow/table_delta.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::serde_as;
 
-use crate::store::StoredRow;
+use crate::store::{StoreVersion, StoredRow};
 
 /// One row of a table.
 #[serde_as]
@@ -46,14 +46,23 @@
     }
 }
 
+/// The line between rows of the older copy from which the store came back, and later ones.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EraStart {
+    /// Version of the first full read in the era.
+    pub version: u64,
+    /// Keys of rows of the older copy that are known to be removed.
+    pub withheld: Vec<String>,
+}
+
 /// The rows of a table that changed after the version held by the receiver, in the order of their
 /// versions.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TableDelta {
     /// Whether these are all rows of the table rather than only the changed ones.
     pub whole: bool,
-    /// Version of the store up to which the rows are complete.
-    pub version: u64,
+    /// Version of the store up to which the rows are complete; those of the rows are of its era.
+    pub version: StoreVersion,
     /// Whether tombstones of rows that were inserted and removed after the version held by the
     /// receiver may be missing.
     pub has_gap: bool,
@@ -61,6 +70,10 @@
     pub more: bool,
     /// The rows.
     pub rows: Vec<RowChange>,
+    /// What is known of the rows in the older copy from which the store came back; left out unless these
+    /// are all rows of a stated era, as daemons of earlier builds do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era_start: Option<EraStart>,
 }
 
 impl TableDelta {
--- a/src/health/evacuations.rs
+++ b/src/health/evacuations.rs
@@ -2,13 +2,15 @@
 
 use std::{collections::BTreeSet, rc::Rc};
 
+use crate::store::StoreVersion;
+
 /// The end of the evacuation of a data centre.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reversal {
     /// Name of the data centre.
     pub data_centre: Rc<str>,
     /// Version of the store at which the evacuation ended; `None` if it is not known.
-    pub version: Option<u64>,
+    pub version: Option<StoreVersion>,
 }
 
 /// The evacuated data centres after a change.
--- a/src/metrics/counter.rs
+++ b/src/metrics/counter.rs
@@ -26,6 +26,12 @@
     StoreCalls,
     /// Failed calls to the store.
     StoreErrors,
+    /// New eras of the store, including the first one that it stated.
+    StoreEras,
+    /// Responses of the store whose era was invalid.
+    StoreErasInvalid,
+    /// Rows of this daemon and of the fleet written again after the store lost them.
+    RowsRestored,
     /// Unauthenticated or replayed messages on the peer port.
     PeerUnauthenticated,
     /// Messages above the size limit on the peer port.
@@ -92,6 +98,14 @@
     TargetsCold,
     /// Requests whose picked target was withdrawn before they were sent.
     PicksWithdrawn,
+    /// Second attempts of hedged requests that were sent.
+    HedgesSent,
+    /// Hedged requests that the second attempt answered.
+    HedgesWon,
+    /// Second attempts that failed, or whose response was an error, while the first was awaited.
+    HedgesFailed,
+    /// Requests whose delay for a second attempt passed, and for which none was sent.
+    HedgesRefused,
     /// Targets ejected or put on trial.
     Ejections,
     /// Messages about suspected targets sent to other daemons.
--- a/src/proxy/context.rs
+++ b/src/proxy/context.rs
@@ -19,6 +19,7 @@
 use super::{
     access_policy::{AccessPolicy, CallerLimits},
     head_format::HeadFormat,
+    hedging_states::HedgingStates,
     request_id::RequestIds,
     retry_states::{RetryBudgetSource, ServiceRetryStates},
 };
@@ -40,6 +41,9 @@
     pub balancer: TokenBorrower,
     /// Whether repeatable requests are retried at another target when a target goes silent.
     pub retry_on_silence: bool,
+    /// Whether repeatable requests are retried at another target when a target answers with an
+    /// error of its own.
+    pub retry_error_answers: bool,
     /// Pool of idle connections to targets.
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice; `None` if callers never repeat a request.
@@ -70,6 +74,7 @@
     /// Requests in flight.
     pub in_flight: BoundedCounter,
     pub(super) retry_states: ServiceRetryStates,
+    pub(super) hedging: HedgingStates,
     /// Connections that are being refused because there are too many.
     pub refused_connections: BoundedCounter,
     /// Bytes of buffered request bodies.
@@ -89,10 +94,16 @@
     pub limiter: Box<dyn Limiter>,
     /// Limits on the retries of each service.
     pub retry_budget: RetryBudgetSource,
+    /// Largest share of extra requests of each service that hedging may add; `None` if requests are
+    /// not hedged.
+    pub hedging: Option<f64>,
     /// Picks targets.
     pub balancer: TokenBorrower,
     /// Whether repeatable requests are retried at another target when a target goes silent.
     pub retry_on_silence: bool,
+    /// Whether repeatable requests are retried at another target when a target answers with an
+    /// error of its own.
+    pub retry_error_answers: bool,
     /// Pool of idle connections to targets.
     pub pool: PoolHandle,
     /// Claims of requests that must not run twice; `None` if callers never repeat a request.
@@ -128,6 +139,7 @@
             limiter: parts.limiter,
             balancer: parts.balancer,
             retry_on_silence: parts.retry_on_silence,
+            retry_error_answers: parts.retry_error_answers,
             pool: parts.pool,
             claims: parts.claims,
             admission: parts.admission,
@@ -141,6 +153,7 @@
             shutdown: parts.shutdown,
             grace: ShutdownGrace::default(),
             retry_states: ServiceRetryStates::new(parts.retry_budget),
+            hedging: HedgingStates::new(parts.hedging),
             request_ids: RefCell::new(RequestIds::default()),
         }
     }
--- a/src/quota/handover_message.rs
+++ b/src/quota/handover_message.rs
@@ -8,7 +8,7 @@
     clock::Clock,
     follow::LeavingReaders,
     peer::{decode, encode, FleetBroadcast, MessageKind, PeerHandler},
-    store::BoxFuture,
+    store::{BoxFuture, StoreVersion},
 };
 
 use super::{LeaseHandle, SliceHolders, SliceLevels};
@@ -29,8 +29,9 @@
 pub struct ReleasedSlice {
     /// Data centre of the slice.
     pub data_centre: String,
-    /// Version of the lease row; the receiver may write the row only if it is unchanged.
-    pub version: u64,
+    /// Version of the lease row; the receiver may write the row only if it is unchanged
+    /// and the store is still in the era.
+    pub version: StoreVersion,
     /// Levels of the buckets when the slice was released.
     pub levels: SliceLevels,
 }
@@ -43,7 +44,7 @@
     /// Host that holds it.
     pub host: String,
     /// Version of the rows that made it the holder.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Whether the receiver passes the message on within its data centre.
     pub relayed: bool,
 }
@@ -52,7 +53,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReleaseResponse {
     /// Version of the row that made the receiver the holder; `None` if it is not.
-    pub version: Option<u64>,
+    pub version: Option<StoreVersion>,
 }
 
 /// Handles messages of daemons that leave.
--- a/src/quota/handover_task.rs
+++ b/src/quota/handover_task.rs
@@ -8,6 +8,7 @@
     clock::{BootTime, Clock},
     metrics::{Counter, Metrics},
     peer::{FleetBroadcast, MessageKind, PeerClient},
+    store::StoreVersion,
 };
 
 use super::{
@@ -51,6 +52,9 @@
             return;
         }
         let Some((version, levels)) = self.slice.release(self.clock.now()) else {
+            // The lease has expired, or the store entered a new era in which its row was not read.
+            self.metrics.count(Counter::SliceHandoversFailed);
+            log::warn!(data_centre = centre; "slice not handed over, its lease expires");
             return;
         };
         let workspaces = levels.workspaces.len();
@@ -70,14 +74,14 @@
                 HandoverStep::Done { host, version } => {
                     let took_ms = self.clock.now().since(started).as_millis() as u64;
                     self.metrics.count(Counter::SlicesHandedOver);
-                    log::info!(data_centre = centre, holder = &*host, row = version,
+                    log::info!(data_centre = centre, holder = &*host, row:? = version,
                         workspaces = workspaces, took_ms = took_ms; "slice handed over");
                     return self.announce(&host, version).await;
                 }
                 HandoverStep::Failed => {
                     self.slice.end_handover(None);
                     self.metrics.count(Counter::SliceHandoversFailed);
-                    log::warn!(data_centre = centre, row = version;
+                    log::warn!(data_centre = centre, row:? = version;
                         "slice not handed over, its lease expires");
                     return;
                 }
@@ -123,7 +127,12 @@
     }
 
     /// Offers the slice to `host` and returns the version of the row that made it the holder.
-    async fn offer(&self, host: &str, offer: &HandoverMessage, limit: Duration) -> Option<u64> {
+    async fn offer(
+        &self,
+        host: &str,
+        offer: &HandoverMessage,
+        limit: Duration,
+    ) -> Option<StoreVersion> {
         let kind = MessageKind::Handover;
         let res = self
             .peers
@@ -145,7 +154,7 @@
         }
     }
 
-    async fn announce(&self, host: &str, version: u64) {
+    async fn announce(&self, host: &str, version: StoreVersion) {
         let change = HolderChange {
             data_centre: self.data_centre.clone(),
             host: host.to_owned(),
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -1,6 +1,6 @@
 //! The task that acquires and renews the lease of the local data centre's slice.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use local_sync::mpsc;
 use monoio::time::sleep;
@@ -11,7 +11,7 @@
     membership::Incarnation,
     metrics::Metrics,
     peer::{FleetBroadcast, MessageKind, PeerClient},
-    store::{RowPut, RowStore, StoreError, StoredRow, WriteOutcome},
+    store::{Era, RowPut, RowStore, StoreError, StoredRow, WriteOutcome},
 };
 
 use super::{
@@ -55,6 +55,8 @@
     pub broadcast: FleetBroadcast,
     /// Metrics of this daemon.
     pub metrics: Rc<Metrics>,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
 }
 
 /// Acquires and renews the lease of the local data centre's slice.
@@ -63,17 +65,24 @@
     succession: Succession,
     handle: LeaseHandle,
     offers: mpsc::unbounded::Rx<SliceOffer>,
+    /// Era of the store in which this daemon was last announced as the holder.
+    announced_in: Cell<Era>,
 }
 
 impl LeaseTask {
     /// Creates the task with the given dependencies.
     pub fn new(parts: LeaseParts) -> Self {
         let (handle, offers) = LeaseHandle::new();
+        if parts.first_start {
+            let now = parts.clock.now();
+            parts.slice.with_lease(now, |l| l.set_first_start());
+        }
         Self {
             parts,
             handle,
             offers,
             succession: Succession::default(),
+            announced_in: Cell::default(),
         }
     }
 
@@ -119,13 +128,14 @@
     async fn take_over(&mut self, offer: SliceOffer) -> Duration {
         let SliceOffer { slice, reply } = offer;
         let parts = &self.parts;
-        let expected = slice.version;
+        let version = slice.version;
+        self.see_era(parts.store.era());
         let is_own = slice.data_centre == parts.data_centre;
         let mut pause = Duration::ZERO;
         if is_own && parts.slice.accept(slice, parts.clock.now()) {
-            log::info!(data_centre = parts.data_centre.as_str(), row = expected;
+            log::info!(data_centre = parts.data_centre.as_str(), row:? = version;
                 "slice released to this daemon");
-            pause = self.write(expected).await;
+            pause = self.write(version.number).await;
         }
         let now = parts.clock.now();
         let held = parts.slice.is_held(now);
@@ -147,6 +157,7 @@
     /// Acquires, renews or reads the lease once, and returns the time until the next step.
     async fn step(&mut self) -> Duration {
         let now = self.parts.clock.now();
+        self.see_era(self.parts.store.era());
         let is_holder = self.parts.slice.with_lease(now, |l| l.is_holder());
         if !is_holder && !self.is_recorded_holder() {
             self.check_holder(now).await;
@@ -155,7 +166,8 @@
         if !is_holder && !self.is_recorded_holder() && !self.is_due_to_watch(now) {
             return SUSPECT_CHECK_INTERVAL;
         }
-        if !is_holder && !self.observe_lease().await {
+        let is_unread = self.parts.slice.with_lease(now, |l| l.is_unread());
+        if (!is_holder || is_unread) && !self.observe_lease().await {
             return RETRY_PAUSE;
         }
         let now = self.parts.clock.now();
@@ -166,6 +178,19 @@
         }
     }
 
+    /// Passes the era of the store on to the lease; returns whether it is a new one.
+    fn see_era(&self, era: Era) -> bool {
+        let parts = &self.parts;
+        let now = parts.clock.now();
+        let is_new = parts.slice.with_lease(now, |l| l.see_era(era, now));
+        if is_new {
+            let (centre, held) = (parts.data_centre.as_str(), parts.slice.is_held(now));
+            log::info!(data_centre = centre, era:% = era, held = held;
+                "slice lease in a new era of the store");
+        }
+        is_new
+    }
+
     /// Returns whether this host is recorded as the holder, possibly from before a restart.
     fn is_recorded_holder(&self) -> bool {
         let holder = self.parts.holders.holder(&self.parts.data_centre);
@@ -252,7 +277,10 @@
     async fn read_row(&self) -> Option<Option<StoredRow>> {
         let centre = self.parts.data_centre.as_str();
         match self.parts.store.read(SLICES_TABLE, PART, centre).await {
-            Ok(read) => Some(read.rows.into_iter().find(|r| r.key == centre)),
+            Ok(read) => {
+                self.see_era(read.version.era);
+                Some(read.rows.into_iter().find(|r| r.key == centre))
+            }
             Err(e) => {
                 let reason = e.to_string();
                 log::warn!(data_centre = centre, reason = reason.as_str();
@@ -266,12 +294,13 @@
     /// ended, because this one serves at its address.
     fn is_own_host(&self, row: &StoredRow) -> bool {
         let own = self.parts.peers.directory().own_host();
-        holder_of(row).is_some_and(|h| h.host == own)
+        LeaseHolder::from_row(row).is_some_and(|h| h.host == own)
     }
 
     async fn write(&self, expected: u64) -> Duration {
         let parts = &self.parts;
         let sent = parts.clock.now();
+        let era = parts.slice.with_lease(sent, |l| l.era());
         let written = match self.puts(expected) {
             Ok(puts) => parts.store.write(&puts).await,
             Err(e) => Err(e),
@@ -281,18 +310,21 @@
         match written {
             Ok(WriteOutcome::Committed { version }) => {
                 let was_held = parts.slice.is_held(now);
-                parts
-                    .slice
-                    .with_lease(now, |l| l.record_write(version, sent));
+                let slice = &parts.slice;
+                if !slice.with_lease(now, |l| l.record_commit(version, sent, era, now)) {
+                    return RETRY_PAUSE;
+                }
                 if !was_held {
-                    log::info!(data_centre = centre, row = version; "slice taken");
+                    log::info!(data_centre = centre, row:? = version; "slice taken");
                 }
-                if !self.is_recorded_holder() {
+                if self.must_announce(era) {
                     let host = parts.peers.directory().own_host();
                     parts.holders.set(centre, host, version);
                 }
+                self.announced_in.set(era);
                 RENEW_INTERVAL
             }
+            Ok(WriteOutcome::Conflict(_)) if self.see_era(parts.store.era()) => RETRY_PAUSE,
             Ok(WriteOutcome::Conflict(_)) => {
                 log::info!(data_centre = centre, expected = expected;
                     "slice lease not acquired: the row has changed");
@@ -313,25 +345,32 @@
     /// Reads the row after a failed write to determine whether the write was committed.
     async fn read_back(&self) {
         let parts = &self.parts;
+        let era = parts.slice.with_lease(parts.clock.now(), |l| l.era());
         let Some(row) = self.read_row().await else {
             return;
         };
         let now = parts.clock.now();
+        let is_same_era = parts.slice.with_lease(now, |l| l.era()) == era;
         let is_own = row.as_ref().is_some_and(|r| self.is_own_incarnation(r));
         parts.slice.with_lease(now, |l| match row {
             // The write was committed; the term still counts from the last acknowledged write.
-            Some(row) if is_own => l.adopt_own_write(row.version),
+            Some(row) if is_own && is_same_era => l.adopt_own_write(row.version, now),
             Some(row) => l.observe(row.version, self.is_own_host(&row), now),
             None => l.observe(0, false, now),
         });
     }
 
     fn is_own_incarnation(&self, row: &StoredRow) -> bool {
-        holder_of(row).is_some_and(|h| h.incarnation == self.parts.incarnation)
+        LeaseHolder::from_row(row).is_some_and(|h| h.incarnation == self.parts.incarnation)
+    }
+
+    /// Returns whether a write in `era` must announce this daemon as the holder.
+    fn must_announce(&self, era: Era) -> bool {
+        !self.is_recorded_holder() || self.announced_in.get() != era
     }
 
     /// Returns the writes that acquire or renew the lease; a new holder is also announced to all
-    /// daemons.
+    /// daemons, and once in each era, as the store may have lost the announcement.
     fn puts(&self, expected: u64) -> Result<Vec<RowPut>, StoreError> {
         let parts = &self.parts;
         let centre = parts.data_centre.as_str();
@@ -341,7 +380,8 @@
             incarnation: parts.incarnation,
         };
         let lease = RowPut::json(SLICES_TABLE, PART, centre, Some(expected), &holder)?;
-        if self.is_recorded_holder() {
+        let era = parts.slice.with_lease(parts.clock.now(), |l| l.era());
+        if !self.must_announce(era) {
             return Ok(vec![lease]);
         }
         let announcement = HolderRow {
@@ -357,17 +397,3 @@
         ])
     }
 }
-
-/// Returns the holder stored in a lease row; `None` if the row has no value or it cannot be parsed.
-fn holder_of(row: &StoredRow) -> Option<LeaseHolder> {
-    let value = row.value.as_ref()?;
-    match serde_json::from_slice(value) {
-        Ok(holder) => Some(holder),
-        Err(e) => {
-            let reason = e.to_string();
-            log::warn!(row = row.version, reason = reason.as_str();
-                "cannot parse holder of slice lease");
-            None
-        }
-    }
-}
--- a/src/quota/slice_holders.rs
+++ b/src/quota/slice_holders.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::BootTime;
+use crate::{clock::BootTime, store::StoreVersion};
 
 use super::{HolderAddress, HolderChange, SearchHolders};
 
@@ -52,7 +52,7 @@
 struct Holder {
     host: Rc<str>,
     /// Version of the rows that named it.
-    version: u64,
+    version: StoreVersion,
     /// Until when rows of an earlier version are ignored, if it was announced by another daemon.
     announced_until: BootTime,
     paused_until: BootTime,
@@ -73,13 +73,19 @@
 
 impl SliceHolders {
     /// Sets the holder of a data centre's slice that was named by rows of this version.
-    pub fn set(&self, data_centre: &str, host: &str, version: u64) {
+    pub fn set(&self, data_centre: &str, host: &str, version: StoreVersion) {
         self.insert(data_centre, host, version, BootTime::default());
     }
 
     /// Sets the holder of a data centre's slice from a row of this version, unless another daemon
     /// has announced a newer holder.
-    pub fn set_from_row(&self, data_centre: &str, host: &str, version: u64, now: BootTime) {
+    pub fn set_from_row(
+        &self,
+        data_centre: &str,
+        host: &str,
+        version: StoreVersion,
+        now: BootTime,
+    ) {
         let is_outdated = |h: &Holder| h.version > version && h.announced_until > now;
         let is_known = |h: &Holder| h.version == version && *h.host == *host;
         let holders = self.by_centre.borrow();
@@ -100,12 +106,18 @@
         }
         drop(holders);
         let (centre, host) = (change.data_centre.as_str(), change.host.as_str());
-        log::info!(data_centre = centre, holder = host, row = change.version;
+        log::info!(data_centre = centre, holder = host, row:? = change.version;
             "slice holder announced");
         self.insert(centre, host, change.version, now + ANNOUNCEMENT_TIME);
     }
 
-    fn insert(&self, data_centre: &str, host: &str, version: u64, announced_until: BootTime) {
+    fn insert(
+        &self,
+        data_centre: &str,
+        host: &str,
+        version: StoreVersion,
+        announced_until: BootTime,
+    ) {
         let holder = Holder {
             host: Rc::from(host),
             version,
--- a/src/retry/event.rs
+++ b/src/retry/event.rs
@@ -32,8 +32,20 @@
     Informational,
     /// The head of the target's final response arrived.
     ResponseHead,
+    /// The target answered with an error of its own, which is relayed unless another attempt may be
+    /// made.
+    ErrorAnswer,
     /// The attempt failed.
     Failed(AttemptFailure),
+    /// The first byte of a second attempt, beside the one in progress, is about to be written.
+    HedgeStarted,
+    /// One of the two attempts failed in this way; the other one is still in progress.
+    OneFailed(AttemptFailure),
+    /// The second attempt takes the place of the first one, which has ended.
+    HedgeTookOver {
+        /// Whether the connection of the second attempt carried a request before.
+        reused: bool,
+    },
     /// Nothing arrived within the silence timeout of the service; the attempt is still in progress.
     SilenceTimeout,
     /// The retry budget allows the retry.
--- a/src/retry/state_machine.rs
+++ b/src/retry/state_machine.rs
@@ -23,6 +23,8 @@
     CheckingBudgetWhileSilent {
         reused: bool,
     },
+    /// The target answered with an error, which is relayed if the retry is denied.
+    CheckingBudgetWithAnswer,
     Relaying,
     Ended,
 }
@@ -63,6 +65,11 @@
         self.attempts
     }
 
+    /// Returns whether another attempt is within the maximum.
+    pub fn has_attempt_left(&self) -> bool {
+        self.attempts < self.policy.max_attempts
+    }
+
     /// Returns whether silence of the current attempt would lead to a retry.
     pub fn would_retry_on_silence(&self) -> bool {
         let written = matches!(self.phase, Phase::Exchanging { written: true, .. });
@@ -110,6 +117,7 @@
             (Phase::Exchanging { written: true, .. }, Event::ResponseHead) => {
                 self.on_response_head()
             }
+            (Phase::Exchanging { written: true, .. }, Event::ErrorAnswer) => self.on_error_answer(),
             (
                 Phase::Exchanging {
                     reused,
@@ -117,14 +125,30 @@
                 },
                 Event::SilenceTimeout,
             ) => self.on_silence_timeout(reused),
+            (Phase::Exchanging { written: true, .. }, Event::HedgeStarted)
+                if self.has_attempt_left() =>
+            {
+                self.attempts += 1;
+                Some(Action::AwaitHead)
+            }
+            (Phase::Exchanging { written: true, .. }, Event::OneFailed(failure)) => {
+                self.count_failure(failure, true);
+                Some(Action::AwaitHead)
+            }
+            (Phase::Exchanging { written: true, .. }, Event::HedgeTookOver { reused }) => {
+                self.on_send_started(reused)
+            }
             (Phase::Exchanging { reused, written }, Event::Failed(failure)) => {
                 self.on_failure(failure, reused, written)
             }
             (
-                Phase::CheckingBudget(_) | Phase::CheckingBudgetWhileSilent { .. },
+                Phase::CheckingBudget(_)
+                | Phase::CheckingBudgetWhileSilent { .. }
+                | Phase::CheckingBudgetWithAnswer,
                 Event::BudgetGranted,
             ) => self.retry(),
             (Phase::CheckingBudget(kind), Event::BudgetRefused) => self.respond_error(kind),
+            (Phase::CheckingBudgetWithAnswer, Event::BudgetRefused) => self.on_response_head(),
             (Phase::CheckingBudgetWhileSilent { reused }, Event::BudgetRefused) => {
                 self.on_send_started(reused)
             }
@@ -177,6 +201,15 @@
         Some(Action::Relay)
     }
 
+    fn on_error_answer(&mut self) -> Option<Action> {
+        if !self.policy.repeatable || !self.can_send_again() {
+            return self.on_response_head();
+        }
+        self.may_have_run = true;
+        self.phase = Phase::CheckingBudgetWithAnswer;
+        Some(Action::CheckBudget(RetryReason::TargetError))
+    }
+
     fn on_silence_timeout(&mut self, reused: bool) -> Option<Action> {
         if !self.would_retry_on_silence() {
             return Some(Action::AwaitHead);
@@ -197,9 +230,7 @@
         reused: bool,
         written: bool,
     ) -> Option<Action> {
-        let may_have_run = written && failure != AttemptFailure::Shed;
-        self.may_have_run |= may_have_run;
-        self.lost_attempts += u32::from(may_have_run);
+        self.count_failure(failure, written);
         let kind = self.error_kind(failure);
         if !self.may_have_run {
             self.last_not_run_error = Some(kind);
@@ -211,6 +242,12 @@
         Some(Action::CheckBudget(retry_reason(failure, reused)))
     }
 
+    fn count_failure(&mut self, failure: AttemptFailure, written: bool) {
+        let may_have_run = written && failure != AttemptFailure::Shed;
+        self.may_have_run |= may_have_run;
+        self.lost_attempts += u32::from(may_have_run);
+    }
+
     fn may_retry(&self) -> bool {
         let is_safe = !self.may_have_run || self.policy.repeatable;
         is_safe && self.can_send_again() && self.lost_attempts < MAX_LOST_ATTEMPTS
@@ -218,7 +255,7 @@
 
     fn can_send_again(&self) -> bool {
         let body_available = self.policy.replayable || !self.written_once;
-        body_available && self.attempts < self.policy.max_attempts
+        body_available && self.has_attempt_left()
     }
 
     fn is_written(&self) -> bool {
--- a/tests/admission_level.rs
+++ b/tests/admission_level.rs
@@ -10,6 +10,7 @@
     clock::BootTime,
     follow::ProofRequest,
     peer::{decode, decode_extended, encode, encode_extended},
+    store::StoreVersion,
 };
 use quickcheck::quickcheck;
 
@@ -368,9 +369,9 @@
 #[test]
 fn extension_is_ignored_by_earlier_builds() {
     let req = ProofRequest {
-        configuration: Some(7),
+        configuration: Some(StoreVersion::from(7)),
         targets: None,
-        members: Some(3),
+        members: Some(StoreVersion::from(3)),
     };
     let report = LoadReport {
         services: vec![part(&sums(&RANKS, 2.7))],
--- a/tests/delta_codec.rs
+++ b/tests/delta_codec.rs
@@ -6,7 +6,7 @@
 fn delta(value: &[u8]) -> TableDelta {
     TableDelta {
         whole: false,
-        version: 9,
+        version: 9.into(),
         has_gap: false,
         more: false,
         rows: vec![RowChange {
@@ -14,6 +14,7 @@
             value: Some(value.to_vec()),
             version: 9,
         }],
+        era_start: None,
     }
 }
 
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -4,12 +4,16 @@
 
 use bytes::Bytes;
 use chervillug::{
+    catalog::KeyHasher,
     clock::BootTime,
-    follow::{EvacuationFormat, EvacuationSink, FollowedTable},
+    follow::{
+        ConfigurationSink, EvacuationFormat, EvacuationSink, FollowedTable, SinkSequence, TableSink,
+    },
     health::{BalancerHandle, BalancerMessage, Reversal},
     metrics::{Counter, Metrics},
     platform,
-    store::StoredRow,
+    routing::ConfigurationView,
+    store::{Era, StoreVersion, StoredRow},
 };
 use local_sync::mpsc;
 
@@ -45,6 +49,26 @@
 
 impl Copy {
     fn new() -> Self {
+        Self::with_sink(|sink| Rc::new(sink))
+    }
+
+    /// Creates a copy whose sink combines all sinks of the operator's table, as in a daemon.
+    fn in_sequence() -> Self {
+        Self::with_sink(|sink| {
+            let view = ConfigurationView::new(KeyHasher::new("secret"), Duration::from_secs(5));
+            let configuration = ConfigurationSink::new(
+                view,
+                platform::CONFIGURATION_KEY,
+                platform::decode_configuration,
+            );
+            Rc::new(SinkSequence::new(vec![
+                Rc::new(sink),
+                Rc::new(configuration),
+            ]))
+        })
+    }
+
+    fn with_sink(combine: impl FnOnce(EvacuationSink) -> Rc<dyn TableSink>) -> Self {
         let (tx, rx) = mpsc::unbounded::channel();
         let metrics = Rc::new(Metrics::default());
         let format = EvacuationFormat {
@@ -54,7 +78,7 @@
         let known = ["a".to_owned(), "b".to_owned()];
         let sink = EvacuationSink::new(format, &known, BalancerHandle::new(tx), metrics.clone());
         Self {
-            table: FollowedTable::new(platform::CONFIGURATION_TABLE, Rc::new(sink)),
+            table: FollowedTable::new(platform::CONFIGURATION_TABLE, combine(sink)),
             rx,
             metrics,
             in_force: BTreeSet::new(),
@@ -172,11 +196,15 @@
             .read
             .iter()
             .map(|(key, value)| row(key, Some(value), 1));
-        copy.table.replace(read.collect(), 5, at(0));
+        copy.table.replace(read.collect(), 5.into(), at(0));
         for (i, (key, value)) in case.changes.iter().enumerate() {
             let version = 6 + i as u64;
-            copy.table
-                .apply(vec![row(key, *value, version)], version, at(1));
+            copy.table.apply(
+                vec![row(key, *value, version)],
+                5.into(),
+                version.into(),
+                at(1),
+            );
         }
         copy.receive();
         assert_eq!(copy.names(), case.in_force, "{}", case.name);
@@ -191,8 +219,8 @@
 fn row_that_is_missing_from_a_full_read_is_a_reversal_of_unknown_version() {
     let mut copy = Copy::new();
     copy.table
-        .replace(vec![row("evacuate/a", Some("{}"), 1)], 5, at(0));
-    copy.table.replace(Vec::new(), 9, at(1));
+        .replace(vec![row("evacuate/a", Some("{}"), 1)], 5.into(), at(0));
+    copy.table.replace(Vec::new(), 9.into(), at(1));
     copy.receive();
     assert!(copy.in_force.is_empty());
     let reversal = Reversal {
@@ -206,10 +234,13 @@
 #[test]
 fn copy_of_another_daemon_brings_the_evacuation() {
     let other = Copy::new();
-    other.table.replace(Vec::new(), 5, at(0));
-    other
-        .table
-        .apply(vec![row("evacuate/b", Some("{}"), 6)], 6, at(1));
+    other.table.replace(Vec::new(), 5.into(), at(0));
+    other.table.apply(
+        vec![row("evacuate/b", Some("{}"), 6)],
+        5.into(),
+        6.into(),
+        at(1),
+    );
     let mut started = Copy::new();
     let delta = other.table.delta_since(started.table.version());
     started.table.merge(delta.expect("a delta"), at(2));
@@ -217,10 +248,47 @@
     assert_eq!(started.names(), ["b"]);
     other
         .table
-        .apply(vec![row("evacuate/b", None, 7)], 7, at(3));
+        .apply(vec![row("evacuate/b", None, 7)], 6.into(), 7.into(), at(3));
     let delta = other.table.delta_since(started.table.version());
     started.table.merge(delta.expect("a delta"), at(4));
     started.receive();
     assert!(started.in_force.is_empty());
-    assert_eq!(started.reverted[0].version, Some(7));
+    assert_eq!(started.reverted[0].version, Some(7.into()));
+}
+
+/// Guards against an evacuation whose row a rollback of the store loses or brings back, and against a
+/// configuration that stays in force in its place.
+#[test]
+fn evacuations_and_their_reversals_survive_a_rollback() {
+    let version = |era, number| StoreVersion::new(Era::stated(era), number);
+    let mut copy = Copy::in_sequence();
+    let read = vec![row("evacuate/a", Some("{}"), 3)];
+    copy.table.replace(read.clone(), version(1, 10), at(0));
+    let changes = vec![
+        row("evacuate/a", None, 11),
+        row("evacuate/b", Some("{}"), 12),
+        row(platform::CONFIGURATION_KEY, Some("{}"), 13),
+    ];
+    copy.table
+        .apply(changes, version(1, 10), version(1, 13), at(1));
+    copy.receive();
+    assert_eq!(copy.names(), ["b"]);
+    assert_eq!(copy.reverted[0].version, Some(version(1, 11)));
+
+    copy.table.replace(read, version(2, 10), at(1000));
+    copy.receive();
+    assert_eq!(copy.names(), ["b"], "first read of the new era");
+    assert_eq!(copy.reverted.len(), 1);
+    let release = copy.table.next_release();
+    assert_eq!(release, Some(at(11_000)), "end of the grace");
+    let late = vec![row("evacuate/a", Some("{}"), 11)];
+    copy.table
+        .apply(late, version(2, 10), version(2, 11), at(2000));
+    copy.receive();
+    assert_eq!(copy.names(), ["a", "b"], "written again");
+    copy.table
+        .apply(Vec::new(), version(2, 11), version(2, 12), at(11_000));
+    copy.receive();
+    assert_eq!(copy.names(), ["a"], "not written again");
+    assert_eq!(copy.reverted[1].version, Some(version(2, 12)));
 }
--- a/tests/slice_handover.rs
+++ b/tests/slice_handover.rs
@@ -11,6 +11,7 @@
         HandoverMessage, HandoverPlan, HandoverStep, HolderChange, LocalSlice, ReleasedSlice,
         SliceBuckets, SliceHolders, SliceShare, SliceStatus, TakeOutcome, TokenResponse,
     },
+    store::StoreVersion,
 };
 use quickcheck::{quickcheck, TestResult};
 
@@ -119,7 +120,7 @@
             match plan.next(at(now)) {
                 HandoverStep::Offer { host, timeout } => {
                     match case.responses[offered.len()] {
-                        Response::Holds => plan.record_holder(&host, 7),
+                        Response::Holds => plan.record_holder(&host, 7.into()),
                         Response::Refuses => {}
                         Response::None => now += timeout.as_millis() as u64 - 10,
                     }
@@ -127,7 +128,7 @@
                     offered.push(host.to_string());
                 }
                 HandoverStep::Done { host, version } => {
-                    assert_eq!(version, 7);
+                    assert_eq!(version, 7.into());
                     break Some(host.to_string());
                 }
                 HandoverStep::Failed => break None,
@@ -207,7 +208,7 @@
         assert_eq!(holder.take("w", &plan, at(1)), TakeOutcome::Granted);
     }
     let (version, levels) = holder.release(at(2)).expect("not held");
-    assert_eq!(version, 7);
+    assert_eq!(version, 7.into());
     assert_eq!(holder.take("w", &plan, at(2)), TakeOutcome::NotHolder);
     assert_eq!(holder.release(at(2)), None, "released twice");
 
@@ -232,7 +233,7 @@
     let mut first = SliceBuckets::new(SHARE, at(0), true);
     let released = ReleasedSlice {
         data_centre: "a".to_owned(),
-        version: 7,
+        version: 7.into(),
         levels: first.levels(at(0)),
     };
     assert!(successor.accept(released, at(1)));
@@ -242,11 +243,11 @@
     assert!(matches!(taken, TakeOutcome::Exceeded(_)), "{taken:?}");
 }
 
-fn change(host: &str, version: u64) -> HolderChange {
+fn change(host: &str, version: impl Into<StoreVersion>) -> HolderChange {
     HolderChange {
         data_centre: "a".to_owned(),
         host: host.to_owned(),
-        version,
+        version: version.into(),
         relayed: false,
     }
 }
@@ -257,16 +258,16 @@
 fn newest_known_holder_is_kept() {
     let holders = SliceHolders::default();
     let holder = || holders.holder("a").map(|h| h.to_string());
-    holders.set_from_row("a", "first", 5, at(0));
+    holders.set_from_row("a", "first", 5.into(), at(0));
     holders.announce(&change("second", 7), at(100));
     assert_eq!(holder().as_deref(), Some("second"));
     holders.announce(&change("first", 5), at(200));
     assert_eq!(holder().as_deref(), Some("second"));
     holders.announce(&change("third", 9), at(300));
-    holders.set_from_row("a", "second", 7, at(1000));
+    holders.set_from_row("a", "second", 7.into(), at(1000));
     assert_eq!(holder().as_deref(), Some("third"), "a late row");
     // Rows decide in the end, also if their versions start again.
-    holders.set_from_row("a", "fourth", 3, at(20_000));
+    holders.set_from_row("a", "fourth", 3.into(), at(20_000));
     assert_eq!(holder().as_deref(), Some("fourth"));
     // A response of a former holder says nothing about the present one.
     holders.record_unavailable("a", "third", at(20_000));
@@ -281,7 +282,7 @@
         HandoverMessage::ReaderLeaving,
         HandoverMessage::Release(ReleasedSlice {
             data_centre: "a".to_owned(),
-            version: 7,
+            version: 7.into(),
             levels: SliceBuckets::new(SHARE, at(0), true).levels(at(10)),
         }),
     ];
--- a/tests/token_search.rs
+++ b/tests/token_search.rs
@@ -224,7 +224,7 @@
 fn paused_holders_are_asked_again_unless_they_are_gone() {
     let holders = SliceHolders::default();
     for centre in ["a", "b", "c"] {
-        holders.set(centre, &format!("host-{centre}"), 1);
+        holders.set(centre, &format!("host-{centre}"), 1.into());
     }
     holders.record_silent("a", "host-a", at(0));
     holders.record_silent("b", "host-b", at(200));
@@ -241,7 +241,7 @@
 
     // Without any response for seconds, the link is down rather than busy.
     let silent = SliceHolders::default();
-    silent.set("a", "host-a", 1);
+    silent.set("a", "host-a", 1.into());
     for ms in (0..4000).step_by(500) {
         silent.record_silent("a", "host-a", at(ms));
     }
