--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -8,36 +8,30 @@
 };
 
 use local_sync::mpsc;
-use monoio::net::TcpListener;
 
 use crate::{
     admission::AdmissionHandle,
-    catalog::KeyHasher,
-    clock::{Clock, SystemClock},
-    config::{self, FrontSettings, KEY_PROOF_MARGIN},
-    follow::{join_fleet, JoinParts, JoinedFleet, MemberRow, SharedReaderRole, StoreConnectivity},
+    config::{self, FrontSettings},
+    follow::SharedReaderRole,
     health::{BalancerHandle, FailureHandler, FailureNotifier, LendHandler, TokenBorrower},
-    lifecycle::{readiness_server_task, ReadinessServer, ShutdownSignal, Signals},
+    lifecycle::{ShutdownSignal, Signals},
     membership::Incarnation,
-    metrics::Metrics,
     peer::{
         peer_server_task, FleetBroadcast, FleetSecrets, MessageKind, PeerClient, PeerDirectory,
         PeerRouter, PeerServer,
     },
-    platform::{PlatformHeadFormat, RowClient},
     poison::{PoisonHandler, PoisonTracker},
     pool::{pool_task, PoolHandle},
-    proxy::{listen_task, AccessPolicy, HeadFormat, ProxyContext, ProxyParts, RetryBudgetSource},
+    proxy::{listen_task, ProxyContext, ProxyParts, RetryBudgetSource},
     quota::{
         HandoverHandler, LeaseParts, LeaseTask, LocalSlice, QuotaLimiter, QuotaParts, SliceHolders,
         SliceShare, SliceStatusHandler, TokenHandler,
     },
     retry::RetryBudgetConfig,
-    routing::{ConfigurationView, EraGate, RoutingPolicy},
-    store::RowStore,
 };
 
 use super::{
+    front_base::FrontBase,
     front_shutdown::{shut_down, HeldRoles},
     front_tables::Following,
     health_parts::{start_health, HealthParts},
@@ -148,81 +142,6 @@
     Ok(())
 }
 
-/// State of a daemon that does not depend on fleet membership.
-pub(super) struct FrontBase {
-    pub(super) settings: Rc<FrontSettings>,
-    pub(super) clock: Rc<dyn Clock>,
-    pub(super) metrics: Rc<Metrics>,
-    pub(super) store: Rc<dyn RowStore>,
-    heads: Rc<dyn HeadFormat>,
-    pub(super) view: ConfigurationView,
-    policy: Rc<dyn AccessPolicy>,
-    pub(super) connectivity: StoreConnectivity,
-}
-
-impl FrontBase {
-    fn new(settings: Rc<FrontSettings>) -> Self {
-        let metrics = Rc::new(Metrics::default());
-        let heads: Rc<dyn HeadFormat> = Rc::new(PlatformHeadFormat);
-        let key_secret = format!("{:032x}", fastrand::u128(..));
-        let max_age = settings.max_key_withdrawal - KEY_PROOF_MARGIN;
-        let view = ConfigurationView::new(KeyHasher::new(&key_secret), max_age);
-        if settings.first_start {
-            view.update_eras(EraGate::trust_start);
-        }
-        Self {
-            clock: Rc::new(SystemClock),
-            store: Rc::new(RowClient::new(settings.store_address, metrics.clone())),
-            policy: Rc::new(RoutingPolicy::new(view.clone(), heads.clone())),
-            connectivity: StoreConnectivity::default(),
-            settings,
-            metrics,
-            heads,
-            view,
-        }
-    }
-
-    fn start_readiness_server(&self, listener: TcpListener, draining: &ShutdownSignal) {
-        let server = ReadinessServer {
-            policy: self.policy.clone(),
-            draining: draining.clone(),
-            metrics: self.metrics.clone(),
-            clock: self.clock.clone(),
-        };
-        monoio::spawn(readiness_server_task(Rc::new(server), listener));
-    }
-
-    fn admission(&self, role: &SharedReaderRole, directory: &PeerDirectory) -> AdmissionHandle {
-        AdmissionHandle::new(
-            self.view.clone(),
-            role.clone(),
-            directory.clone(),
-            self.metrics.clone(),
-            self.clock.clone(),
-        )
-    }
-
-    pub(super) fn member_row(&self) -> MemberRow {
-        MemberRow {
-            data_centre: self.settings.data_centre.clone(),
-            address: self.settings.peer_address,
-            leaving: false,
-        }
-    }
-
-    /// Registers this daemon in the fleet.
-    async fn join(&self) -> JoinedFleet {
-        let row = self.member_row();
-        let parts = JoinParts {
-            store: &*self.store,
-            host: &self.settings.host,
-            row: &row,
-            first_start: self.settings.first_start,
-        };
-        join_fleet(&parts).await
-    }
-}
-
 /// Handles of the health and balancer tasks.
 pub(super) struct BalancerParts {
     pub(super) handle: BalancerHandle,
--- a/src/daemon/front_tables.rs
+++ b/src/daemon/front_tables.rs
@@ -15,7 +15,10 @@
     quota::SliceHolders,
 };
 
-use super::front::{BalancerParts, FrontBase, FrontDaemon};
+use super::{
+    front::{BalancerParts, FrontDaemon},
+    front_base::FrontBase,
+};
 
 /// Longest time that the store holds a call for the configuration open. One response proves to a
 /// whole data centre that the keys are fresh, so that it must be shorter than the maximum age that
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,6 +1,7 @@
 //! The daemons, from start to shutdown.
 
 mod front;
+mod front_base;
 mod front_shutdown;
 mod front_tables;
 mod health_parts;
