--- a/src/admission/level.rs
+++ b/src/admission/level.rs
@@ -24,8 +24,7 @@
 const LOAD_SETPOINT: f64 = 2.7;
 /// Relative increase of the admitted rate per unit of load below the setpoint.
 const GAIN_BELOW: f64 = 0.2;
-/// Relative decrease of the admitted rate per unit of load above the setpoint. It is larger, as
-/// targets with full queues shed urgent requests, too.
+/// Relative decrease of the admitted rate per unit of load above the setpoint.
 const GAIN_ABOVE: f64 = 0.15;
 /// Requests in flight per slot below which some slots are idle, whatever the targets report.
 const MIN_IN_FLIGHT: f64 = 0.95;
--- a/src/follow/era_guard.rs
+++ b/src/follow/era_guard.rs
@@ -44,9 +44,9 @@
         self.era_start
     }
 
-    /// Starts a new era, whose first full read returned `read`. `former` are the rows
-    /// of the copy before, as of `former_version`; those for which `grace` returns a time stay in force if the read lacks
-    /// them, for that time, or has older versions of them.
+    /// Starts a new era, whose first full read returned `read`. `former` are the rows of the copy
+    /// before, as of `former_version`; those for which `grace` returns a time stay in force if the
+    /// read lacks them, for that time, or has older versions of them.
     pub(super) fn start_era(
         &mut self,
         start: &EraStart,
--- a/src/queue/ranked.rs
+++ b/src/queue/ranked.rs
@@ -28,8 +28,8 @@
 /// A bounded queue that serves the most urgent rank first, and a [`FairQueue`] within each rank.
 ///
 /// A rank whose share of served requests falls to little more than a quarter of the share over all
-/// ranks is owed requests; more urgent ranks are owed slightly more. What a rank is owed is served before more urgent ranks, and is not shed
-/// for them.
+/// ranks is owed requests; more urgent ranks are owed slightly more. What a rank is owed is served
+/// before more urgent ranks, and is not shed for them.
 pub struct RankedQueue<T> {
     capacity: usize,
     levels: BTreeMap<u32, Level<T>>,
--- a/tests/entry_admission.rs
+++ b/tests/entry_admission.rs
@@ -54,8 +54,8 @@
     }
 }
 
-/// Keeps the clients of each daemon busy, and returns what those of the urgent and of the other rank received after
-/// the levels have settled.
+/// Keeps the clients of each daemon busy, and returns what those of the urgent and of the other rank
+/// received after the levels have settled.
 fn run(fleet: &EntryFleet, clients: usize, name: &str) -> [Counts; 2] {
     let counts = [Mutex::default(), Mutex::default()];
     let before = Mutex::default();
