--- a/src/routing/configuration.rs
+++ b/src/routing/configuration.rs
@@ -28,7 +28,7 @@
     pub max_attempts: u32,
     /// Timeout of requests.
     pub timeout: Option<Duration>,
-    /// Rank of the requests, which is logged; the queue does not order requests by it.
+    /// Rank of the requests; 0 is the most urgent.
     pub rank: u32,
     /// Whether requests need no key.
     pub public: bool,
@@ -54,7 +54,7 @@
     pub keys: Vec<String>,
     /// Rate and burst of the workspace; a rate of 0 means no limit.
     pub plan: Plan,
-    /// Rank of its requests, which is logged together with that of their route.
+    /// Rank of its requests, which goes before that of their route; `None` leaves it to the route.
     pub rank: Option<u32>,
 }
 
--- a/src/routing/route_table.rs
+++ b/src/routing/route_table.rs
@@ -18,7 +18,7 @@
     pub name: Rc<str>,
     /// Rate and burst of the workspace.
     pub plan: Plan,
-    /// Rank of its requests, which is logged together with that of their route.
+    /// Rank of its requests, which goes before that of their route; `None` leaves it to the route.
     pub rank: Option<u32>,
 }
 
