--- a/review/standins-2/fleet2.py
+++ b/review/standins-2/fleet2.py
@@ -192,7 +192,7 @@
         self.store, self.service, self.ident, self.zone = store, service, ident, zone
         self.record, self.slots, self.work_s = record, slots, work_s
         self.runs, self.behave, self.seq, self.state = [], None, 0, "ready"
-        self.running = 0
+        self.writers = set()
         self.born = int(time.time() * 1000)
 
     async def start(self, ip):
@@ -207,17 +207,26 @@
             "backend": self.service, "addr": self.address, "zone": self.zone, "version": "v1",
             "slots": self.slots, "state": state, "warmupLeftS": 0, "seq": self.seq, "born": self.born})
 
+    def crash(self):
+        """Ends the upstream at once: its port refuses, and all its connections are reset."""
+        self.state = "gone"
+        self.server.close()
+        for writer in self.writers:
+            reset(writer)
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 head = await read_head(reader)
                 if head is None:
                     return
-                if await self.one(head, reader, writer) is False:
+                if await self.one(head, reader, writer) is False or self.state == "gone":
                     return
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def one(self, head, reader, writer):
