--- a/review/standins-2/fleet2.py
+++ b/review/standins-2/fleet2.py
@@ -223,7 +223,7 @@
                     return
                 if await self.one(head, reader, writer) is False or self.state == "gone":
                     return
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -302,7 +302,7 @@
                     break
                 writer.write(data)
                 await writer.drain()
-        except (ConnectionError, OSError):
+        except (ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
