review: each case reads TROUBLE itself

Cause: TROUBLE was read in one place of the shared stand-ins, so that nothing in a case's folder showed that it is followed.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -106,4 +106,6 @@
         await fleet.stop()
 
 
-run_case(case, os.path.dirname(os.path.abspath(__file__)))
+# With TROUBLE=0 the script does the same without the disruption.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+run_case(case, os.path.dirname(os.path.abspath(__file__)), TROUBLE)
--- a/review/standins-2/fleet2.py
+++ b/review/standins-2/fleet2.py
@@ -513,10 +513,9 @@
     return headers
 
 
-def run_case(case, folder):
+def run_case(case, folder, trouble):
     """Runs `case(record, trouble)`, which returns whether the rule held, and exits as run.sh must."""
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record("trouble: %s" % trouble)
     try:
         held = asyncio.run(asyncio.wait_for(case(record, trouble), 115))
