poison: test a request after two crashes in a row instead of refusing it

Cause: two crashes, the second one that of the daemon's own retry, were taken as proof, and a refused request reaches no target, so that nothing could clear it. Ruled out: crashes counted twice by notices (one daemon logged both, "Suspect, 1 in a row", "Refused, 2 in a row"), and a lost end of the refusal (no "cleared" was logged: nothing was sent).

Change: after two crashes the request is held back with 503 and the time until the next test; one request every 3 s, over the fleet, is sent as a test. An answer clears it; a third crash in a row, in a test, refuses it. A refusal tells the time that is left.

Why this works: the third crash is that of a request sent seconds after the others, and a page that is not the cause is cleared by the first test.

Tests: rare_page_that_meets_two_crashes_in_a_row_is_served_again failed before (all three requests behind the wait: crashes_targets), passes now. Replaced, as they demanded the fault: the detector's table and the process test held two crashes in a row as proof, and 422 behind 3 s. They now demand that two crashes hold back, that one request at a time is a test, that a crash in it refuses (also at a target that crashed before), and that a poison request kills exactly three targets in 126 arrivals; refusal_is_provisional is now refusal_tells_when_the_request_may_be_accepted.

--- a/src/poison/detector.rs
+++ b/src/poison/detector.rs
@@ -8,37 +8,34 @@
 
 use super::{suspect::SuspectRecord, Fingerprint, PoisonNotice, Verdict};
 
-/// Number of distinct targets that crashed one after another after which a request is refused.
-const MIN_CONSECUTIVE: u32 = 2;
 /// Time for which a request is refused and a crash is remembered.
 const RETENTION: Duration = Duration::from_secs(300);
-/// Time within which an answer to a request that was sent before the refusal may end the refusal;
-/// the longest time that most requests take.
-const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of requests that are remembered.
 const MAX_RECORDS: usize = 1024;
 
-/// How a request is refused.
+/// How a request is refused, with the time after which it may be accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
-    /// Answers to earlier requests may still clear the request.
-    Provisional,
-    /// No answer has cleared the request.
-    Confirmed,
+    /// Until the next test, as the request may not be the cause of the crashes.
+    HeldBack(Duration),
+    /// A test crashed its target, too.
+    Confirmed(Duration),
 }
 
 /// Detects requests that crash targets.
 ///
-/// A request that is at work on many targets is at work on some of those that crash for another
-/// reason, too. It is therefore refused only if it was sent to the second target after the crash of
-/// the first one was known, and an answer to it, even to one sent before, clears it.
+/// A request may be at work on targets that crash for another reason, at the same time or one after
+/// another. Crashes therefore count only if the request was sent to the target after the crash
+/// before was known. After two of them the request is held back, and one at a time is sent as a
+/// test; only a third crash makes the daemons refuse it. An answer, to a test or to a request sent
+/// before, clears it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PoisonDetector {
     records: FxHashMap<Fingerprint, SuspectRecord>,
 }
 
 impl PoisonDetector {
-    /// Returns whether there are no suspect or refused requests.
+    /// Returns whether there are no records of any request.
     pub fn is_empty(&self) -> bool {
         self.records.is_empty()
     }
@@ -46,11 +43,37 @@
     /// Returns how a request is refused; `None` if it is not.
     pub fn refusal(&self, fingerprint: Fingerprint, now: BootTime) -> Option<Refusal> {
         let record = self.records.get(&fingerprint)?;
-        let refused_at = record.refused_at.filter(|_| !is_expired(record, now))?;
-        Some(if now.since(refused_at) < CONFIRMATION_TIME {
-            Refusal::Provisional
-        } else {
-            Refusal::Confirmed
+        if is_expired(record, now) {
+            return None;
+        }
+        match record.verdict() {
+            Verdict::Refused => {
+                let left = RETENTION.saturating_sub(now.since(record.last_crash));
+                Some(Refusal::Confirmed(left))
+            }
+            Verdict::HeldBack => {
+                let left = record.time_to_test(now);
+                (!left.is_zero()).then_some(Refusal::HeldBack(left))
+            }
+            _ => None,
+        }
+    }
+
+    /// Records that a request is about to be sent. If this is a test, returns the notice for the
+    /// other daemons; `None` if the request is not held back, or may not be sent.
+    pub fn begin_test(&mut self, fingerprint: Fingerprint, now: BootTime) -> Option<PoisonNotice> {
+        let record = self.records.get_mut(&fingerprint)?;
+        let is_held_back = !is_expired(record, now) && record.verdict() == Verdict::HeldBack;
+        if !is_held_back || !record.time_to_test(now).is_zero() {
+            return None;
+        }
+        record.record_test(now);
+        Some(PoisonNotice {
+            fingerprint,
+            target: String::new(),
+            verdict: Verdict::Tested,
+            relay: false,
+            consecutive: record.consecutive(),
         })
     }
 
@@ -66,13 +89,10 @@
         let record = self.record_mut(fingerprint, now);
         record.add_crash(target, sent, now);
         record.seen_locally = true;
-        if record.consecutive() >= MIN_CONSECUTIVE {
-            record.refuse(now);
-        }
         PoisonNotice {
             fingerprint,
             target: target.to_owned(),
-            verdict: record.verdict,
+            verdict: record.verdict(),
             relay: false,
             consecutive: record.consecutive(),
         }
@@ -80,22 +100,28 @@
 
     /// Applies a notice from another daemon.
     pub fn apply_notice(&mut self, notice: &PoisonNotice, now: BootTime) {
-        if notice.verdict == Verdict::Cleared {
-            self.records.remove(&notice.fingerprint);
-            return;
-        }
-        let record = self.record_mut(notice.fingerprint, now);
-        record.add_notice(&notice.target, notice.consecutive, now);
-        if notice.verdict == Verdict::Refused {
-            record.refuse(now);
+        match notice.verdict {
+            Verdict::Cleared => {
+                self.records.remove(&notice.fingerprint);
+            }
+            Verdict::Tested => {
+                if let Some(record) = self.records.get_mut(&notice.fingerprint) {
+                    record.record_test(now);
+                }
+            }
+            Verdict::Suspect | Verdict::HeldBack | Verdict::Refused => {
+                let record = self.record_mut(notice.fingerprint, now);
+                record.add_notice(&notice.target, notice.consecutive, now);
+            }
         }
     }
 
     /// Records that a target answered a request, which clears it. Returns the notice for the other
-    /// daemons, if they refuse the request or have a suspicion that this daemon told them of.
+    /// daemons, if they hold back or refuse the request, or have a suspicion that this daemon told
+    /// them of.
     pub fn record_answer(&mut self, fingerprint: Fingerprint) -> Option<PoisonNotice> {
         let record = self.records.remove(&fingerprint)?;
-        let is_shared = record.seen_locally || record.verdict == Verdict::Refused;
+        let is_shared = record.seen_locally || record.verdict() != Verdict::Suspect;
         is_shared.then(|| PoisonNotice {
             fingerprint,
             target: String::new(),
@@ -114,12 +140,13 @@
         record.or_insert_with(|| SuspectRecord::new(now))
     }
 
-    /// Evicts the oldest suspect, or the oldest refused request if there are no suspects.
+    /// Evicts the oldest suspect, or the oldest request that is held back or refused if there are
+    /// no suspects.
     fn evict(&mut self) {
         let oldest = self
             .records
             .iter()
-            .min_by_key(|(_, r)| (r.verdict == Verdict::Refused, r.last_crash))
+            .min_by_key(|(_, r)| (r.verdict() != Verdict::Suspect, r.last_crash))
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(fingerprint) = oldest {
             self.records.remove(&fingerprint);
--- a/src/poison/notice.rs
+++ b/src/poison/notice.rs
@@ -9,6 +9,10 @@
 pub enum Verdict {
     /// A target crashed while processing the request.
     Suspect,
+    /// Targets crashed one after another, so that the request is sent only as a test.
+    HeldBack,
+    /// The request is sent as a test, so that no other test follows soon.
+    Tested,
     /// The request is refused.
     Refused,
     /// A target answered the request, which ends an earlier suspicion or refusal.
@@ -20,7 +24,7 @@
 pub struct PoisonNotice {
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// Name of the target that crashed last; empty if the request was cleared.
+    /// Name of the target that crashed last; empty if the notice is of no crash.
     pub target: String,
     /// Verdict on the request.
     pub verdict: Verdict,
--- a/src/poison/suspect.rs
+++ b/src/poison/suspect.rs
@@ -1,13 +1,22 @@
 //! Crash record of one request.
 
+use std::time::Duration;
+
 use crate::clock::BootTime;
 
 use super::Verdict;
 
 /// Maximum number of target names kept per record.
 const MAX_TARGETS: usize = 4;
+/// Number of targets that crashed one after another after which a request is held back.
+const MIN_HELD_BACK: u32 = 2;
+/// Number of crashes in a row, including those in tests, after which a request is refused.
+const MIN_REFUSED: u32 = 3;
+/// Time between tests of a request that is held back; also the longest time that most requests
+/// take, so that answers to earlier ones may still clear it before the first test.
+const TEST_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Targets that crashed while processing one request, and the verdict on the request.
+/// Targets that crashed while processing one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct SuspectRecord {
     targets: Vec<String>,
@@ -17,11 +26,10 @@
     consecutive: u32,
     /// When this daemon learned of the crash that was counted last.
     counted_at: BootTime,
+    /// When the request may be sent as a test if it is held back.
+    next_test_at: BootTime,
     /// Whether one of the targets crashed while processing the request for this daemon.
     pub(super) seen_locally: bool,
-    pub(super) verdict: Verdict,
-    /// When the request was refused.
-    pub(super) refused_at: Option<BootTime>,
     pub(super) last_crash: BootTime,
 }
 
@@ -31,18 +39,29 @@
             targets: Vec::new(),
             consecutive: 0,
             counted_at: now,
+            next_test_at: now,
             seen_locally: false,
-            verdict: Verdict::Suspect,
-            refused_at: None,
             last_crash: now,
         }
     }
 
+    /// Returns the verdict on the request.
+    pub(super) fn verdict(&self) -> Verdict {
+        match self.consecutive {
+            MIN_REFUSED.. => Verdict::Refused,
+            MIN_HELD_BACK.. => Verdict::HeldBack,
+            _ => Verdict::Suspect,
+        }
+    }
+
     /// Adds the crash of a target that a request sent at `sent` was at work on.
     pub(super) fn add_crash(&mut self, target: &str, sent: BootTime, now: BootTime) {
         let is_known = self.targets.iter().any(|t| t == target);
+        // A target that crashes again and again is no evidence against the first request that it
+        // meets, but a test may meet only targets that it has met before.
+        let is_evidence = !is_known || self.verdict() == Verdict::HeldBack;
         let is_first = self.consecutive == 0;
-        if is_first || (!is_known && sent >= self.counted_at) {
+        if is_first || (is_evidence && sent >= self.counted_at) {
             self.count(self.consecutive + 1, now);
         }
         self.add_target(target, now);
@@ -60,15 +79,20 @@
         self.consecutive
     }
 
-    /// Sets the verdict to refused.
-    pub(super) fn refuse(&mut self, now: BootTime) {
-        self.verdict = Verdict::Refused;
-        self.refused_at.get_or_insert(now);
+    /// Returns the time until the request may be sent as a test; zero if it may now.
+    pub(super) fn time_to_test(&self, now: BootTime) -> Duration {
+        self.next_test_at.since(now)
+    }
+
+    /// Records that the request is sent as a test, by this daemon or another one.
+    pub(super) fn record_test(&mut self, now: BootTime) {
+        self.next_test_at = now + TEST_INTERVAL;
     }
 
     fn count(&mut self, consecutive: u32, now: BootTime) {
         self.consecutive = consecutive;
         self.counted_at = now;
+        self.next_test_at = now + TEST_INTERVAL;
     }
 
     fn add_target(&mut self, target: &str, now: BootTime) {
--- a/src/poison/tracker.rs
+++ b/src/poison/tracker.rs
@@ -34,7 +34,7 @@
         }
     }
 
-    /// Returns whether there are no suspect or refused requests.
+    /// Returns whether there are no records of any request.
     pub fn is_empty(&self) -> bool {
         self.detector.borrow().is_empty()
     }
@@ -45,6 +45,18 @@
         self.detector.borrow().refusal(fingerprint, now)
     }
 
+    /// Records that a request is about to be sent, and notifies the other daemons if this is a test
+    /// of one that is held back. Returns whether it is.
+    pub fn begin_test(&self, fingerprint: Fingerprint) -> bool {
+        let now = self.clock.now();
+        let Some(notice) = self.detector.borrow_mut().begin_test(fingerprint, now) else {
+            return false;
+        };
+        log::info!("a request that was at work when targets crashed is sent as a test");
+        self.spawn_broadcast(notice);
+        true
+    }
+
     /// Records that a target answered a request, and notifies the other daemons if they refuse or
     /// suspect it on this daemon's account.
     pub fn record_answer(&self, fingerprint: Fingerprint) {
@@ -52,8 +64,7 @@
             return;
         };
         log::info!("a target answered a request that was at work when targets crashed: cleared");
-        let tracker = self.clone();
-        monoio::spawn(async move { tracker.broadcast_notice(&notice).await });
+        self.spawn_broadcast(notice);
     }
 
     /// Records that `target` crashed while processing a request that this daemon had sent at `sent`.
@@ -94,6 +105,11 @@
         }
     }
 
+    fn spawn_broadcast(&self, notice: PoisonNotice) {
+        let tracker = self.clone();
+        monoio::spawn(async move { tracker.broadcast_notice(&notice).await });
+    }
+
     async fn broadcast_notice(&self, notice: &PoisonNotice) {
         if *self.active_broadcasts.borrow() >= MAX_BROADCASTS {
             log::warn!(
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -239,8 +239,8 @@
             .await;
         self.close_unused_connections();
         match verdict {
-            Verdict::Suspect | Verdict::Cleared => AttemptFailure::Lost,
-            Verdict::Refused => AttemptFailure::Crashed,
+            Verdict::HeldBack | Verdict::Refused => AttemptFailure::Crashed,
+            Verdict::Suspect | Verdict::Tested | Verdict::Cleared => AttemptFailure::Lost,
         }
     }
 
--- a/src/proxy/crash_detection.rs
+++ b/src/proxy/crash_detection.rs
@@ -42,6 +42,21 @@
     }
 }
 
+impl From<Refusal> for DispatchError {
+    fn from(refusal: Refusal) -> Self {
+        let (kind, retry_after) = refusal_error(refusal);
+        Self::Unavailable(kind, retry_after)
+    }
+}
+
+/// Returns the error of a refused request, and the time after which it may be accepted.
+pub(super) fn refusal_error(refusal: Refusal) -> (ErrorKind, Duration) {
+    match refusal {
+        Refusal::HeldBack(left) => (ErrorKind::CrashSuspected, left),
+        Refusal::Confirmed(left) => (ErrorKind::CrashesTargets, left),
+    }
+}
+
 impl Dispatch<'_> {
     /// Computes the fingerprint of the request.
     pub(super) fn fingerprint(&self, head: &request::Parts, body: &RequestBody) -> Fingerprint {
@@ -55,21 +70,26 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the request is refused.
+    /// Returns how the request is refused.
     pub(super) fn check_poison(
         &self,
         head: &request::Parts,
         body: &RequestBody,
-    ) -> Result<(), DispatchError> {
+    ) -> Result<(), Refusal> {
         let poison = &self.cx.poison;
         if poison.is_empty() {
             return Ok(());
         }
-        match poison.refusal(self.fingerprint(head, body)) {
-            None => Ok(()),
-            Some(Refusal::Provisional) => Err(DispatchError::Failed(ErrorKind::CrashSuspected)),
-            Some(Refusal::Confirmed) => Err(DispatchError::Failed(ErrorKind::CrashesTargets)),
-        }
+        poison
+            .refusal(self.fingerprint(head, body))
+            .map_or(Ok(()), Err)
+    }
+
+    /// Records that the request is about to be sent; returns whether it is sent as a test of whether
+    /// it crashes targets.
+    pub(super) fn begin_poison_test(&self, head: &request::Parts, body: &RequestBody) -> bool {
+        let poison = &self.cx.poison;
+        !poison.is_empty() && poison.begin_test(self.fingerprint(head, body))
     }
 
     /// Records that a target answered the request with `status`, which clears a suspicion. An error
--- a/src/proxy/dispatch.rs
+++ b/src/proxy/dispatch.rs
@@ -11,6 +11,7 @@
     http::{BodyKind, HttpError, HttpReader},
     metrics::Counter,
     outcome::{ErrorKind, Outcome},
+    poison::Refusal,
     pool::{TargetConnection, MAX_IDLE, MAX_RECENT_IDLE},
     retry::{
         Action, AttemptFailure, ConnectionSource, Event, RequestStateMachine, RetryPolicy,
@@ -21,6 +22,7 @@
 use super::{
     access_log::log_retry,
     admitted_request::AdmittedRequest,
+    crash_detection::refusal_error,
     deadline::Deadline,
     exchange::{Exchange, ResponseBody},
     request_body::RequestBody,
@@ -133,6 +135,7 @@
             attempt: None,
             response: None,
             may_hedge: true,
+            is_poison_test: false,
         };
         RunResult {
             result: run.execute().await,
@@ -166,6 +169,8 @@
     pub(super) response: Option<StartedResponse>,
     /// Whether a second attempt has not been decided on yet.
     pub(super) may_hedge: bool,
+    /// Whether the request tests whether it crashes targets.
+    pub(super) is_poison_test: bool,
 }
 
 impl RequestRun<'_> {
@@ -253,7 +258,9 @@
             return self.step(Event::SendRefused(kind));
         }
         // The request may have been found to crash targets while it waited for one.
-        if let Err(DispatchError::Failed(kind)) = self.dispatch.check_poison(self.head, self.body) {
+        if let Some(refusal) = self.poison_refusal() {
+            let (kind, retry_after) = refusal_error(refusal);
+            self.retry_after = Some(retry_after);
             return self.step(Event::SendRefused(kind));
         }
         let picked = self.attempt.as_ref().map(|attempt| &attempt.picked);
@@ -264,6 +271,7 @@
             self.cx.metrics.count(Counter::PicksWithdrawn);
             return self.step(Event::TargetWithdrawn);
         }
+        self.is_poison_test |= self.dispatch.begin_poison_test(self.head, self.body);
         let next = self.step(Event::SendStarted);
         let left = self.dispatch.deadline.left(self.cx.clock.now());
         if let Some(attempt) = &self.attempt {
@@ -328,9 +336,17 @@
         Some(timeout.saturating_sub(now.since(attempt.started)))
     }
 
+    /// Returns how the request is refused as one that crashes targets. A test goes on as long as the
+    /// request is held back only.
+    fn poison_refusal(&self) -> Option<Refusal> {
+        let refusal = self.dispatch.check_poison(self.head, self.body).err()?;
+        let goes_on = self.is_poison_test && matches!(refusal, Refusal::HeldBack(_));
+        (!goes_on).then_some(refusal)
+    }
+
     fn check_budget(&mut self, reason: RetryReason) -> Action {
         let now = self.cx.clock.now();
-        let is_poison = self.dispatch.check_poison(self.head, self.body).is_err();
+        let is_poison = self.poison_refusal().is_some();
         // A retry after a failed connect is free, as the target received nothing of the request.
         let is_free = reason == RetryReason::ConnectFailed;
         let is_dropped = self.dispatch.is_rank_rejected();
