--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -1,6 +1,7 @@
 //! Rate-limited, non-blocking logging in JSON lines.
 
 mod nonblocking_writer;
+mod panic_hook;
 mod rate_limiter;
 
 use std::{cell::RefCell, io::Write, time::SystemTime};
@@ -61,7 +62,7 @@
     }
 }
 
-/// Initializes logging to standard output; the environment variable `RUST_LOG` sets the level.
+/// Initializes logging to standard output, panics included; the environment variable `RUST_LOG` sets the level.
 pub fn init(host: &str) {
     let host = host.to_owned();
     let res = Builder::from_env(Env::default().default_filter_or("info"))
@@ -93,6 +94,7 @@
     if let Err(e) = res {
         eprintln!("cannot initialize logging: {e}");
     }
+    panic_hook::install();
 }
 
 fn check_rate_limit(record: &Record<'_>) -> Option<u64> {
