platform: turn an ambiguous refusal of a target into an unknown outcome

Cause: every signed answer with the right id was relayed with its status, though callers read 408, 421, 429 and 503 as "not run" whoever sends them. Ruled out by the case's record: a 503 of the fleet's own (the answers are signed), and a second attempt of the fleet (each id ran once).

Change: for a request that must run at most once, such an answer becomes 502 target_ambiguous of the fleet's own, without a signature, outcome unknown, and counts as an error of the target. Repeatable requests get the target's answer unchanged, as the protocol asks. Which statuses imply "not run" is the head format's to say; the native interface states the outcome by itself.

Why this works: the status reaches a caller only if the target stated that the request was not run, or if a repetition does no harm.

Test: refusal_by_a_target_that_may_have_run_the_request_is_unknown failed before (408 where 502 is due). The differential test of the state machine knows the new failure.

--- a/src/outcome/error_kind.rs
+++ b/src/outcome/error_kind.rs
@@ -77,6 +77,8 @@
     TargetTimeout,
     /// The target's response is malformed.
     TargetMalformed,
+    /// The target refused the request, but may have run it.
+    TargetAmbiguous,
 }
 
 /// The response to one error kind.
@@ -175,6 +177,12 @@
             Self::TargetLost => (502, Unknown, None, "the target failed during the request"),
             Self::TargetTimeout => (504, Unknown, None, "the target did not answer in time"),
             Self::TargetMalformed => (502, Unknown, None, "the target's answer is malformed"),
+            Self::TargetAmbiguous => (
+                502,
+                Unknown,
+                None,
+                "the target refused the request, but may have run it",
+            ),
         };
         ErrorResponse {
             status: StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
--- a/src/platform/head_format.rs
+++ b/src/platform/head_format.rs
@@ -89,6 +89,16 @@
         ResponseClass::Answer
     }
 
+    fn implies_not_run(&self, status: StatusCode) -> bool {
+        matches!(
+            status,
+            StatusCode::REQUEST_TIMEOUT
+                | StatusCode::MISDIRECTED_REQUEST
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE
+        )
+    }
+
     fn target_report(&self, status: StatusCode, headers: &HeaderMap) -> TargetReport {
         let load = headers.get(LOAD).and_then(|v| v.to_str().ok());
         let (limits, bad_limits) = positive_numbers(headers, &LIMIT);
--- a/src/proxy/attempt_result.rs
+++ b/src/proxy/attempt_result.rs
@@ -119,6 +119,12 @@
             Ok(answer) => answer,
             Err(failure) => return self.step(Event::Failed(failure)),
         };
+        if self.is_ambiguous(head.status) {
+            log::info!(request_id = self.dispatch.request_id, status = head.status.as_u16();
+                "target refused a request that it may have run");
+            self.observe(WorkResult::ServerError);
+            return self.step(Event::Failed(AttemptFailure::Ambiguous));
+        }
         let now = self.cx.clock.now();
         let Some(exchange) = self.exchange() else {
             return self.step(Event::CallerDisconnected);
@@ -145,6 +151,13 @@
         self.step(event)
     }
 
+    /// Returns whether an answer with this status, which does not state that the request was not
+    /// run, would make the caller believe so. The caller of a request that must run at most once
+    /// would send it again.
+    fn is_ambiguous(&self, status: StatusCode) -> bool {
+        !self.dispatch.repeatable && self.cx.heads.implies_not_run(status)
+    }
+
     /// Returns the event of an answer with this status. A target that ran out of time left none for
     /// another attempt.
     fn answer_event(&self, status: StatusCode) -> Event {
--- a/src/proxy/head_format.rs
+++ b/src/proxy/head_format.rs
@@ -67,6 +67,12 @@
     /// connection that may have carried requests before (`reused`).
     fn classify(&self, head: &response::Parts, request_id: &str, reused: bool) -> ResponseClass;
 
+    /// Returns whether callers take a response with `status` as the statement that their request was
+    /// not run and never will be, whoever it comes from.
+    fn implies_not_run(&self, _: StatusCode) -> bool {
+        false
+    }
+
     /// Returns what a target reports about itself.
     fn target_report(&self, status: StatusCode, headers: &HeaderMap) -> TargetReport;
 
--- a/src/retry/attempt_failure.rs
+++ b/src/retry/attempt_failure.rs
@@ -13,4 +13,6 @@
     Crashed,
     /// The response was malformed.
     Malformed,
+    /// The target refused the request without stating that it did not run it.
+    Ambiguous,
 }
--- a/src/retry/state_machine.rs
+++ b/src/retry/state_machine.rs
@@ -308,6 +308,7 @@
     fn error_kind(&self, failure: AttemptFailure) -> ErrorKind {
         match (self.may_have_run, failure) {
             (true, AttemptFailure::Malformed) => ErrorKind::TargetMalformed,
+            (true, AttemptFailure::Ambiguous) => ErrorKind::TargetAmbiguous,
             (true, _) => ErrorKind::TargetLost,
             (false, AttemptFailure::Shed) => ErrorKind::TargetShed,
             (false, _) => ErrorKind::ConnectFailed,
@@ -322,5 +323,6 @@
         AttemptFailure::Lost if reused => RetryReason::StaleConnection,
         AttemptFailure::Lost | AttemptFailure::Crashed => RetryReason::TargetLost,
         AttemptFailure::Malformed => RetryReason::TargetMalformed,
+        AttemptFailure::Ambiguous => RetryReason::TargetError,
     }
 }
--- a/standins/src/entry_target.rs
+++ b/standins/src/entry_target.rs
@@ -31,6 +31,8 @@
     Sheds,
     /// Answers with an internal error.
     Fails,
+    /// Runs the request and answers with this status, signed.
+    AnswersStatus(u16),
     /// Answers with the id of another request.
     AnswersOtherRequest,
     /// Answers without its signature.
@@ -280,6 +282,7 @@
         match behaviour {
             TargetBehaviour::ClosesAfterRun => Ok(ConnectionAction::Close),
             TargetBehaviour::Fails => self.answer(stream, 500, &id),
+            TargetBehaviour::AnswersStatus(status) => self.answer(stream, status, &id),
             TargetBehaviour::AnswersOtherRequest => self.answer(stream, 200, "another-request"),
             TargetBehaviour::AnswersUnsigned => {
                 respond(stream, 200, &[("x-request-id", &id)], id.as_bytes())
--- a/tests/entry_targets.rs
+++ b/tests/entry_targets.rs
@@ -122,6 +122,59 @@
     }
 }
 
+/// A refusal of a target that has run the request, and does not state that it has not.
+struct Refusal {
+    status: u16,
+    path: &'static str,
+    /// Status and reason of the response; without a reason it is the target's.
+    response: (u16, Option<&'static str>),
+}
+
+/// Guards against orders that run twice, as their caller takes the refusal of a gray target for the
+/// statement that the order was not run.
+#[test]
+fn refusal_by_a_target_that_may_have_run_the_request_is_unknown() {
+    let unknown = (502, Some("target_ambiguous"));
+    let mut cases: Vec<Refusal> = [408, 429, 503]
+        .iter()
+        .flat_map(|status| {
+            let case = |path, response| Refusal {
+                status: *status,
+                path,
+                response,
+            };
+            [case("/two/x", unknown), case("/one/x", (*status, None))]
+        })
+        .collect();
+    cases.push(Refusal {
+        status: 500,
+        path: "/two/x",
+        response: (500, None),
+    });
+    let fleet = start(1);
+    for (i, case) in cases.iter().enumerate() {
+        let behaviour = TargetBehaviour::AnswersStatus(case.status);
+        fleet
+            .targets
+            .iter()
+            .for_each(|t| t.set_behaviour(behaviour));
+        let (name, id) = (
+            format!("{} {}", case.status, case.path),
+            format!("case-{i}"),
+        );
+        let reply = fleet.request(0, "key-big", "POST", case.path, &id);
+        let reply = reply.expect("a response");
+        let (status, reason) = case.response;
+        assert_eq!(reply.status, status, "{name}");
+        let is_signed = reply.header("x-server-signature").is_some();
+        assert_eq!(is_signed, reason.is_none(), "{name}");
+        if let Some(reason) = reason {
+            assert_eq!(reply.json()["reason"], reason, "{name}");
+        }
+        assert_eq!(fleet.run_count(&id), 1, "{name}");
+    }
+}
+
 #[test]
 fn answers_never_reach_another_caller() {
     let fleet = start(1);
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -20,6 +20,7 @@
     Shed,
     Lost,
     Malformed,
+    Ambiguous,
     Silence { answer_follows: bool },
     Deadline,
     CallerDisconnected,
@@ -45,6 +46,7 @@
             AttemptResult::Lost,
             AttemptResult::Lost,
             AttemptResult::Malformed,
+            AttemptResult::Ambiguous,
             AttemptResult::Silence {
                 answer_follows: bool::arbitrary(g),
             },
@@ -118,9 +120,13 @@
             AttemptResult::NoConnection if runs == 0 => ErrorKind::ConnectFailed,
             AttemptResult::Shed if runs == 0 => ErrorKind::TargetShed,
             AttemptResult::Malformed => ErrorKind::TargetMalformed,
+            AttemptResult::Ambiguous => ErrorKind::TargetAmbiguous,
             _ => ErrorKind::TargetLost,
         };
-        if matches!(step.result, AttemptResult::Lost | AttemptResult::Malformed) {
+        if matches!(
+            step.result,
+            AttemptResult::Lost | AttemptResult::Malformed | AttemptResult::Ambiguous
+        ) {
             runs += 1;
             lost_attempts += 1;
         }
@@ -169,6 +175,7 @@
                 AttemptResult::Shed => Event::Failed(AttemptFailure::Shed),
                 AttemptResult::Lost => Event::Failed(AttemptFailure::Lost),
                 AttemptResult::Malformed => Event::Failed(AttemptFailure::Malformed),
+                AttemptResult::Ambiguous => Event::Failed(AttemptFailure::Ambiguous),
                 AttemptResult::Silence { .. } if !silence_reported => {
                     silence_reported = true;
                     Event::SilenceTimeout
