platform: ignore entries of targets that lack a field

Another writer's entry under a target's id, without version, warmupLeftS and seq, named that service and was used until the target's next heartbeat.

It counts: "An entry may come from another writer: fields missing or of another type [...]. It names no upstream to use" (PROTOCOL.md, Service discovery).

Cause: two of the eight fields had a default, and version was not read. Change: all eight must be there and of their type; born stays optional, as no example of the sites in force has it.

--- a/src/platform/target_entry.rs
+++ b/src/platform/target_entry.rs
@@ -10,6 +10,8 @@
 /// Most slots of a target; an entry with more is one of another writer.
 const MAX_SLOTS: u32 = 100_000;
 
+/// An entry as targets write it. An entry that lacks one of these fields, or has one of another type,
+/// is that of another writer, and names no target.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Entry {
@@ -21,12 +23,14 @@
     /// `ready` or `draining`.
     state: String,
     /// Remaining time of the slow phase after the target's start, s.
-    #[serde(default)]
     warmup_left_s: f64,
+    /// Version of the target's software; only its type is checked.
+    #[serde(rename = "version")]
+    _version: String,
     /// Counter of the entry's writes; only its type is checked.
-    #[serde(default, rename = "seq")]
-    _seq: Option<u64>,
-    /// Start of the target, Unix time in ms.
+    #[serde(rename = "seq")]
+    _seq: u64,
+    /// Start of the target, Unix time in ms; not stated on all platforms.
     #[serde(default)]
     born: Option<u64>,
 }
--- a/tests/entry_targets.rs
+++ b/tests/entry_targets.rs
@@ -296,6 +296,33 @@
     }
 }
 
+/// Guards against requests that run at another service, and are answered there, since an entry of
+/// another writer took the place of a target's own.
+#[test]
+fn entry_of_another_writer_leads_no_request_to_another_service() {
+    let fleet = start(2);
+    let taken = fleet.targets.iter().find(|t| t.service == "one");
+    let taken = taken.expect("a target");
+    let entry = serde_json::json!({"backend": "two", "addr": taken.address().to_string(), "zone": "a",
+        "slots": 2, "state": "ready"});
+    let body = entry.to_string();
+    fleet.store.put("servers", &taken.id, body.as_bytes());
+    std::thread::sleep(Duration::from_secs(1));
+    for n in 0..40 {
+        for path in ["/two/x", "/one/x"] {
+            let reply = fleet.request(n % 2, "key-big", "POST", path, "order");
+            assert_eq!(reply.expect("a response").status, 200, "{path}");
+        }
+    }
+    let is_misled = |line: &str| line.ends_with("/two/x");
+    let misled = taken
+        .runs()
+        .iter()
+        .filter(|r| is_misled(&r.request_line))
+        .count();
+    assert_eq!(misled, 0, "requests ran at another service");
+}
+
 #[test]
 fn odd_entry_among_the_targets_neither_ends_daemons_nor_stops_them_from_following() {
     let entry = |addr: &str, slots: &str, more: &str| {
