quota: wait for the lease of a former daemon at another address

The holder of a rate slice was cut off from the store, and a machine that replaced its host under the same name, at another address, took the lease at once; both granted the slice.

Cause: a lease row with the own host name was taken for that of an earlier incarnation of the daemon, which has ended "because this one serves at its address", but the row held no address. Change: it does now, and only a row with the same host and address (or of this incarnation) is taken over before its term is over.

--- a/src/daemon/front.rs
+++ b/src/daemon/front.rs
@@ -227,6 +227,7 @@
             peers: self.peers.clone(),
             data_centre: settings.data_centre.clone(),
             incarnation,
+            peer_address: settings.peer_address,
             clock: base.clock.clone(),
             broadcast: broadcast.clone(),
             metrics: base.metrics.clone(),
--- a/src/quota/lease_task.rs
+++ b/src/quota/lease_task.rs
@@ -1,6 +1,6 @@
 //! The task that acquires and renews the lease of the local data centre's slice.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use local_sync::mpsc;
 use monoio::time::sleep;
@@ -49,6 +49,8 @@
     pub data_centre: String,
     /// Incarnation of this daemon.
     pub incarnation: Incarnation,
+    /// Address of this daemon for other daemons, at which no other process serves.
+    pub peer_address: SocketAddr,
     /// Clock.
     pub clock: Rc<dyn Clock>,
     /// Broadcast of the new holder at a handover.
@@ -266,10 +268,10 @@
         };
         let now = self.parts.clock.now();
         let version = row.as_ref().map_or(0, |r| r.version);
-        let own_host = row.is_some_and(|r| self.is_own_host(&r));
+        let is_own = row.is_some_and(|r| self.is_own_daemon(&r));
         self.parts
             .slice
-            .with_lease(now, |l| l.observe(version, own_host, now));
+            .with_lease(now, |l| l.observe(version, is_own, now));
         true
     }
 
@@ -290,11 +292,20 @@
         }
     }
 
-    /// Returns whether an incarnation of this host's daemon wrote the row; an earlier one has
-    /// ended, because this one serves at its address.
-    fn is_own_host(&self, row: &StoredRow) -> bool {
-        let own = self.parts.peers.directory().own_host();
-        LeaseHolder::from_row(row).is_some_and(|h| h.host == own)
+    /// Returns whether this daemon or an earlier incarnation of it, which has ended, wrote the row.
+    fn is_own_daemon(&self, row: &StoredRow) -> bool {
+        let holder = LeaseHolder::from_row(row);
+        holder.is_some_and(|holder| holder.is_same_daemon(&self.own_holder()))
+    }
+
+    /// Returns what a lease row of this daemon states.
+    fn own_holder(&self) -> LeaseHolder {
+        let parts = &self.parts;
+        LeaseHolder {
+            host: parts.peers.directory().own_host().to_owned(),
+            incarnation: parts.incarnation,
+            address: Some(parts.peer_address),
+        }
     }
 
     async fn write(&self, expected: u64) -> Duration {
@@ -355,7 +366,7 @@
         parts.slice.with_lease(now, |l| match row {
             // The write was committed; the term still counts from the last acknowledged write.
             Some(row) if is_own && is_same_era => l.adopt_own_write(row.version, now),
-            Some(row) => l.observe(row.version, self.is_own_host(&row), now),
+            Some(row) => l.observe(row.version, self.is_own_daemon(&row), now),
             None => l.observe(0, false, now),
         });
     }
@@ -375,10 +386,7 @@
         let parts = &self.parts;
         let centre = parts.data_centre.as_str();
         let host = parts.peers.directory().own_host();
-        let holder = LeaseHolder {
-            host: host.to_owned(),
-            incarnation: parts.incarnation,
-        };
+        let holder = self.own_holder();
         let lease = RowPut::json(SLICES_TABLE, PART, centre, Some(expected), &holder)?;
         let era = parts.slice.with_lease(parts.clock.now(), |l| l.era());
         if !self.must_announce(era) {
--- a/src/quota/slice_lease.rs
+++ b/src/quota/slice_lease.rs
@@ -20,8 +20,8 @@
 enum RowClaim {
     /// Another daemon may hold the lease.
     Unknown,
-    /// This host's daemon wrote the row, in this or an earlier incarnation.
-    OwnHost,
+    /// This daemon wrote the row, in this or an earlier incarnation, which has ended.
+    OwnDaemon,
     /// The holder has released the lease to this daemon in the era of the row.
     Released,
 }
@@ -90,8 +90,8 @@
     }
 
     /// Updates the state from the row as read: its version, 0 if it is absent, and whether this
-    /// host's daemon wrote it, in this or an earlier incarnation.
-    pub fn observe(&mut self, version: u64, own_host: bool, now: BootTime) {
+    /// daemon wrote it, in this or an earlier incarnation (`is_own`).
+    pub fn observe(&mut self, version: u64, is_own: bool, now: BootTime) {
         if self.released || self.observed.is_some_and(|s| s.version == version) {
             return;
         }
@@ -102,8 +102,8 @@
         self.observed = Some(ObservedRow {
             version,
             since: now,
-            claim: if own_host {
-                RowClaim::OwnHost
+            claim: if is_own {
+                RowClaim::OwnDaemon
             } else {
                 RowClaim::Unknown
             },
@@ -117,7 +117,7 @@
         let expired = now.since(observed.since) >= LEASE_TERM + MARGIN;
         let is_free = observed.version == 0 || expired;
         let is_acquirable = if let Some(takeover_from) = self.takeover_from {
-            // A row of this host does not show that no other daemon holds the lease: a late write of an
+            // A row of this daemon does not show that no other daemon holds the lease: a late write of an
             // earlier era may have replaced a row that had the expected version again.
             let may_take_over = now >= takeover_from || self.was_never_held();
             let is_released = observed.claim == RowClaim::Released;
@@ -190,7 +190,7 @@
         }
         if let Some(observed) = &mut self.observed {
             observed.version = version;
-            observed.claim = RowClaim::OwnHost;
+            observed.claim = RowClaim::OwnDaemon;
         }
     }
 
--- a/tests/entry_slice_takeover.rs
+++ b/tests/entry_slice_takeover.rs
@@ -1,9 +1,15 @@
 //! Takeover of the slices of a fleet of which most hosts are gone for good.
 
-use std::{path::Path, thread::sleep, time::Duration};
+use std::{
+    fs,
+    path::Path,
+    thread::sleep,
+    time::{Duration, Instant},
+};
 
-use chervillug::quota::{LeaseHolder, SuccessionRank};
-use standins::EntryFleet;
+use chervillug::quota::{LeaseHolder, SuccessionRank, LEASE_TERM, RENEW_INTERVAL};
+use serde_json::json;
+use standins::{EntryDaemon, EntryFleet};
 
 /// Daemons in each of the two data centres.
 const DAEMONS_PER_CENTRE: usize = 4;
@@ -65,3 +71,88 @@
         assert_eq!(holder(&fleet, name).as_ref(), Some(host));
     }
 }
+
+/// Guards against two daemons that grant the same slice: one that is cut off from the store, and one
+/// that replaces its host under the same name meanwhile.
+#[test]
+fn replacement_of_a_host_waits_for_the_lease_of_the_former_daemon() {
+    let program = Path::new(env!("CARGO_BIN_EXE_chervillug"));
+    let fleet = EntryFleet::start(program, 2).expect("no fleet");
+    while holder(&fleet, "a").is_none() {
+        sleep(Duration::from_millis(50));
+    }
+    let host = &fleet.daemons[0].host;
+    fleet.store_links[0].set_faults(|f| f.cut = true);
+    let cut_at = Instant::now();
+    let directory = std::env::temp_dir().join(format!("chervillug-again-{}", std::process::id()));
+    fs::create_dir_all(&directory).expect("no directory");
+    let store = fleet.store.address();
+    let more = json!({"first_start": false});
+    let replacement = EntryDaemon::start(program, &directory, host, "a", store, &more);
+    let replacement = replacement.expect("no replacement");
+    let has_taken = || replacement.log().contains("slice taken");
+    // The last renewal was at most `RENEW_INTERVAL` before the cut.
+    while cut_at.elapsed() < LEASE_TERM - RENEW_INTERVAL {
+        assert!(!has_taken(), "taken after {:?}", cut_at.elapsed());
+        sleep(Duration::from_millis(50));
+    }
+    while !has_taken() {
+        assert!(cut_at.elapsed() < RECOVERY_LIMIT, "not taken over");
+        sleep(Duration::from_millis(50));
+    }
+    let _ = fs::remove_dir_all(&directory);
+}
+
+/// Guards against a slice without a holder for the rest of a lease when a daemon is restarted, and
+/// against a lease that is taken from a daemon which is still running.
+#[test]
+fn earlier_incarnation_is_known_by_host_and_address() {
+    struct Case {
+        host: &'static str,
+        incarnation: &'static str,
+        address: Option<&'static str>,
+        is_same: bool,
+    }
+    let holder = |host: &str, incarnation: &str, address: Option<&str>| -> LeaseHolder {
+        let row = json!({"host": host, "incarnation": incarnation, "address": address});
+        serde_json::from_value(row).expect("a holder")
+    };
+    let (own_address, other_address) = (Some("10.0.0.1:80"), Some("10.0.0.2:80"));
+    let own = holder("entry-0", "0000000000000002", own_address);
+    let cases = [
+        Case {
+            host: "entry-0",
+            incarnation: "0000000000000001",
+            address: own_address,
+            is_same: true,
+        },
+        Case {
+            host: "entry-0",
+            incarnation: "0000000000000001",
+            address: other_address,
+            is_same: false,
+        },
+        Case {
+            host: "entry-0",
+            incarnation: "0000000000000001",
+            address: None,
+            is_same: false,
+        },
+        Case {
+            host: "entry-1",
+            incarnation: "0000000000000001",
+            address: own_address,
+            is_same: false,
+        },
+        Case {
+            host: "entry-0",
+            incarnation: "0000000000000002",
+            address: own_address,
+            is_same: true,
+        },
+    ];
+    for (i, case) in cases.iter().enumerate() {
+        let other = holder(case.host, case.incarnation, case.address);
+        assert_eq!(other.is_same_daemon(&own), case.is_same, "{i}");
+    }
+}
