--- a/tests/front_settings.rs
+++ b/tests/front_settings.rs
@@ -207,3 +207,114 @@
     assert!(keys.len() > 8);
     assert!(keys.is_subset(&known_keys()), "{keys:?}");
 }
+
+/// The platform's fields that the template names, as far as a platform has them.
+struct Fields {
+    /// Values by their names in the template.
+    values: &'static [(&'static str, &'static str)],
+    /// Whether the renderer knows sections and other forms of values of bounds that came later.
+    knows_later_bounds: bool,
+    retry_ratio: Option<f64>,
+    warmup_over: Option<f64>,
+}
+
+/// Renders one section of the template, whose text is left out without a value.
+fn render_section(text: &str, name: &str, inner: Option<&str>) -> String {
+    let (start, end) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+    let (before, rest) = text.split_once(&start).expect("a section");
+    let (section, after) = rest.split_once(&end).expect("the end of the section");
+    let section = inner.map_or("", |inner| if inner.is_empty() { section } else { inner });
+    format!("{before}{section}{after}")
+}
+
+fn render(fields: &Fields) -> String {
+    let mut text = render_section(TEMPLATE, "zones", Some("\"a\", \"b\""));
+    let start = "{{#bootstrap}}true{{/bootstrap}}{{^bootstrap}}false{{/bootstrap}}";
+    text = text.replace(start, "true");
+    if fields.knows_later_bounds {
+        for name in ["bounds.retryRatio", "bounds.warmupOver"] {
+            let is_set = fields.values.iter().any(|(n, _)| *n == name);
+            text = render_section(&text, name, is_set.then_some(""));
+        }
+        text = text.replace("{{^node}}{{/node}}", "");
+    }
+    for (name, value) in FIRST_VALUES.iter().chain(fields.values) {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+        if fields.knows_later_bounds {
+            text = text.replace(&format!("{{{{{name}|json}}}}"), value);
+        }
+    }
+    text
+}
+
+/// Values that each platform has.
+const FIRST_VALUES: [(&str, &str); 11] = [
+    ("node", "entry-1"),
+    ("zone", "a"),
+    ("listen.front", "127.0.0.1:8080"),
+    ("listen.ready", "127.0.0.1:8081"),
+    ("ip", "127.0.0.1"),
+    ("portRange.0", "8082"),
+    ("provider.addr", "127.0.0.1:8083"),
+    ("bounds.revokeS", "5"),
+    ("bounds.graceS", "6"),
+    ("bounds.floorShare", "0.7"),
+    ("bounds.quotaSlack", "20"),
+];
+
+/// Guards against a template that a platform without the later bounds, or with a renderer that does
+/// not know their form, turns into settings that no daemon starts with.
+#[test]
+fn template_is_valid_with_and_without_the_later_bounds() {
+    let cases = [
+        Fields {
+            values: &[],
+            knows_later_bounds: false,
+            retry_ratio: None,
+            warmup_over: None,
+        },
+        Fields {
+            values: &[],
+            knows_later_bounds: true,
+            retry_ratio: None,
+            warmup_over: None,
+        },
+        Fields {
+            values: &[("bounds.retryRatio", "0.2"), ("bounds.retrySlack", "64")],
+            knows_later_bounds: true,
+            retry_ratio: Some(0.2),
+            warmup_over: None,
+        },
+        Fields {
+            values: &[
+                ("bounds.retryRatio", "0.2"),
+                ("bounds.retrySlack", "64"),
+                ("bounds.warmupOver", "1.5"),
+                ("bounds.warmupSlack", "8"),
+            ],
+            knows_later_bounds: true,
+            retry_ratio: Some(0.2),
+            warmup_over: Some(1.5),
+        },
+    ];
+    for (i, case) in cases.iter().enumerate() {
+        let text = render(case);
+        let settings = parse_front(&text, Path::new("front.json"));
+        let settings = settings.unwrap_or_else(|e| panic!("{i}: {e}\n{text}"));
+        assert_eq!(settings.retry_ratio, case.retry_ratio, "{i}");
+        assert_eq!(settings.warmup_over, case.warmup_over, "{i}");
+    }
+}
+
+/// Guards against names that a renderer which knows the first bounds only cannot resolve.
+#[test]
+fn template_names_later_bounds_in_a_form_that_earlier_renderers_leave_alone() {
+    let names = TEMPLATE
+        .split("{{")
+        .skip(1)
+        .filter_map(|t| t.split("}}").next());
+    let is_plain = |name: &&str| name.chars().all(|c| c.is_ascii_alphanumeric() || c == '.');
+    let known: BTreeSet<&str> = FIRST_VALUES.iter().map(|(name, _)| *name).collect();
+    let plain: BTreeSet<&str> = names.filter(is_plain).collect();
+    assert_eq!(plain, known);
+}
