Accept connections of three ports in one place; share test fixtures

The accept loops of the readiness, peer and operator ports stood three times with other names; they are http::accept_task now, which serves a ConnectionHandler. The longest wait for a limit stood twice in health/throttle. The balancer of two data centres and the request that may be hedged stood twice each in tests; they have a fixture each. No behaviour changes.

Run: hedge, hedge_limits, hedge_balancer, evacuation_balancer, peer_port, target_limit, panic_logs.

--- a/src/health/throttle/named_limit.rs
+++ b/src/health/throttle/named_limit.rs
@@ -4,15 +4,13 @@
 
 use crate::{clock::BootTime, limit::TokenBucket};
 
-use super::FleetShare;
+use super::{FleetShare, MAX_WAIT};
 
 /// Requests that a daemon may send at once.
 const BURST: f64 = 1.0;
 /// Lowest limit that is kept, in requests per second, within the operator's tolerance. Under a lower
 /// one, no request would find out that the limit has ended or was named in a corrupt response.
 const MIN_LIMIT_PER_S: f64 = 0.1;
-/// Longest wait that is reported to callers.
-const MAX_WAIT: Duration = Duration::from_secs(15);
 /// Time after which a limit that nobody heard of again is forgotten, in addition to that in which
 /// the fleet sends [`EXPIRY_REQUESTS`] within the limit.
 const EXPIRY: Duration = Duration::from_secs(15);
--- a/src/health/throttle/warmup_limit.rs
+++ b/src/health/throttle/warmup_limit.rs
@@ -4,7 +4,7 @@
 
 use crate::{clock::BootTime, limit::TokenBucket};
 
-use super::FleetShare;
+use super::{FleetShare, MAX_WAIT};
 
 /// Requests that a daemon may send at once.
 const BURST: f64 = 1.0;
@@ -12,8 +12,6 @@
 const EXTRA_DAEMONS: f64 = 1.0;
 /// Amount by which the fleet stays below the operator's limit.
 const MARGIN: f64 = 0.01;
-/// Longest wait that is reported to callers.
-const MAX_WAIT: Duration = Duration::from_secs(15);
 
 /// How much a cold target of a service takes.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 over `monoio`, with limits and framing checks around `monoio-http`.
 
+mod accept;
 mod body_decoder;
 mod body_kind;
 mod client;
@@ -13,6 +14,7 @@
 mod work_budget;
 mod writer;
 
+pub use accept::{accept_task, ConnectionHandler};
 pub use body_decoder::BodyDecoder;
 pub use body_kind::BodyKind;
 pub use client::{call, CallRequest, CallResponse, TransferLimits};
--- a/src/lifecycle/readiness_server.rs
+++ b/src/lifecycle/readiness_server.rs
@@ -7,17 +7,18 @@
 use monoio::{
     io::Splitable,
     net::{TcpListener, TcpStream},
-    time::{sleep, timeout},
+    time::timeout,
 };
 
 use crate::{
     clock::Clock,
     http::{
-        encode_response_head, request_body_kind, BodyKind, Framing, HeadLimits, HttpError,
-        HttpReader, HttpWriter,
+        accept_task, encode_response_head, request_body_kind, BodyKind, ConnectionHandler, Framing,
+        HeadLimits, HttpError, HttpReader, HttpWriter,
     },
     metrics::Metrics,
     proxy::AccessPolicy,
+    store::BoxFuture,
 };
 
 use super::ShutdownSignal;
@@ -31,8 +32,6 @@
 };
 /// Timeout for idle connections.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-/// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// Context of the readiness server.
 pub struct ReadinessServer {
@@ -48,21 +47,12 @@
 
 /// Accepts connections until the daemon exits.
 pub async fn readiness_server_task(cx: Rc<ReadinessServer>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let cx = cx.clone();
-                monoio::spawn(async move {
-                    if let Err(e) = cx.serve(stream).await {
-                        log::debug!("readiness connection: {e}");
-                    }
-                });
-            }
-            Err(e) => {
-                log::error!("cannot accept on the readiness port: {e}");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+    accept_task(listener, "readiness", cx).await;
+}
+
+impl ConnectionHandler for ReadinessServer {
+    fn serve_connection(&self, stream: TcpStream) -> BoxFuture<'_, Result<(), HttpError>> {
+        Box::pin(self.serve(stream))
     }
 }
 
--- a/src/logging/mod.rs
+++ b/src/logging/mod.rs
@@ -62,7 +62,8 @@
     }
 }
 
-/// Initializes logging to standard output, panics included; the environment variable `RUST_LOG` sets the level.
+/// Initializes logging to standard output, panics included; the environment variable `RUST_LOG` sets
+/// the level.
 pub fn init(host: &str) {
     let host = host.to_owned();
     let res = Builder::from_env(Env::default().default_filter_or("info"))
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -14,10 +14,11 @@
     config::Settings,
     health::BalancerHandle,
     http::{
-        encode_response_head, request_body_kind, BodyDecoder, Framing, HeadLimits, HttpError,
-        HttpReader, HttpWriter,
+        accept_task, encode_response_head, request_body_kind, BodyDecoder, ConnectionHandler,
+        Framing, HeadLimits, HttpError, HttpReader, HttpWriter,
     },
     proxy::ProxyContext,
+    store::BoxFuture,
     sync::{CatalogView, EditAnswer, EditRequest, SyncMessage},
 };
 
@@ -79,21 +80,12 @@
 
 /// Accepts operator connections until the daemon exits.
 pub async fn operator_server_task(cx: Rc<OperatorContext>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let cx = cx.clone();
-                monoio::spawn(async move {
-                    if let Err(e) = serve(&cx, stream).await {
-                        log::debug!("operator connection: {e}");
-                    }
-                });
-            }
-            Err(e) => {
-                log::error!("cannot accept on the operator port: {e}");
-                monoio::time::sleep(Duration::from_millis(10)).await;
-            }
-        }
+    accept_task(listener, "operator", cx).await;
+}
+
+impl ConnectionHandler for OperatorContext {
+    fn serve_connection(&self, stream: TcpStream) -> BoxFuture<'_, Result<(), HttpError>> {
+        Box::pin(serve(self, stream))
     }
 }
 
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -11,10 +11,11 @@
 
 use crate::{
     http::{
-        encode_response_head, request_body_kind, BodyDecoder, BodyKind, Framing, HeadLimits,
-        HttpError, HttpReader, HttpWriter,
+        accept_task, encode_response_head, request_body_kind, BodyDecoder, BodyKind,
+        ConnectionHandler, Framing, HeadLimits, HttpError, HttpReader, HttpWriter,
     },
     metrics::{Counter, Metrics},
+    store::BoxFuture,
 };
 
 use super::{
@@ -71,21 +72,12 @@
 
 /// Accepts connections of other daemons until this daemon exits.
 pub async fn peer_server_task(cx: Rc<PeerServer>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let cx = cx.clone();
-                monoio::spawn(async move {
-                    if let Err(e) = cx.serve(stream).await {
-                        log::debug!("peer connection: {e}");
-                    }
-                });
-            }
-            Err(e) => {
-                log::error!("cannot accept on the peer port: {e}");
-                monoio::time::sleep(Duration::from_millis(10)).await;
-            }
-        }
+    accept_task(listener, "peer", cx).await;
+}
+
+impl ConnectionHandler for PeerServer {
+    fn serve_connection(&self, stream: TcpStream) -> BoxFuture<'_, Result<(), HttpError>> {
+        Box::pin(self.serve(stream))
     }
 }
 
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -1,5 +1,7 @@
 //! Decision on hedged requests: whether a second attempt is sent, and which attempt wins.
 
+mod hedge_fixture;
+
 use std::time::Duration;
 
 use chervillug::{
@@ -10,21 +12,7 @@
     },
 };
 
-const ALLOWED: HedgePolicy = HedgePolicy {
-    repeatable: true,
-    is_get: true,
-    replayable: true,
-};
-
-const GOOD: HedgeConditions = HedgeConditions {
-    has_attempt_left: true,
-    is_admitted: true,
-    is_service_slow: false,
-    time_left: Duration::from_millis(500),
-    usual_latency: Duration::from_millis(10),
-    is_budget_low: false,
-    has_room: true,
-};
+use hedge_fixture::{ALLOWED, GOOD};
 
 /// Guards against second attempts of requests that must run at most once, as on `unsafe` and
 /// `upload` routes, and of bodies that cannot be sent again.
--- a/tests/hedge_balancer.rs
+++ b/tests/hedge_balancer.rs
@@ -1,46 +1,20 @@
 //! Which targets get second attempts of hedged requests, and what these tell about them.
 
+mod balancer_fixture;
+
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use chervillug::{
     clock::BootTime,
     health::{
-        Balancer, Choice, EntryWarmup, Evacuations, FleetShare, Observation, Profile,
-        ScheduleRequest, Scheduler, SequentialDetector, TargetState, WarmupTerms, WorkResult,
+        Balancer, Choice, EntryWarmup, Evacuations, FleetShare, Observation, ScheduleRequest,
+        Scheduler, TargetState, WarmupTerms, WorkResult,
     },
     proxy::TargetReport,
     queue::QueueId,
-    store::ListedHost,
 };
 
-fn at(ms: u64) -> BootTime {
-    BootTime::from_duration(Duration::from_millis(100_000 + ms))
-}
-
-/// Returns targets of the service `one`, alternating between the data centres `a` and `b`.
-fn hosts(n: usize) -> Vec<ListedHost> {
-    let host = |i: usize| ListedHost {
-        name: format!("t{i}"),
-        data_centre: if i % 2 == 0 { "a" } else { "b" }.to_owned(),
-        address: format!("127.0.0.1:{}", 1000 + i)
-            .parse()
-            .expect("an address"),
-        service: Some("one".to_owned()),
-        slots: 2,
-        leaving: false,
-        cold: false,
-        born: None,
-    };
-    (0..n).map(host).collect()
-}
-
-fn balancer(targets: usize, seed: u64) -> Balancer {
-    let options = Profile::FewFalseEjections.options();
-    let detector = Box::new(SequentialDetector::new(options));
-    let mut balancer = Balancer::new(detector, 0.7, seed).prefer_data_centre("a");
-    balancer.set_targets(&hosts(targets), at(0));
-    balancer
-}
+use balancer_fixture::{at, balancer, hosts};
 
 /// Starts a request at the target `name`, whichever the balancer prefers.
 fn start_at(balancer: &mut Balancer, name: &str, now: BootTime) -> Choice {
--- a/tests/hedge_limits.rs
+++ b/tests/hedge_limits.rs
@@ -1,15 +1,19 @@
 //! Hedged requests of one service: delay, limit, and what they do to latencies and load.
 
+mod hedge_fixture;
+
 use std::{collections::VecDeque, rc::Rc, time::Duration};
 
 use chervillug::{
     clock::BootTime,
     retry::{
-        Hedge, HedgeAction, HedgeConditions, HedgeEvent, HedgeLimit, HedgePolicy, RetryBudget,
+        Hedge, HedgeAction, HedgeConditions, HedgeEvent, HedgeLimit, RetryBudget,
         RetryBudgetConfig, ServiceHedging,
     },
 };
 
+use hedge_fixture::{ALLOWED, GOOD};
+
 /// Window over which the limit holds.
 const WINDOW: Duration = Duration::from_secs(10);
 const ROUTE: &str = "shop.example/one/";
@@ -20,22 +24,6 @@
     BootTime::default() + Duration::from_secs_f64(s)
 }
 
-const ALLOWED: HedgePolicy = HedgePolicy {
-    repeatable: true,
-    is_get: true,
-    replayable: true,
-};
-
-const GOOD: HedgeConditions = HedgeConditions {
-    has_attempt_left: true,
-    is_admitted: true,
-    is_service_slow: false,
-    time_left: Duration::from_millis(500),
-    usual_latency: Duration::from_millis(10),
-    is_budget_low: false,
-    has_room: true,
-};
-
 /// Reference for the limit, which keeps the time of each event.
 #[derive(Default)]
 struct History {
