--- a/review/14/case.py
+++ b/review/14/case.py
@@ -29,7 +29,7 @@
             n += 1
             rid = f"{daemon.host}-{n}"
             sent[rid] = now()
-            await fleet.request(daemon, "POST", "/payout/2f", KEY, b'{"bale":"%d"}' % n, rid=rid, log=False)
+            await fleet.request(daemon, "POST", "/payout/2f", KEY, b'{"bale":"%d"}' % n, rid=rid)
             await asyncio.sleep(0.03)
 
     clients = [fleet.spawn(client(d)) for d in fleet.daemons for _ in range(2)]
